--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SOURCES := packages tests bench
+export PYTHONPATH := $(CURDIR)/packages/heatherhatch-core/src:$(CURDIR)/packages/heatherhatch-daemon/src:$(CURDIR)/packages/heatherhatch-cli/src:$(CURDIR)/packages/heatherhatch-standins/src:$(CURDIR)
+SEED ?= 1
+
+.PHONY: help setup demo test format lint check-format unit bench capacity proof clean
+
+help:  ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
+
+setup: $(VENV)/.installed  ## install everything that is needed into .venv
+
+$(VENV)/.installed: requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+demo: setup  ## run both example deployments under load and faults; SEED=n repeats a load
+	$(BIN)/python -m heatherhatch_standins.demo --seed $(SEED)
+
+test: setup check-format lint unit  ## check the format, lint and run the tests
+
+check-format: setup  ## check the format
+	$(BIN)/ruff format --check $(SOURCES)
+
+lint: setup  ## lint
+	$(BIN)/ruff check $(SOURCES)
+
+unit: setup  ## run the tests
+	$(BIN)/python -m pytest
+
+format: setup  ## format the code and sort the imports
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+bench: setup  ## print measurements as lines of name, value, unit
+	$(BIN)/python -m bench
+
+clean:  ## remove what was built
+	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of heatherhatch."""
--- /dev/null
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The heatherhatch command line for operators."""
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/__init__.py
@@ -0,0 +1,1 @@
+"""State and coordination logic of heatherhatch, without sockets or clocks."""
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/api.py
@@ -0,0 +1,133 @@
+"""Messages of the operators' API."""
+
+from dataclasses import dataclass
+
+from .coordination.planner import Plan
+from .state.changes import Change, Edit
+from .state.jobs import Job
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """An operator's wish for a change.
+
+    Attributes:
+        change_id: Unique id, chosen by the client, that makes resends safe.
+        edit: What to change.
+        reason: Why.
+        dry_run: True to check only.
+    """
+
+    change_id: str
+    edit: Edit
+    reason: str = ""
+    dry_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeAnswer:
+    """The answer to a change.
+
+    Attributes:
+        seq: Position in the log, 0 for a dry run.
+    """
+
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRequest:
+    """An operator's wish for a new key.
+
+    Attributes:
+        change_id: Unique id that makes resends safe.
+        team: Team that the key is for.
+        reason: Why.
+    """
+
+    change_id: str
+    team: str
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyAnswer:
+    """A new key; its token is shown this once.
+
+    Attributes:
+        seq: Position of the change in the log.
+        key_id: Public part.
+        token: What the team presents.
+    """
+
+    seq: int
+    key_id: str
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeStatus:
+    """What is known of one node.
+
+    Attributes:
+        name: Name of the node.
+        data_centre: Where it runs.
+        seq: Log position in force there, -1 if it has not said.
+        heard_s: Seconds since it was last heard, -1 if it never was.
+    """
+
+    name: str
+    data_centre: str
+    seq: int
+    heard_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """The state of the system as one node sees it.
+
+    Attributes:
+        node: Node that answers.
+        seq: Log position in force here.
+        standing: True if this node may act on its configuration.
+        running: Requests running here.
+        nodes: The other nodes.
+    """
+
+    node: str
+    seq: int
+    standing: bool
+    running: int
+    nodes: tuple[NodeStatus, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AuditPage:
+    """Part of the audit trail.
+
+    Attributes:
+        changes: Changes in order.
+    """
+
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanAnswer:
+    """The plan for all announced waves."""
+
+    plan: Plan
+
+
+@dataclass(frozen=True, slots=True)
+class JobPage:
+    """Some jobs."""
+
+    jobs: tuple[Job, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """The id of an accepted job."""
+
+    job_id: str
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
@@ -0,0 +1,192 @@
+"""The closed list of error kinds and the answer that belongs to each."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Execution(Enum):
+    """Whether the work behind a failed request may have been executed."""
+
+    NOT_RUN = "not run"
+    UNKNOWN = "outcome unknown"
+
+
+class Retry(Enum):
+    """When a client may send the request again."""
+
+    NEVER = "never"
+    AFTER_FIX = "after fixing the request"
+    LATER = "after the time in Retry-After"
+    SAME_KEY = "with the same Idempotency-Key only"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The HTTP answer for one error kind.
+
+    Attributes:
+        code: Stable number of the kind, never reused.
+        status: HTTP status code.
+        execution: Whether the work may have been executed.
+        retry: When the client may send the request again.
+        title: One sentence for people.
+        exit_code: Exit code of the command line for this kind.
+    """
+
+    code: int
+    status: int
+    execution: Execution
+    retry: Retry
+    title: str
+    exit_code: int
+
+
+class ErrorKind(Enum):
+    """Every kind of error that a client of the system can see."""
+
+    BAD_REQUEST = "bad-request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not-found"
+    CONFLICT = "conflict"
+    INVALID_CHANGE = "invalid-change"
+    TOO_LARGE = "too-large"
+    LIMIT_REACHED = "limit-reached"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    NO_STANDING = "no-standing"
+    STORE_UNAVAILABLE = "store-unavailable"
+    NO_BACKEND = "no-backend"
+    SHUTTING_DOWN = "shutting-down"
+    KEY_REQUIRED = "idempotency-key-required"
+    KEY_EXPIRED = "idempotency-key-expired"
+    ISSUER_GONE = "ticket-issuer-gone"
+    KEY_REUSED = "idempotency-key-reused"
+    BACKEND_FAILED = "backend-failed"
+    BACKEND_TIMEOUT = "backend-timeout"
+    PARTIAL_ANSWER = "partial-answer"
+    BUDGET_EXCEEDED = "budget-exceeded"
+    CHANGE_UNKNOWN = "change-outcome-unknown"
+    INTERNAL = "internal"
+
+
+_NOT_RUN = Execution.NOT_RUN
+_UNKNOWN = Execution.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(
+        100, 400, _NOT_RUN, Retry.AFTER_FIX, "The request is malformed.", 2
+    ),
+    ErrorKind.UNAUTHENTICATED: Answer(
+        101, 401, _NOT_RUN, Retry.AFTER_FIX, "The key is missing or not valid.", 3
+    ),
+    ErrorKind.FORBIDDEN: Answer(
+        102, 403, _NOT_RUN, Retry.AFTER_FIX, "The key does not allow this.", 3
+    ),
+    ErrorKind.NOT_FOUND: Answer(
+        103, 404, _NOT_RUN, Retry.AFTER_FIX, "There is no such thing.", 4
+    ),
+    ErrorKind.CONFLICT: Answer(
+        104, 409, _NOT_RUN, Retry.LATER, "Another change came first.", 5
+    ),
+    ErrorKind.INVALID_CHANGE: Answer(
+        105, 422, _NOT_RUN, Retry.AFTER_FIX, "The change is not valid.", 2
+    ),
+    ErrorKind.TOO_LARGE: Answer(
+        106, 413, _NOT_RUN, Retry.AFTER_FIX, "The request is too large.", 2
+    ),
+    ErrorKind.LIMIT_REACHED: Answer(
+        200, 429, _NOT_RUN, Retry.LATER, "The team is at its limit.", 6
+    ),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        201, 503, _NOT_RUN, Retry.LATER, "The target time cannot be met now.", 6
+    ),
+    ErrorKind.NO_STANDING: Answer(
+        202, 503, _NOT_RUN, Retry.LATER, "This node may be out of date.", 7
+    ),
+    ErrorKind.STORE_UNAVAILABLE: Answer(
+        203, 503, _NOT_RUN, Retry.LATER, "The store does not answer.", 7
+    ),
+    ErrorKind.NO_BACKEND: Answer(
+        204, 503, _NOT_RUN, Retry.LATER, "No backend server can take this.", 6
+    ),
+    ErrorKind.SHUTTING_DOWN: Answer(
+        205, 503, _NOT_RUN, Retry.LATER, "This node is shutting down.", 7
+    ),
+    ErrorKind.KEY_REQUIRED: Answer(
+        300, 400, _NOT_RUN, Retry.AFTER_FIX, "An Idempotency-Key is required.", 2
+    ),
+    ErrorKind.KEY_EXPIRED: Answer(
+        301, 409, _UNKNOWN, Retry.NEVER, "The key is older than outcomes are kept.", 5
+    ),
+    ErrorKind.ISSUER_GONE: Answer(
+        302, 409, _UNKNOWN, Retry.NEVER, "The node that issued the ticket is gone.", 5
+    ),
+    ErrorKind.KEY_REUSED: Answer(
+        303, 422, _UNKNOWN, Retry.NEVER, "The key was used for another request.", 5
+    ),
+    ErrorKind.BACKEND_FAILED: Answer(
+        400, 502, _UNKNOWN, Retry.SAME_KEY, "The backend server failed.", 8
+    ),
+    ErrorKind.BACKEND_TIMEOUT: Answer(
+        401, 504, _UNKNOWN, Retry.SAME_KEY, "The backend server gave no answer.", 8
+    ),
+    ErrorKind.PARTIAL_ANSWER: Answer(
+        402, 502, _UNKNOWN, Retry.SAME_KEY, "The answer was cut short.", 8
+    ),
+    ErrorKind.BUDGET_EXCEEDED: Answer(
+        500, 409, _NOT_RUN, Retry.LATER, "The pool's budget has no room.", 5
+    ),
+    ErrorKind.CHANGE_UNKNOWN: Answer(
+        501, 504, _UNKNOWN, Retry.SAME_KEY, "The change may have been accepted.", 8
+    ),
+    ErrorKind.INTERNAL: Answer(
+        900, 500, _UNKNOWN, Retry.SAME_KEY, "The system failed.", 9
+    ),
+}
+
+
+class HeatherhatchError(Exception):
+    """Base of all errors that the system raises on purpose.
+
+    Attributes:
+        kind: One of the closed list of error kinds.
+        detail: What happened this time, for people; never holds a secret.
+        retry_after_s: Seconds after which to try again, if that is known.
+    """
+
+    def __init__(
+        self, kind: ErrorKind, detail: str = "", retry_after_s: float | None = None
+    ):
+        super().__init__(f"{kind.value}: {detail or ANSWERS[kind].title}")
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+    @property
+    def answer(self) -> Answer:
+        """The table row of this error's kind."""
+        return ANSWERS[self.kind]
+
+
+class SettingsError(HeatherhatchError):
+    """A settings file has one or more faults.
+
+    Attributes:
+        problems: One line of text for each fault.
+    """
+
+    def __init__(self, problems: tuple[str, ...]):
+        super().__init__(ErrorKind.BAD_REQUEST, "; ".join(problems))
+        self.problems = problems
+
+
+class StoreError(HeatherhatchError):
+    """The store refused a call or gave no answer.
+
+    Attributes:
+        maybe_applied: True if a write may have taken effect.
+    """
+
+    def __init__(self, detail: str, maybe_applied: bool = False):
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
+        self.maybe_applied = maybe_applied
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/__init__.py
@@ -0,0 +1,1 @@
+"""What the system knows: entities, changes and the configuration they fold into."""
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
@@ -0,0 +1,168 @@
+"""Changes of the configuration: what each one does and when it is valid."""
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Literal
+
+from ..exceptions import ErrorKind, HeatherhatchError
+from .configuration import Configuration
+from .entities import Drain, OperatorKey, Pool, Team, TeamKey, Wave, WorkClass, Worker
+
+EntityKind = Literal[
+    "pool", "team", "team-key", "operator-key", "class", "worker", "wave", "drain"
+]
+Entity = Pool | Team | TeamKey | OperatorKey | WorkClass | Worker | Wave | Drain
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """Removes one entity.
+
+    Attributes:
+        kind: Kind of the entity.
+        name: Its unique name.
+    """
+
+    kind: EntityKind
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """Any number of puts and removals that take effect together.
+
+    Attributes:
+        pools, teams, team_keys, operator_keys, classes, workers, waves, drains:
+            Entities to create or to replace.
+        removals: Entities to remove.
+    """
+
+    pools: tuple[Pool, ...] = ()
+    teams: tuple[Team, ...] = ()
+    team_keys: tuple[TeamKey, ...] = ()
+    operator_keys: tuple[OperatorKey, ...] = ()
+    classes: tuple[WorkClass, ...] = ()
+    workers: tuple[Worker, ...] = ()
+    waves: tuple[Wave, ...] = ()
+    drains: tuple[Drain, ...] = ()
+    removals: tuple[Removal, ...] = ()
+
+    @property
+    def entities(self) -> tuple[Entity, ...]:
+        """Every entity that the edit puts, in the order they are applied."""
+        return (
+            *self.pools,
+            *self.teams,
+            *self.team_keys,
+            *self.operator_keys,
+            *self.classes,
+            *self.workers,
+            *self.waves,
+            *self.drains,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One accepted entry of the configuration log.
+
+    Attributes:
+        seq: Position in the log, from 1 without holes.
+        change_id: Unique id by which a writer finds its own change again.
+        actor: Operator who made the change.
+        reason: Why, in the operator's words.
+        at_s: Time of acceptance, seconds since the epoch.
+        edit: What changes.
+    """
+
+    seq: int
+    change_id: str
+    actor: str
+    reason: str
+    at_s: float
+    edit: Edit
+
+
+def apply_change(config: Configuration, change: Change) -> Configuration:
+    """Return the configuration after one more change.
+
+    Args:
+        config: Configuration with ``config.seq == change.seq - 1``.
+        change: Next entry of the log.
+
+    Raises:
+        HeatherhatchError: ``CONFLICT`` if the change would leave a hole.
+    """
+    if change.seq != config.seq + 1:
+        raise HeatherhatchError(
+            ErrorKind.CONFLICT, f"change {change.seq} after {config.seq}"
+        )
+    tables = config.tables()
+    for entity in change.edit.entities:
+        tables[table_of(entity)][name_of(entity)] = entity
+    for removal in change.edit.removals:
+        tables[TABLES[removal.kind]].pop(removal.name, None)
+    return Configuration(seq=change.seq, **tables)
+
+
+TABLES: dict[str, str] = {
+    "pool": "pools",
+    "team": "teams",
+    "team-key": "team_keys",
+    "operator-key": "operator_keys",
+    "class": "classes",
+    "worker": "workers",
+    "wave": "waves",
+    "drain": "drains",
+}
+
+
+@singledispatch
+def table_of(entity: Entity) -> str:
+    """Return the name of the configuration table that holds an entity."""
+    raise TypeError(f"no table for {type(entity).__name__}")
+
+
+table_of.register(Pool, lambda _: "pools")
+table_of.register(Team, lambda _: "teams")
+table_of.register(TeamKey, lambda _: "team_keys")
+table_of.register(OperatorKey, lambda _: "operator_keys")
+table_of.register(WorkClass, lambda _: "classes")
+table_of.register(Worker, lambda _: "workers")
+table_of.register(Wave, lambda _: "waves")
+table_of.register(Drain, lambda _: "drains")
+
+
+@singledispatch
+def name_of(entity: Entity) -> str:
+    """Return the unique name of an entity within its table."""
+    return entity.name
+
+
+name_of.register(TeamKey, lambda key: key.key_id)
+name_of.register(OperatorKey, lambda key: key.key_id)
+name_of.register(Worker, lambda worker: worker.worker_id)
+name_of.register(Wave, lambda wave: wave.wave_id)
+name_of.register(Drain, lambda drain: drain.worker_id)
+
+
+def check_edit(config: Configuration, edit: Edit) -> None:
+    """Check that an edit leaves a configuration that holds together.
+
+    Args:
+        config: Configuration that the edit would be applied to.
+        edit: Edit to check.
+
+    Raises:
+        HeatherhatchError: ``INVALID_CHANGE`` with every fault in its detail.
+    """
+    probe = Change(config.seq + 1, "", "", "", 0.0, edit)
+    after = apply_change(config, probe)
+    problems = [
+        f"{removal.kind} {removal.name!r} does not exist"
+        for removal in edit.removals
+        if removal.name not in getattr(config, TABLES[removal.kind])
+    ]
+    problems += after.problems()
+    if problems:
+        raise HeatherhatchError(ErrorKind.INVALID_CHANGE, "; ".join(problems))
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/configuration.py
@@ -0,0 +1,95 @@
+"""The configuration: the fold of the log of accepted changes."""
+
+from collections import Counter
+from dataclasses import dataclass, field, fields
+
+from .entities import Drain, OperatorKey, Pool, Team, TeamKey, Wave, WorkClass, Worker
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """All that operators have stated, as of one position in the log.
+
+    It is never changed in place; ``changes.apply_change`` makes the next one.
+
+    Attributes:
+        seq: Position of the last change that is folded in, 0 if none is.
+        pools, teams, team_keys, operator_keys, classes, workers, waves, drains:
+            Entities by their unique names.
+    """
+
+    seq: int = 0
+    pools: dict[str, Pool] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+    team_keys: dict[str, TeamKey] = field(default_factory=dict)
+    operator_keys: dict[str, OperatorKey] = field(default_factory=dict)
+    classes: dict[str, WorkClass] = field(default_factory=dict)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    waves: dict[str, Wave] = field(default_factory=dict)
+    drains: dict[str, Drain] = field(default_factory=dict)
+
+    def tables(self) -> dict[str, dict]:
+        """Return copies of the tables by their names."""
+        return {
+            item.name: dict(getattr(self, item.name))
+            for item in fields(self)
+            if item.name != "seq"
+        }
+
+    def workers_of(self, pool: str) -> tuple[Worker, ...]:
+        """Return the workers whose home is a pool, ordered by name."""
+        return tuple(
+            self.workers[name]
+            for name in sorted(self.workers)
+            if self.workers[name].home_pool == pool
+        )
+
+    def problems(self) -> list[str]:
+        """Return a sentence for each fault that makes the whole inconsistent."""
+        return [
+            *self._range_problems(),
+            *self._reference_problems(),
+            *self._budget_problems(),
+        ]
+
+    def _range_problems(self) -> list[str]:
+        found = []
+        for team in self.teams.values():
+            if team.share <= 0:
+                found.append(f"team {team.name!r}: share must be above 0")
+            if team.limit < 0:
+                found.append(f"team {team.name!r}: limit must not be negative")
+        for work in self.classes.values():
+            if work.target_s <= 0:
+                found.append(f"class {work.name!r}: target_s must be above 0")
+            if not 0 < work.on_time_share <= 1:
+                found.append(f"class {work.name!r}: on_time_share must be in (0, 1]")
+        for wave in self.waves.values():
+            if wave.end_s <= wave.start_s:
+                found.append(f"wave {wave.wave_id!r}: end must be after start")
+        return found
+
+    def _reference_problems(self) -> list[str]:
+        found = []
+        for work in self.classes.values():
+            if work.pool not in self.pools:
+                found.append(f"class {work.name!r}: no pool {work.pool!r}")
+        for key in self.team_keys.values():
+            if key.team not in self.teams:
+                found.append(f"key {key.key_id!r}: no team {key.team!r}")
+        for worker in self.workers.values():
+            if worker.home_pool not in self.pools:
+                found.append(f"worker {worker.worker_id!r}: no pool")
+        for drain in self.drains.values():
+            if drain.worker_id not in self.workers:
+                found.append(f"drain: no worker {drain.worker_id!r}")
+        return found
+
+    def _budget_problems(self) -> list[str]:
+        sizes = Counter(worker.home_pool for worker in self.workers.values())
+        return [
+            f"pool {pool.name!r}: min_available {pool.min_available} is above"
+            f" its {sizes[pool.name]} workers"
+            for pool in self.pools.values()
+            if sizes[pool.name] and pool.min_available > sizes[pool.name]
+        ]
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The heatherhatchd daemon."""
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -0,0 +1,142 @@
+"""The daemon: builds the tasks from the settings and runs them."""
+
+import random
+import secrets
+import time
+
+from gevent.event import Event as Signal
+
+from heatherhatch_core.coordination.standing import Standing
+
+from .events import Event, log
+from .metrics import open_metrics
+from .protocol.caller import caller_app
+from .protocol.messages import NodeEntry
+from .protocol.operator import OperatorServices, operator_app
+from .protocol.peer import peer_app
+from .settings import Settings, StoreSettings
+from .tasks.follower import Follower
+from .tasks.gateway import Gateway
+from .tasks.heartbeats import Heartbeats
+from .tasks.job_runner import JobRunner
+from .tasks.registrar import Registrar
+from .transport.listener import Listener
+from .transport.memory_store import MemoryStore
+from .transport.store import EtcdStore, Store
+from .transport.workers import HttpWorkerControl
+
+JOB_PERIOD_S = 0.5
+INCARNATION_BYTES = 8
+
+
+def open_store(settings: StoreSettings) -> Store:
+    """Return the store that the settings name."""
+    if settings.kind == "memory":
+        return MemoryStore(time.monotonic)
+    return EtcdStore(settings.address, settings.timeout_s)
+
+
+class Daemon:
+    """One entry instance.
+
+    Args:
+        settings: Checked settings.
+
+    Call ``start``, then ``wait``; ``request_stop`` from a signal handler
+    begins the graceful shutdown.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        timing = settings.timing
+        self.stop_requested = Signal()
+        entry = NodeEntry(
+            name=settings.node.name,
+            incarnation=secrets.token_hex(INCARNATION_BYTES),
+            peers=str(settings.listen.peers),
+            data_centre=settings.node.data_centre,
+        )
+        store = open_store(settings.store)
+        self.follower = Follower(
+            store,
+            timing.heartbeat_s,
+            Standing(timing.standing_s),
+            time.monotonic,
+            time.time,
+        )
+        self.registrar = Registrar(store, entry, timing.lease_s, time.monotonic)
+        self.heartbeats = Heartbeats(
+            self.registrar,
+            self.follower,
+            settings.security.peer_secret,
+            timing.heartbeat_s,
+            time.monotonic,
+        )
+        self.gateway = Gateway(
+            self.follower,
+            self.registrar,
+            open_metrics(settings.platform.statsd),
+            time.monotonic,
+            random.Random(),
+        )
+        self.runner = JobRunner(
+            store,
+            self.gateway,
+            HttpWorkerControl(),
+            JOB_PERIOD_S,
+            time.monotonic,
+            time.time,
+        )
+        self.tasks = (self.registrar, self.follower, self.heartbeats, self.runner)
+        self.callers, self.operators, self.peers = self._listeners()
+
+    def start(self) -> None:
+        """Listen to peers first and to callers last."""
+        self.peers.start()
+        for task in self.tasks:
+            task.start()
+        self.operators.start()
+        self.callers.start()
+        log(Event.STARTED, node=self.settings.node.name)
+
+    def request_stop(self) -> None:
+        """Begin the graceful shutdown."""
+        self.stop_requested.set()
+
+    def wait(self) -> bool:
+        """Serve until a stop is requested, then end.
+
+        Returns:
+            True if no request was cut.
+        """
+        self.stop_requested.wait()
+        log(Event.STOPPING)
+        grace_s = self.settings.timing.grace_s
+        whole = self.callers.stop(grace_s)
+        self.gateway.draining = True
+        self.operators.stop(grace_s)
+        for task in reversed(self.tasks):
+            task.stop()
+        self.peers.stop(grace_s)
+        log(Event.STOPPED if whole else Event.STOP_FORCED)
+        return whole
+
+    def _listeners(self) -> tuple[Listener, Listener, Listener]:
+        listen = self.settings.listen
+        limits = self.settings.limits
+        services = OperatorServices(
+            self.follower,
+            self.heartbeats,
+            self.gateway,
+            self.runner,
+            self.settings.security.first_operator_digest,
+            limits.body_bytes,
+        )
+        secret = self.settings.security.peer_secret
+        peers = peer_app(self.heartbeats, secret, limits.body_bytes)
+        callers = caller_app(self.gateway, self.runner, limits.body_bytes)
+        return (
+            Listener(listen.callers, callers, limits),
+            Listener(listen.operators, operator_app(services), limits),
+            Listener(listen.peers, peers, limits),
+        )
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -0,0 +1,62 @@
+"""Numbered log events and the logger that writes them."""
+
+import sys
+from dataclasses import dataclass
+from enum import Enum
+
+import eliot
+
+
+@dataclass(frozen=True, slots=True)
+class EventInfo:
+    """One row of the catalogue.
+
+    Attributes:
+        number: Stable number, never reused.
+        meaning: What happened, in one sentence.
+    """
+
+    number: int
+    meaning: str
+
+
+class Event(Enum):
+    """Every event that the daemon logs."""
+
+    STARTED = EventInfo(1001, "The daemon listens and has read its settings.")
+    STOPPING = EventInfo(1002, "A graceful shutdown has begun.")
+    STOPPED = EventInfo(1003, "The daemon has ended; no request was cut.")
+    STOP_FORCED = EventInfo(1004, "The grace time ran out with requests open.")
+    REGISTERED = EventInfo(1101, "The node wrote its entry in the store.")
+    REGISTRATION_LOST = EventInfo(1102, "The node's entry or lease has lapsed.")
+    STORE_LOST = EventInfo(1201, "The store has stopped answering.")
+    STORE_BACK = EventInfo(1202, "The store answers again.")
+    STANDING_LOST = EventInfo(1203, "The node may be out of date.")
+    STANDING_BACK = EventInfo(1204, "The node is up to date again.")
+    CHANGE_ACCEPTED = EventInfo(1301, "This node accepted a change.")
+    CHANGE_APPLIED = EventInfo(1302, "A change is in force on this node.")
+    TASK_FAILED = EventInfo(1901, "A task failed and is started again.")
+    REQUEST_FAILED = EventInfo(1902, "A request ended in an internal error.")
+
+
+def open_log(path: str) -> None:
+    """Send events to a file, or to standard error if the path is empty."""
+    if path:
+        # The log stays open for as long as the process lives.
+        eliot.to_file(open(path, "ab", buffering=0))  # noqa: SIM115
+    else:
+        eliot.to_file(sys.stderr.buffer)
+
+
+def log(event: Event, **details: object) -> None:
+    """Write one event.
+
+    Args:
+        event: Entry of the catalogue.
+        details: Named facts; never a secret.
+    """
+    eliot.log_message(
+        message_type=f"heatherhatch:{event.name.lower()}",
+        event=event.value.number,
+        **details,
+    )
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP resources and messages between clients, nodes and the platform."""
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
@@ -0,0 +1,48 @@
+"""Reading and writing of typed HTTP bodies."""
+
+from typing import TypeVar
+
+import falcon
+
+from heatherhatch_core.codec import MEDIA, decode_json, encode_json
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+
+Message = TypeVar("Message")
+BEARER = "Bearer "
+
+
+def read_body(request: falcon.Request, limit_bytes: int) -> bytes:
+    """Return a request's body.
+
+    Raises:
+        HeatherhatchError: ``TOO_LARGE`` if it is above the limit,
+            ``BAD_REQUEST`` if it ends before its stated length.
+    """
+    length = request.content_length
+    if length is not None and length > limit_bytes:
+        raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
+    body = request.bounded_stream.read(limit_bytes + 1)
+    if len(body) > limit_bytes:
+        raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
+    if length is not None and len(body) != length:
+        raise HeatherhatchError(ErrorKind.BAD_REQUEST, "the body is cut short")
+    return body
+
+
+def read_message(
+    request: falcon.Request, kind: type[Message], limit_bytes: int
+) -> Message:
+    """Return the typed message in a JSON body."""
+    return decode_json(read_body(request, limit_bytes), kind)
+
+
+def write_message(response: falcon.Response, message: object) -> None:
+    """Make a typed message the answer, as JSON."""
+    response.content_type = MEDIA.json
+    response.data = encode_json(message)
+
+
+def bearer_token(request: falcon.Request) -> str:
+    """Return the token of the Authorization header, or an empty text."""
+    header = request.get_header("Authorization") or ""
+    return header[len(BEARER) :] if header.startswith(BEARER) else ""
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/caller.py
@@ -0,0 +1,85 @@
+"""The callers' API: requests and long jobs."""
+
+import falcon
+
+from heatherhatch_core.api import JobAnswer
+from heatherhatch_core.state.jobs import JobSpec
+
+from ..tasks.gateway import Gateway, Work
+from ..tasks.job_runner import JobRunner
+from ..transport.http import HttpRequest
+from .bodies import bearer_token, read_body, read_message, write_message
+from .problems import new_app
+
+# Headers that concern one connection or this system only.
+DROPPED_HEADERS = frozenset(
+    [
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+
+
+def caller_app(gateway: Gateway, runner: JobRunner, body_bytes: int) -> falcon.App:
+    """Return the application that callers talk to."""
+    app = new_app()
+    app.add_route("/jobs", JobsResource(runner, body_bytes))
+    app.add_sink(RequestSink(gateway, body_bytes), r"/run/(?P<work_class>[^/]+)")
+    return app
+
+
+class RequestSink:
+    """Passes ``/run/<class>/<path>`` on to a backend server as ``/<path>``."""
+
+    def __init__(self, gateway: Gateway, body_bytes: int):
+        self.gateway = gateway
+        self.body_bytes = body_bytes
+
+    def __call__(self, request: falcon.Request, response: falcon.Response, **params):
+        """Answer one request."""
+        prefix = f"/run/{params['work_class']}"
+        path = request.relative_uri[len(prefix) :] or "/"
+        headers = tuple(
+            (name.title(), value)
+            for name, value in request.headers.items()
+            if name.lower() not in DROPPED_HEADERS
+        )
+        work = Work(
+            work_class=params["work_class"],
+            token=bearer_token(request),
+            idempotency_key=request.get_header("Idempotency-Key") or "",
+            request=HttpRequest(
+                request.method, path, read_body(request, self.body_bytes), headers
+            ),
+        )
+        answer = self.gateway.handle(work)
+        response.status = answer.status
+        for name, value in answer.headers:
+            if name.lower() not in DROPPED_HEADERS:
+                response.set_header(name, value)
+        response.data = answer.body
+
+
+class JobsResource:
+    """Takes long jobs."""
+
+    def __init__(self, runner: JobRunner, body_bytes: int):
+        self.runner = runner
+        self.body_bytes = body_bytes
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Record a job."""
+        spec = read_message(request, JobSpec, self.body_bytes)
+        job = self.runner.submit(bearer_token(request), spec)
+        response.status = falcon.HTTP_201
+        write_message(response, JobAnswer(job.job_id))
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
@@ -0,0 +1,46 @@
+"""Messages between nodes."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class NodeEntry:
+    """A node's registration in the store.
+
+    Attributes:
+        name: Name of the node.
+        incarnation: Random id of this start of the process.
+        peers: ``host:port`` where it hears its peers.
+        data_centre: Where it runs.
+    """
+
+    name: str
+    incarnation: str
+    peers: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A question from one node to another.
+
+    Attributes:
+        sender: Who asks.
+        seq: Log position that is in force at the sender.
+    """
+
+    sender: NodeEntry
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAnswer:
+    """The answer to a heartbeat.
+
+    Attributes:
+        responder: Who answers.
+        seq: Log position that is in force at the responder.
+    """
+
+    responder: NodeEntry
+    seq: int
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -0,0 +1,204 @@
+"""The operators' API: changes, keys, status, plan, audit trail."""
+
+import dataclasses
+from dataclasses import dataclass
+
+import falcon
+
+from heatherhatch_core.api import (
+    AuditPage,
+    ChangeAnswer,
+    ChangeRequest,
+    JobPage,
+    KeyAnswer,
+    KeyRequest,
+    NodeStatus,
+    PlanAnswer,
+    Status,
+)
+from heatherhatch_core.codec import decode_json
+from heatherhatch_core.coordination.planner import plan_waves
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_core.keys import new_key, secret_matches, split_token
+from heatherhatch_core.state.changes import Change, Edit, check_edit
+from heatherhatch_core.state.entities import OperatorKey, Role, TeamKey
+
+from ..tasks.follower import CONFIG_PREFIX, Follower
+from ..tasks.gateway import Gateway
+from ..tasks.heartbeats import Heartbeats
+from ..tasks.job_runner import JobRunner
+from .bodies import bearer_token, read_message, write_message
+from .problems import new_app
+
+FIRST_OPERATOR = "first"
+PLAN_LEAD_S = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorServices:
+    """What the operators' API works on.
+
+    Attributes:
+        follower: Configuration log.
+        heartbeats: View of the other nodes.
+        gateway: Requests of this node.
+        runner: Long jobs.
+        first_operator_digest: Digest of the key named ``first``.
+        body_bytes: Largest body.
+    """
+
+    follower: Follower
+    heartbeats: Heartbeats
+    gateway: Gateway
+    runner: JobRunner
+    first_operator_digest: str
+    body_bytes: int
+
+
+def operator_app(services: OperatorServices) -> falcon.App:
+    """Return the application that operators talk to."""
+    app = new_app()
+    app.add_route("/v1/changes", ChangesResource(services))
+    app.add_route("/v1/team-keys", TeamKeysResource(services))
+    app.add_route("/v1/config", ConfigResource(services))
+    app.add_route("/v1/status", StatusResource(services))
+    app.add_route("/v1/audit", AuditResource(services))
+    app.add_route("/v1/plan", PlanResource(services))
+    app.add_route("/v1/jobs", JobsResource(services))
+    return app
+
+
+class OperatorResource:
+    """Base of the resources: knows who asks."""
+
+    def __init__(self, services: OperatorServices):
+        self.services = services
+
+    def operator(self, request: falcon.Request, role: Role) -> str:
+        """Return the name of the operator whose key came with a request.
+
+        Raises:
+            HeatherhatchError: ``UNAUTHENTICATED`` or ``FORBIDDEN``.
+        """
+        key_id, secret = split_token(bearer_token(request))
+        key = self._operator_key(key_id)
+        if key is None or not secret_matches(secret, key.digest):
+            raise HeatherhatchError(ErrorKind.UNAUTHENTICATED)
+        if role is Role.OPERATOR and key.role is not Role.OPERATOR:
+            raise HeatherhatchError(ErrorKind.FORBIDDEN, f"role {key.role.value}")
+        return key.operator
+
+    def _operator_key(self, key_id: str) -> OperatorKey | None:
+        keys = self.services.follower.config.operator_keys
+        digest = self.services.first_operator_digest
+        if not keys and digest and key_id == FIRST_OPERATOR:
+            return OperatorKey(key_id, FIRST_OPERATOR, Role.OPERATOR, digest)
+        return keys.get(key_id)
+
+
+class ChangesResource(OperatorResource):
+    """Accepts changes of the configuration."""
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Accept or check one change."""
+        actor = self.operator(request, Role.OPERATOR)
+        wish = read_message(request, ChangeRequest, self.services.body_bytes)
+        follower = self.services.follower
+        if wish.dry_run:
+            check_edit(follower.config, wish.edit)
+            write_message(response, ChangeAnswer(0))
+            return
+        seq = follower.append(wish.change_id, actor, wish.reason, wish.edit)
+        write_message(response, ChangeAnswer(seq))
+
+
+class TeamKeysResource(OperatorResource):
+    """Makes keys for teams."""
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Make one key and show its token this once."""
+        actor = self.operator(request, Role.OPERATOR)
+        wish = read_message(request, KeyRequest, self.services.body_bytes)
+        key = new_key(wish.team)
+        edit = Edit(team_keys=(TeamKey(key.key_id, wish.team, key.digest),))
+        seq = self.services.follower.append(wish.change_id, actor, wish.reason, edit)
+        write_message(response, KeyAnswer(seq, key.key_id, key.token))
+
+
+class ConfigResource(OperatorResource):
+    """Shows the configuration."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the configuration without the digests of keys."""
+        self.operator(request, Role.VIEWER)
+        config = self.services.follower.config
+        hidden = dataclasses.replace(
+            config,
+            team_keys={
+                name: dataclasses.replace(key, digest="")
+                for name, key in config.team_keys.items()
+            },
+            operator_keys={
+                name: dataclasses.replace(key, digest="")
+                for name, key in config.operator_keys.items()
+            },
+        )
+        write_message(response, hidden)
+
+
+class StatusResource(OperatorResource):
+    """Shows the nodes."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the status as this node sees it."""
+        self.operator(request, Role.VIEWER)
+        heartbeats = self.services.heartbeats
+        follower = self.services.follower
+        now = heartbeats.clock()
+        nodes = []
+        own = heartbeats.registrar.entry.name
+        for entry in heartbeats.registrar.nodes.values():
+            if entry.name == own:
+                continue
+            view = heartbeats.views.get(entry.name)
+            seq = view.seq if view else -1
+            heard = now - view.asked_s if view else -1.0
+            nodes.append(NodeStatus(entry.name, entry.data_centre, seq, heard))
+        status = Status(
+            own,
+            follower.config.seq,
+            follower.has_standing(),
+            self.services.gateway.total_running,
+            tuple(nodes),
+        )
+        write_message(response, status)
+
+
+class AuditResource(OperatorResource):
+    """Shows the audit trail."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the accepted changes in order."""
+        self.operator(request, Role.VIEWER)
+        snapshot = self.services.follower.store.range(CONFIG_PREFIX)
+        changes = tuple(decode_json(item.value, Change) for item in snapshot.entries)
+        write_message(response, AuditPage(changes))
+
+
+class PlanResource(OperatorResource):
+    """Shows the plan for the announced waves."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the plan."""
+        self.operator(request, Role.VIEWER)
+        plan = plan_waves(self.services.follower.config, PLAN_LEAD_S)
+        write_message(response, PlanAnswer(plan))
+
+
+class JobsResource(OperatorResource):
+    """Shows long jobs."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return all jobs."""
+        self.operator(request, Role.VIEWER)
+        write_message(response, JobPage(self.services.runner.list_jobs()))
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -0,0 +1,294 @@
+"""Settings of the daemon: one typed class with defaults and one reader."""
+
+import ipaddress
+from dataclasses import MISSING, dataclass, field, fields, is_dataclass
+from pathlib import Path
+from typing import Literal, get_args, get_origin
+
+import yaml
+
+from heatherhatch_core.exceptions import SettingsError
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a TCP or UDP port.
+
+    Attributes:
+        host: IPv4 or IPv6 number; names are not resolved.
+        port: Port, 0 to let the kernel choose.
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address in ``host:port``.
+
+        Raises:
+            ValueError: If the host is no IP number or the port no port.
+        """
+        host, _, port = text.rpartition(":")
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+        if not 0 <= number <= 65535:
+            raise ValueError(f"port {number} is out of range")
+        return cls(host.strip("[]"), number)
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Who this node is.
+
+    Attributes:
+        name: Unique name of the node.
+        region: Region that the node runs in.
+        data_centre: Data centre that the node runs in.
+        failure_domain: Failure domain within the data centre.
+    """
+
+    name: str
+    region: str = "region-1"
+    data_centre: str = "dc-1"
+    failure_domain: str = "fd-1"
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSettings:
+    """Where the node accepts connections.
+
+    Attributes:
+        callers: Address for work.
+        operators: Address for the operators' API.
+        peers: Address for the other nodes.
+    """
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """How the platform's store is reached.
+
+    Attributes:
+        kind: ``etcd`` for a store that speaks the etcd v3 JSON gateway;
+            ``memory`` for a trial of one node, which keeps nothing.
+        address: Address of the store, for ``etcd``.
+        timeout_s: Seconds after which a call is given up.
+    """
+
+    kind: Literal["etcd", "memory"] = "etcd"
+    address: Address | None = None
+    timeout_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """How the platform's other services are reached.
+
+    Attributes:
+        member_list: Address of the list of live and leaving instances.
+        statsd: Address that metrics are sent to.
+    """
+
+    member_list: Address | None = None
+    statsd: Address | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SecuritySettings:
+    """Secrets that the node starts with.
+
+    Attributes:
+        peer_secret: Shared secret by which nodes know each other.
+        first_operator_digest: SHA-256 of the secret of the operator key named
+            ``first``, valid while the configuration holds no operator key.
+    """
+
+    peer_secret: str
+    first_operator_digest: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TimingSettings:
+    """Periods of the control loops, in seconds.
+
+    Attributes:
+        heartbeat_s: Between two exchanges with a peer.
+        standing_s: How long evidence of the log head counts.
+        lease_s: Life of the node's registration in the store.
+        grace_s: Longest graceful shutdown.
+        outcome_s: How long the outcome of a keyed request is remembered.
+    """
+
+    heartbeat_s: float = 0.5
+    standing_s: float = 2.0
+    lease_s: float = 6.0
+    grace_s: float = 30.0
+    outcome_s: float = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Bounds on what one client can cost.
+
+    Attributes:
+        body_bytes: Largest request body.
+        header_bytes: Largest request head.
+        idle_s: Seconds that a silent client keeps its connection.
+        connections: Open connections for each listener.
+    """
+
+    body_bytes: int = 1_048_576
+    header_bytes: int = 16_384
+    idle_s: float = 10.0
+    connections: int = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All settings of one daemon.
+
+    Attributes:
+        node, listen, store, platform, security, timing, limits: Sections.
+        log_file: Path of the event log, empty for standard error.
+    """
+
+    node: NodeSettings
+    listen: ListenSettings
+    security: SecuritySettings
+    store: StoreSettings = field(default_factory=StoreSettings)
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    timing: TimingSettings = field(default_factory=TimingSettings)
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    log_file: str = ""
+
+
+def read_settings(path: str | Path) -> Settings:
+    """Read a settings file.
+
+    Args:
+        path: YAML file.
+
+    Raises:
+        SettingsError: With every fault of the file, each with its line.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((f"{path}: {error}",)) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings in YAML text; see `read_settings`."""
+    try:
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+    except (yaml.YAMLError, ValueError) as error:
+        raise SettingsError((f"not YAML: {error}",)) from error
+    problems: list[str] = []
+    settings = _Reader(problems).section(root, Settings, "")
+    if settings is not None:
+        problems += _contradictions(settings)
+    if problems:
+        raise SettingsError(tuple(problems))
+    return settings
+
+
+def _contradictions(settings: Settings) -> list[str]:
+    found = []
+    if settings.store.kind == "etcd" and settings.store.address is None:
+        found.append("store.address: expected host:port for store.kind etcd")
+    timing = settings.timing
+    if timing.heartbeat_s * 2 > timing.standing_s:
+        found.append("timing.standing_s: expected at least two heartbeats")
+    if timing.standing_s >= timing.lease_s:
+        found.append("timing.lease_s: expected more than standing_s")
+    return found
+
+
+class _Reader:
+    """Turns a composed YAML tree into frozen classes, collecting problems."""
+
+    def __init__(self, problems: list[str]):
+        self.problems = problems
+
+    def section(self, node, kind, path):
+        if not isinstance(node, yaml.MappingNode):
+            self._problem(node, path, "a mapping")
+            return None
+        before = len(self.problems)
+        known = {item.name: item for item in fields(kind)}
+        values = {}
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            where = f"{path}.{key}" if path else key
+            if key not in known:
+                expected = "one of " + ", ".join(known)
+                self._problem(key_node, where, expected)
+            elif key in values:
+                self._problem(key_node, where, "each key once")
+            else:
+                values[key] = self._value(value_node, known[key].type, where)
+        for name, item in known.items():
+            needed = item.default is MISSING and item.default_factory is MISSING
+            if needed and name not in values:
+                where = f"{path}.{name}" if path else name
+                self._problem(node, where, "a value, but it is missing")
+        if len(self.problems) > before:
+            return None
+        return kind(**values)
+
+    def _value(self, node, kind, path):
+        if is_dataclass(kind) and kind is not Address:
+            return self.section(node, kind, path)
+        if not isinstance(node, yaml.ScalarNode):
+            self._problem(node, path, _describe(kind))
+            return None
+        try:
+            return _convert(node, kind)
+        except ValueError as error:
+            self._problem(node, path, f"{_describe(kind)} ({error})")
+            return None
+
+    def _problem(self, node, path, expected):
+        line = node.start_mark.line + 1 if node is not None else 1
+        self.problems.append(f"line {line}: {path or 'file'}: expected {expected}")
+
+
+def _convert(node, kind):
+    if kind is Address or Address in get_args(kind):
+        return Address.parse(node.value)
+    if get_origin(kind) is Literal:
+        if node.value not in get_args(kind):
+            raise ValueError(f"not {node.value!r}")
+        return node.value
+    if kind is bool:
+        return _convert_bool(node.value)
+    value = kind(node.value)
+    if kind in (int, float) and not 0 <= value < float("inf"):
+        raise ValueError("it must be finite and not negative")
+    return value
+
+
+def _convert_bool(text):
+    if text not in ("true", "false"):
+        raise ValueError("true or false")
+    return text == "true"
+
+
+def _describe(kind):
+    if kind is Address or Address in get_args(kind):
+        return "host:port with an IP number"
+    if get_origin(kind) is Literal:
+        return "one of " + ", ".join(get_args(kind))
+    return {int: "a whole number", float: "a number", str: "a text"}.get(
+        kind, "true or false"
+    )
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Long-lived greenlets, each the owner of its state and sockets."""
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and clients: the only layer that touches the network."""
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -0,0 +1,154 @@
+"""A store in memory, for a trial of one node and for tests; it keeps nothing."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from gevent.queue import Queue
+from sortedcontainers import SortedDict
+
+from .store import Entry, Outcome, Snapshot, Transaction, WatchEvent, prefix_end
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    expires_s: float
+    keys: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class _Watcher:
+    prefix: str
+    queue: Queue
+
+
+class MemoryStore:
+    """The semantics of the platform's store, in one process.
+
+    Args:
+        clock: Returns monotonic seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float]):
+        self.clock = clock
+        self.revision = 0
+        self.entries: SortedDict = SortedDict()
+        self.history: list[WatchEvent] = []
+        self.leases: dict[int, _Lease] = {}
+        self.watchers: set[_Watcher] = set()
+        self.next_lease = 1
+        self.calls = 0
+
+    def get(self, key: str) -> Entry | None:
+        """Return one entry, or None."""
+        self._begin()
+        return self.entries.get(key)
+
+    def range(self, prefix: str, start: str = "", limit: int = 0) -> Snapshot:
+        """Return the entries under a prefix, from a key on."""
+        self._begin()
+        keys = list(
+            self.entries.irange(start or prefix, prefix_end(prefix), (True, False))
+        )
+        if limit:
+            keys = keys[:limit]
+        return Snapshot(self.revision, tuple(self.entries[key] for key in keys))
+
+    def transact(self, transaction: Transaction) -> Outcome:
+        """Carry out a transaction."""
+        self._begin()
+        for expect in transaction.expects:
+            entry = self.entries.get(expect.key)
+            if (entry.revision if entry else 0) != expect.revision:
+                return Outcome(False, self.revision)
+        if any(put.lease and put.lease not in self.leases for put in transaction.puts):
+            return Outcome(False, self.revision)
+        self.revision += 1
+        for put in transaction.puts:
+            entry = Entry(put.key, put.value, self.revision, put.lease)
+            self._set(entry)
+        for key in transaction.deletes:
+            self._delete(key)
+        return Outcome(True, self.revision)
+
+    def grant_lease(self, ttl_s: int) -> int:
+        """Return the id of a new lease."""
+        self._begin()
+        lease = self.next_lease
+        self.next_lease += 1
+        self.leases[lease] = _Lease(ttl_s, self.clock() + ttl_s)
+        return lease
+
+    def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return False if it is gone."""
+        self._begin()
+        if lease not in self.leases:
+            return False
+        self.leases[lease].expires_s = self.clock() + self.leases[lease].ttl_s
+        return True
+
+    def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self._begin()
+        self._end_lease(lease)
+
+    def watch(self, prefix: str, revision: int) -> Iterator[WatchEvent]:
+        """Yield changes under a prefix from a revision on."""
+        self._begin()
+        watcher = _Watcher(prefix, Queue())
+        for event in self.history:
+            if event.entry.revision >= revision:
+                self._tell(watcher, event)
+        self.watchers.add(watcher)
+        try:
+            while True:
+                yield watcher.queue.get()
+        finally:
+            self.watchers.discard(watcher)
+
+    def expire_leases(self) -> None:
+        """End every lease whose time is over."""
+        now = self.clock()
+        ended = [key for key, lease in self.leases.items() if lease.expires_s <= now]
+        for lease in ended:
+            self._end_lease(lease)
+
+    def _begin(self):
+        self.calls += 1
+        self.expire_leases()
+
+    def _end_lease(self, lease):
+        ended = self.leases.pop(lease, None)
+        if ended is None or not ended.keys:
+            return
+        self.revision += 1
+        for key in sorted(ended.keys):
+            self._delete(key)
+
+    def _set(self, entry):
+        self._detach(entry.key)
+        self.entries[entry.key] = entry
+        if entry.lease:
+            self.leases[entry.lease].keys.add(entry.key)
+        self._publish(WatchEvent(entry, False))
+
+    def _delete(self, key):
+        if key not in self.entries:
+            return
+        self._detach(key)
+        del self.entries[key]
+        self._publish(WatchEvent(Entry(key, b"", self.revision), True))
+
+    def _detach(self, key):
+        entry = self.entries.get(key)
+        if entry is not None and entry.lease in self.leases:
+            self.leases[entry.lease].keys.discard(key)
+
+    def _publish(self, event):
+        self.history.append(event)
+        for watcher in self.watchers:
+            self._tell(watcher, event)
+
+    def _tell(self, watcher, event):
+        if event.entry.key.startswith(watcher.prefix):
+            watcher.queue.put(event)
--- /dev/null
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform; never imported by the product."""
--- /dev/null
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/backend.py
@@ -0,0 +1,103 @@
+"""Stand-in for a backend server: remembers what it executed."""
+
+from collections import Counter
+
+import click
+import falcon
+import gevent
+import msgspec
+from gevent.lock import BoundedSemaphore
+
+from .faults import FAULTS_PATH, FaultBox, FaultsResource
+from .serving import ConnectionDroppedError, serve
+
+NEVER_S = 3_600.0
+ID_HEADER = "X-Request-Id"
+WORK_HEADER = "X-Work-Seconds"
+
+
+class Backend:
+    """What a backend server did.
+
+    Args:
+        name: Name in its answers.
+        slots: Requests that it works on at once; others wait.
+        work_s: Seconds that a request takes unless it says otherwise.
+    """
+
+    def __init__(self, name: str, slots: int, work_s: float):
+        self.name = name
+        self.work_s = work_s
+        self.slots = BoundedSemaphore(slots)
+        self.executed: Counter[str] = Counter()
+        self.running: Counter[str] = Counter()
+
+
+class WorkSink:
+    """Executes any request and echoes its body with its id."""
+
+    def __init__(self, backend: Backend, box: FaultBox):
+        self.backend = backend
+        self.box = box
+
+    def __call__(self, request, response, **_params):
+        """Execute one request."""
+        faults = self.box.faults
+        if faults.down:
+            raise ConnectionDroppedError
+        body = request.bounded_stream.read()
+        request_id = request.get_header(ID_HEADER) or ""
+        seconds = float(request.get_header(WORK_HEADER) or self.backend.work_s)
+        with self.backend.slots:
+            self.backend.executed[request_id] += 1
+            gevent.sleep(seconds + faults.delay_s)
+        if self.box.hits(faults.silent_share):
+            gevent.sleep(NEVER_S)
+        if self.box.hits(faults.lost_share):
+            raise ConnectionDroppedError
+        if self.box.hits(faults.error_share):
+            response.status = falcon.HTTP_500
+        response.set_header(ID_HEADER, request_id)
+        response.set_header("X-Backend", self.backend.name)
+        if self.box.hits(faults.truncated_share):
+            response.set_header("Content-Length", str(len(body) + 100))
+        response.content_type = "application/octet-stream"
+        response.data = body
+
+
+class ExecutedResource:
+    """Shows how often each request was executed."""
+
+    def __init__(self, backend: Backend):
+        self.backend = backend
+
+    def on_get(self, _request, response):
+        """Return counts by request id."""
+        response.data = msgspec.json.encode(dict(self.backend.executed))
+
+
+def backend_app(backend: Backend, box: FaultBox) -> falcon.App:
+    """Return the application of a backend server stand-in."""
+    app = falcon.App()
+    app.add_route(FAULTS_PATH, FaultsResource(box))
+    app.add_route("/executed", ExecutedResource(backend))
+    app.add_sink(WorkSink(backend, box), "/")
+    return app
+
+
+@click.command()
+@click.option("--count", default=1, help="Backend servers to run in this process.")
+@click.option("--slots", default=32, help="Requests that each works on at once.")
+@click.option("--work-s", default=0.002, help="Seconds that a request takes.")
+def main(count: int, slots: int, work_s: float) -> None:
+    """Run backend server stand-ins."""
+    serve(
+        tuple(
+            backend_app(Backend(f"backend-{seed}", slots, work_s), FaultBox(seed))
+            for seed in range(count)
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -0,0 +1,160 @@
+"""A whole deployment of a trial: stand-ins, nodes and the first configuration."""
+
+import dataclasses
+import time
+from pathlib import Path
+
+import yaml
+
+from heatherhatch_cli.client import Client, new_change_id
+from heatherhatch_core.api import (
+    ChangeAnswer,
+    ChangeRequest,
+    KeyAnswer,
+    KeyRequest,
+    Status,
+)
+from heatherhatch_core.codec import from_builtins
+from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.state.changes import Edit
+
+from .ports import free_ports
+from .processes import FIRST_TOKEN, Trial, node_settings
+from .serving import LOOPBACK
+
+PORTS_PER_NODE = 3
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def read_edit(path: Path) -> Edit:
+    """Return the edit in a YAML file."""
+    return from_builtins(yaml.safe_load(path.read_text(encoding="utf-8")), Edit)
+
+
+class Deployment:
+    """Seven nodes, or another number, with everything that is around them.
+
+    Args:
+        trial: Owner of the processes.
+        name: Prefix of the processes' names.
+        edit: First configuration; addresses of workers are filled in.
+        nodes: Number of nodes.
+        data_centres: Number of data centres that the nodes are spread over.
+        work_s: Seconds that a backend server spends on a request.
+    """
+
+    def __init__(
+        self,
+        trial: Trial,
+        name: str,
+        edit: Edit,
+        nodes: int = 7,
+        data_centres: int = 3,
+        work_s: float = 0.002,
+    ):
+        self.trial = trial
+        self.name = name
+        self.edit = edit
+        self.data_centres = data_centres
+        self.work_s = work_s
+        self.node_names = tuple(f"{name}-node-{i + 1}" for i in range(nodes))
+        self.ports: dict[str, tuple[int, int, int]] = {}
+        self.store = ""
+        self.balancer = ""
+        self.backends: dict[str, str] = {}
+        self.workers: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Start everything and apply the first configuration."""
+        self.store = self.trial.start_standin(f"{self.name}-store", "store")
+        self._start_workers()
+        ports = free_ports(PORTS_PER_NODE * len(self.node_names))
+        for i, node in enumerate(self.node_names):
+            self.ports[node] = ports[PORTS_PER_NODE * i : PORTS_PER_NODE * (i + 1)]
+            self.start_node(node)
+        callers = [self.callers(node) for node in self.node_names]
+        self.balancer = self.trial.start_standin(
+            f"{self.name}-balancer", "balancer", *callers
+        )
+        self._wait_for_nodes()
+        self.change(self.edit)
+
+    def start_node(self, node: str) -> None:
+        """Start one node, or start it again."""
+        data_centre = self.node_names.index(node) % self.data_centres + 1
+        settings = node_settings(
+            node, self.ports[node], self.store, f"dc-{data_centre}"
+        )
+        self.trial.start_daemon(node, settings)
+
+    def callers(self, node: str) -> str:
+        """Return the ``host:port`` where a node takes work."""
+        return f"{LOOPBACK}:{self.ports[node][0]}"
+
+    def operators(self, node: str) -> str:
+        """Return the ``host:port`` of a node's operators' API."""
+        return f"{LOOPBACK}:{self.ports[node][1]}"
+
+    def client(self, node: str = "") -> Client:
+        """Return an operator's client of a node, the first one by default."""
+        return Client(self.operators(node or self.node_names[0]), FIRST_TOKEN)
+
+    def change(self, edit: Edit, node: str = "") -> int:
+        """Make a change and return its position in the log."""
+        request = ChangeRequest(new_change_id(), edit, "trial")
+        return self.client(node).post("/v1/changes", request, ChangeAnswer).seq
+
+    def grant_key(self, team: str, node: str = "") -> KeyAnswer:
+        """Make a key for a team."""
+        request = KeyRequest(new_change_id(), team, "trial")
+        return self.client(node).post("/v1/team-keys", request, KeyAnswer)
+
+    def wait_for_seq(self, seq: int) -> None:
+        """Wait until a change is in force on every node."""
+        for node in self.node_names:
+            self._wait(node, lambda status: status.seq >= seq)
+
+    def _start_workers(self) -> None:
+        count = str(len(self.edit.workers))
+        backends = self.trial.start_standin(
+            f"{self.name}-backends",
+            "backend",
+            "--count",
+            count,
+            "--work-s",
+            str(self.work_s),
+        )
+        controls = self.trial.start_standin(
+            f"{self.name}-workers", "worker", "--count", count
+        )
+        filled = []
+        for worker, backend, control in zip(
+            self.edit.workers, backends.split(), controls.split(), strict=True
+        ):
+            filled.append(dataclasses.replace(worker, address=backend, control=control))
+            self.backends[worker.worker_id] = backend
+            self.workers[worker.worker_id] = control
+        self.edit = dataclasses.replace(self.edit, workers=tuple(filled))
+
+    def _wait_for_nodes(self) -> None:
+        others = len(self.node_names) - 1
+        for node in self.node_names:
+            self._wait(node, lambda status: _ready(status, others))
+
+    def _wait(self, node, condition):
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                if condition(self.client(node).get("/v1/status", Status)):
+                    return
+            except HeatherhatchError:
+                # The node does not listen yet.
+                pass
+            time.sleep(POLL_S)
+        raise TimeoutError(f"{node} is not ready after {START_TIMEOUT_S} s")
+
+
+def _ready(status: Status, others: int) -> bool:
+    heard = [node for node in status.nodes if node.heard_s >= 0]
+    return status.standing and len(heard) == others
--- /dev/null
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
@@ -0,0 +1,165 @@
+"""Stand-in for the platform's store: the etcd v3 JSON gateway over memory."""
+
+import base64
+import time
+
+import click
+import falcon
+import gevent
+import msgspec
+
+from heatherhatch_daemon.transport.memory_store import MemoryStore
+from heatherhatch_daemon.transport.store import Entry, Expect, Put, Transaction
+
+from .faults import FAULTS_PATH, FaultBox, FaultsResource
+from .serving import ConnectionDroppedError, serve
+
+
+def store_app(store: MemoryStore, box: FaultBox) -> falcon.App:
+    """Return the application of a store stand-in."""
+    app = falcon.App()
+    app.add_route(FAULTS_PATH, FaultsResource(box))
+    for path, handler in (
+        ("/v3/kv/range", _range),
+        ("/v3/kv/txn", _transact),
+        ("/v3/lease/grant", _grant),
+        ("/v3/lease/keepalive", _keep),
+        ("/v3/lease/revoke", _revoke),
+    ):
+        app.add_route(path, CallResource(store, box, handler))
+    app.add_route("/v3/watch", WatchResource(store, box))
+    return app
+
+
+class CallResource:
+    """Answers one kind of call, or fails as the faults say."""
+
+    def __init__(self, store, box, handler):
+        self.store = store
+        self.box = box
+        self.handler = handler
+
+    def on_post(self, request, response):
+        """Answer one call."""
+        if self.box.faults.down:
+            raise ConnectionDroppedError
+        self.box.delay()
+        body = msgspec.json.decode(request.bounded_stream.read())
+        answer = self.handler(self.store, body)
+        if self.box.faults.down or self.box.hits(self.box.faults.lost_share):
+            raise ConnectionDroppedError
+        answer["header"] = {"revision": str(self.store.revision)}
+        response.data = msgspec.json.encode(answer)
+
+
+class WatchResource:
+    """Streams changes."""
+
+    def __init__(self, store, box):
+        self.store = store
+        self.box = box
+
+    def on_post(self, request, response):
+        """Stream until the connection or the store goes."""
+        if self.box.faults.down:
+            raise ConnectionDroppedError
+        wish = msgspec.json.decode(request.bounded_stream.read())["create_request"]
+        watch = self.store.watch(_text(wish["key"]), int(wish["start_revision"]))
+        response.content_type = "application/json"
+        response.stream = self._lines(watch)
+
+    def _lines(self, watch):
+        yield b'{"result":{"created":true}}\n'
+        for event in watch:
+            if self.box.faults.down:
+                return
+            self.box.delay()
+            change = {"kv": _key_value(event.entry)}
+            if event.deleted:
+                change["type"] = "DELETE"
+            yield msgspec.json.encode({"result": {"events": [change]}}) + b"\n"
+
+
+def _range(store, body):
+    key = _text(body["key"])
+    if "range_end" not in body:
+        entry = store.get(key)
+        entries = (entry,) if entry else ()
+    else:
+        end = _text(body["range_end"])
+        prefix = end[:-1] + chr(ord(end[-1]) - 1)
+        limit = int(body.get("limit", 0))
+        entries = store.range(prefix, key, limit).entries
+    return {"kvs": [_key_value(entry) for entry in entries]}
+
+
+def _transact(store, body):
+    expects = tuple(
+        Expect(_text(item["key"]), int(item["mod_revision"]))
+        for item in body.get("compare", ())
+    )
+    operations = body.get("success", ())
+    puts = tuple(
+        Put(
+            _text(item["request_put"]["key"]),
+            base64.b64decode(item["request_put"]["value"]),
+            int(item["request_put"].get("lease", 0)),
+        )
+        for item in operations
+        if "request_put" in item
+    )
+    deletes = tuple(
+        _text(item["request_delete_range"]["key"])
+        for item in operations
+        if "request_delete_range" in item
+    )
+    outcome = store.transact(Transaction(expects, puts, deletes))
+    return {"succeeded": outcome.succeeded}
+
+
+def _grant(store, body):
+    return {"ID": str(store.grant_lease(int(body["TTL"]))), "TTL": body["TTL"]}
+
+
+def _keep(store, body):
+    alive = store.keep_lease(int(body["ID"]))
+    return {"result": {"ID": body["ID"], "TTL": "1" if alive else "0"}}
+
+
+def _revoke(store, body):
+    store.revoke_lease(int(body["ID"]))
+    return {}
+
+
+def _key_value(entry: Entry) -> dict:
+    return {
+        "key": base64.b64encode(entry.key.encode()).decode(),
+        "value": base64.b64encode(entry.value).decode(),
+        "mod_revision": str(entry.revision),
+        "lease": str(entry.lease),
+    }
+
+
+def _text(data: str) -> str:
+    return base64.b64decode(data).decode()
+
+
+def _expire_leases(store, box):
+    while True:
+        gevent.sleep(0.1)
+        if not box.faults.down:
+            store.expire_leases()
+
+
+@click.command()
+@click.option("--port", default=0)
+def main(port: int) -> None:
+    """Run a store stand-in."""
+    store = MemoryStore(time.monotonic)
+    box = FaultBox()
+    gevent.spawn(_expire_leases, store, box)
+    serve((store_app(store, box),), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,43 @@
+"""Fixtures that all tests share."""
+
+import pytest
+from hypothesis import settings
+
+from heatherhatch_core.state.changes import Edit
+from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
+from heatherhatch_standins.deployment import Deployment
+from heatherhatch_standins.processes import Trial
+
+settings.register_profile("ci", derandomize=True, database=None, deadline=None)
+settings.load_profile("ci")
+
+
+@pytest.fixture
+def small_edit():
+    return Edit(
+        pools=(Pool("tills", 1), Pool("spare", 0, spare=True)),
+        teams=(Team("red", 1.0, 14), Team("blue", 1.0, 14)),
+        classes=(
+            WorkClass("stock", "tills", WorkKind.REQUEST, 2.0, idempotent=True),
+            WorkClass("settle", "tills", WorkKind.REQUEST, 2.0),
+            WorkClass("reconcile", "tills", WorkKind.JOB, 60.0),
+        ),
+        workers=(
+            Worker("w1", "fd-1", "r1", "127.0.0.1:1", "tills"),
+            Worker("w2", "fd-2", "r2", "127.0.0.1:1", "tills"),
+            Worker("w3", "fd-3", "r3", "127.0.0.1:1", "spare"),
+        ),
+    )
+
+
+@pytest.fixture
+def trial():
+    with Trial() as running:
+        yield running
+
+
+@pytest.fixture
+def seven_nodes(trial, small_edit):
+    deployment = Deployment(trial, "test", small_edit)
+    deployment.start()
+    return deployment
