Put assignments into the configuration log and split admission off

One log gives exactly one pool, the budget check in the same write, one audit trail and one position to be confirmed. Operators' drains become assignments. Tables that a change does not touch are shared with the configuration before.

--- a/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
@@ -1,17 +1,27 @@
 """Changes of the configuration: what each one does and when it is valid."""
 
+import dataclasses
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import Literal
 
 from ..exceptions import ErrorKind, HeatherhatchError
 from .configuration import Configuration
-from .entities import Drain, OperatorKey, Pool, Team, TeamKey, Wave, WorkClass, Worker
+from .entities import (
+    Assignment,
+    OperatorKey,
+    Pool,
+    Team,
+    TeamKey,
+    Wave,
+    WorkClass,
+    Worker,
+)
 
 EntityKind = Literal[
-    "pool", "team", "team-key", "operator-key", "class", "worker", "wave", "drain"
+    "pool", "team", "team-key", "operator-key", "class", "worker", "wave", "assignment"
 ]
-Entity = Pool | Team | TeamKey | OperatorKey | WorkClass | Worker | Wave | Drain
+Entity = Pool | Team | TeamKey | OperatorKey | WorkClass | Worker | Wave | Assignment
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +42,7 @@
     """Any number of puts and removals that take effect together.
 
     Attributes:
-        pools, teams, team_keys, operator_keys, classes, workers, waves, drains:
+        pools, teams, team_keys, operator_keys, classes, workers, waves, assignments:
             Entities to create or to replace.
         removals: Entities to remove.
     """
@@ -44,7 +54,7 @@
     classes: tuple[WorkClass, ...] = ()
     workers: tuple[Worker, ...] = ()
     waves: tuple[Wave, ...] = ()
-    drains: tuple[Drain, ...] = ()
+    assignments: tuple[Assignment, ...] = ()
     removals: tuple[Removal, ...] = ()
 
     @property
@@ -58,7 +68,7 @@
             *self.classes,
             *self.workers,
             *self.waves,
-            *self.drains,
+            *self.assignments,
         )
 
 
@@ -97,12 +107,20 @@
         raise HeatherhatchError(
             ErrorKind.CONFLICT, f"change {change.seq} after {config.seq}"
         )
-    tables = config.tables()
+    # Tables that a change does not touch are shared with its predecessor.
+    touched: dict[str, dict] = {}
     for entity in change.edit.entities:
-        tables[table_of(entity)][name_of(entity)] = entity
+        table = _touch(config, touched, table_of(entity))
+        table[name_of(entity)] = entity
     for removal in change.edit.removals:
-        tables[TABLES[removal.kind]].pop(removal.name, None)
-    return Configuration(seq=change.seq, **tables)
+        _touch(config, touched, TABLES[removal.kind]).pop(removal.name, None)
+    return dataclasses.replace(config, seq=change.seq, **touched)
+
+
+def _touch(config: Configuration, touched: dict[str, dict], table: str) -> dict:
+    if table not in touched:
+        touched[table] = dict(getattr(config, table))
+    return touched[table]
 
 
 TABLES: dict[str, str] = {
@@ -113,7 +131,7 @@
     "class": "classes",
     "worker": "workers",
     "wave": "waves",
-    "drain": "drains",
+    "assignment": "assignments",
 }
 
 
@@ -130,7 +148,7 @@
 table_of.register(WorkClass, lambda _: "classes")
 table_of.register(Worker, lambda _: "workers")
 table_of.register(Wave, lambda _: "waves")
-table_of.register(Drain, lambda _: "drains")
+table_of.register(Assignment, lambda _: "assignments")
 
 
 @singledispatch
@@ -143,7 +161,7 @@
 name_of.register(OperatorKey, lambda key: key.key_id)
 name_of.register(Worker, lambda worker: worker.worker_id)
 name_of.register(Wave, lambda wave: wave.wave_id)
-name_of.register(Drain, lambda drain: drain.worker_id)
+name_of.register(Assignment, lambda item: item.worker_id)
 
 
 def check_edit(config: Configuration, edit: Edit) -> None:
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/configuration.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/configuration.py
@@ -1,9 +1,19 @@
 """The configuration: the fold of the log of accepted changes."""
 
 from collections import Counter
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field
 
-from .entities import Drain, OperatorKey, Pool, Team, TeamKey, Wave, WorkClass, Worker
+from .entities import (
+    Assignment,
+    OperatorKey,
+    Pool,
+    Team,
+    TeamKey,
+    Wave,
+    WorkClass,
+    Worker,
+    WorkerState,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,7 +24,7 @@
 
     Attributes:
         seq: Position of the last change that is folded in, 0 if none is.
-        pools, teams, team_keys, operator_keys, classes, workers, waves, drains:
+        pools, teams, team_keys, operator_keys, classes, workers, waves, assignments:
             Entities by their unique names.
     """
 
@@ -26,15 +36,27 @@
     classes: dict[str, WorkClass] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     waves: dict[str, Wave] = field(default_factory=dict)
-    drains: dict[str, Drain] = field(default_factory=dict)
+    assignments: dict[str, Assignment] = field(default_factory=dict)
 
-    def tables(self) -> dict[str, dict]:
-        """Return copies of the tables by their names."""
-        return {
-            item.name: dict(getattr(self, item.name))
-            for item in fields(self)
-            if item.name != "seq"
-        }
+    def pool_of(self, worker_id: str) -> str:
+        """Return the pool that a worker belongs to now."""
+        assignment = self.assignments.get(worker_id)
+        if assignment is not None:
+            return assignment.pool
+        return self.workers[worker_id].home_pool
+
+    def state_of(self, worker_id: str) -> WorkerState:
+        """Return the state of a worker."""
+        assignment = self.assignments.get(worker_id)
+        return assignment.state if assignment is not None else WorkerState.SERVING
+
+    def serving_workers(self, pool: str) -> tuple[Worker, ...]:
+        """Return the workers that serve a pool now, ordered by name."""
+        return tuple(
+            self.workers[name]
+            for name in sorted(self.workers)
+            if self.pool_of(name) == pool and self.state_of(name) is WorkerState.SERVING
+        )
 
     def workers_of(self, pool: str) -> tuple[Worker, ...]:
         """Return the workers whose home is a pool, ordered by name."""
@@ -80,9 +102,11 @@
         for worker in self.workers.values():
             if worker.home_pool not in self.pools:
                 found.append(f"worker {worker.worker_id!r}: no pool")
-        for drain in self.drains.values():
-            if drain.worker_id not in self.workers:
-                found.append(f"drain: no worker {drain.worker_id!r}")
+        for item in self.assignments.values():
+            if item.worker_id not in self.workers:
+                found.append(f"assignment: no worker {item.worker_id!r}")
+            if item.pool not in self.pools:
+                found.append(f"assignment of {item.worker_id!r}: no pool {item.pool!r}")
         return found
 
     def _budget_problems(self) -> list[str]:
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
@@ -147,12 +147,34 @@
     workers: tuple[str, ...]
 
 
+class WorkerState(Enum):
+    """Where a worker is in its life within a pool."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    DRAINED = "drained"
+    MAINTENANCE = "maintenance"
+    RETURNING = "returning"
+    FAILED = "failed"
+    LOST = "lost"
+
+
 @dataclass(frozen=True, slots=True)
-class Drain:
-    """An operator's order that a worker gets no new work.
+class Assignment:
+    """The one pool that a worker belongs to, and its state there.
+
+    A worker without an assignment serves its home pool.
 
     Attributes:
-        worker_id: Worker to drain.
+        worker_id: Worker.
+        pool: Pool that it belongs to.
+        state: Its state.
+        cause: Why it came to this state, for the audit trail.
+        since_s: When, seconds since the epoch.
     """
 
     worker_id: str
+    pool: str
+    state: WorkerState
+    cause: str = ""
+    since_s: float = 0.0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -15,6 +15,7 @@
 from .protocol.operator import OperatorServices, operator_app
 from .protocol.peer import peer_app
 from .settings import Settings, StoreSettings
+from .tasks.admission import Admission
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
 from .tasks.heartbeats import Heartbeats
@@ -65,16 +66,18 @@
             time.time,
         )
         self.registrar = Registrar(store, entry, timing.lease_s, time.monotonic)
+        self.admission = Admission(self.follower, self.registrar)
         self.heartbeats = Heartbeats(
             self.registrar,
             self.follower,
+            self.admission.demand,
             settings.security.peer_secret,
             timing.heartbeat_s,
             time.monotonic,
         )
         self.gateway = Gateway(
             self.follower,
-            self.registrar,
+            self.admission,
             open_metrics(settings.platform.statsd),
             time.monotonic,
             random.Random(),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from heatherhatch_core.state.demand import Demand
+
 
 @dataclass(frozen=True, slots=True)
 class NodeEntry:
@@ -27,10 +29,12 @@
     Attributes:
         sender: Who asks.
         seq: Log position that is in force at the sender.
+        demand: Work that the sender sees.
     """
 
     sender: NodeEntry
     seq: int
+    demand: tuple[Demand, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +44,9 @@
     Attributes:
         responder: Who answers.
         seq: Log position that is in force at the responder.
+        demand: Work that the responder sees.
     """
 
     responder: NodeEntry
     seq: int
+    demand: tuple[Demand, ...] = ()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/gateway.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/gateway.py
@@ -1,11 +1,9 @@
 """The gateway: admits a caller's work, places it and returns the answer."""
 
 import random
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from heatherhatch_core.coordination.grants import even_grant
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.keys import secret_matches, split_token
 from heatherhatch_core.state.entities import WorkClass, Worker, WorkKind
@@ -13,8 +11,8 @@
 from ..metrics import Metric, Metrics
 from ..settings import Address
 from ..transport.http import ExchangeError, HttpAnswer, HttpClient, HttpRequest
+from .admission import Admission
 from .follower import Follower
-from .registrar import Registrar
 
 BACKEND_CONNECTIONS = 64
 CONNECT_TIMEOUT_S = 1.0
@@ -44,7 +42,7 @@
 
     Args:
         follower: Source of the configuration and of this node's standing.
-        registrar: Source of the nodes that share the limits.
+        admission: Decides when a request may start.
         metrics: Where figures go.
         clock: Returns monotonic seconds.
         random_source: Source of random choices.
@@ -53,24 +51,23 @@
     def __init__(
         self,
         follower: Follower,
-        registrar: Registrar,
+        admission: Admission,
         metrics: Metrics,
         clock: Callable[[], float],
         random_source: random.Random,
     ):
         self.follower = follower
-        self.registrar = registrar
+        self.admission = admission
         self.metrics = metrics
         self.clock = clock
         self.random = random_source
-        self.running: Counter[str] = Counter()
         self.clients: dict[str, HttpClient] = {}
         self.draining = False
 
     @property
     def total_running(self) -> int:
         """Requests that run on this node."""
-        return self.running.total()
+        return self.admission.running.total()
 
     def handle(self, work: Work) -> HttpAnswer:
         """Carry out one request and return its whole answer.
@@ -82,12 +79,12 @@
             raise HeatherhatchError(ErrorKind.SHUTTING_DOWN)
         work_class = self.class_of(work.work_class, WorkKind.REQUEST)
         team = self.authenticate(work.token, work_class)
-        self._admit(team)
-        self.running[team] += 1
+        deadline = self.clock() + work_class.target_s
+        permit = self.admission.acquire(team, work_class, deadline)
         try:
-            return self._exchange(work_class, work.request)
+            return self._exchange(work_class, work.request, deadline)
         finally:
-            self.running[team] -= 1
+            self.admission.release(permit)
             self.metrics.count(Metric.REQUESTS)
 
     def class_of(self, name: str, kind: WorkKind) -> WorkClass:
@@ -117,17 +114,9 @@
             raise HeatherhatchError(ErrorKind.UNAUTHENTICATED)
         return key.team
 
-    def _admit(self, team: str) -> None:
-        if team == OPEN_TEAM:
-            return
-        limit = self.follower.config.teams[team].limit
-        nodes = tuple(self.registrar.nodes)
-        grant = even_grant(limit, nodes, self.registrar.entry.name)
-        if self.running[team] >= grant:
-            raise HeatherhatchError(ErrorKind.LIMIT_REACHED, f"team {team!r}")
-
-    def _exchange(self, work_class: WorkClass, request: HttpRequest) -> HttpAnswer:
-        deadline = self.clock() + work_class.target_s
+    def _exchange(
+        self, work_class: WorkClass, request: HttpRequest, deadline: float
+    ) -> HttpAnswer:
         candidates = self._backends(work_class.pool)
         for worker in candidates[:ATTEMPTS]:
             left = deadline - self.clock()
@@ -141,12 +130,7 @@
         raise HeatherhatchError(ErrorKind.NO_BACKEND, f"pool {work_class.pool!r}")
 
     def _backends(self, pool: str) -> list[Worker]:
-        drains = self.follower.config.drains
-        workers = [
-            worker
-            for worker in self.follower.config.workers_of(pool)
-            if worker.worker_id not in drains
-        ]
+        workers = list(self.follower.config.serving_workers(pool))
         self.random.shuffle(workers)
         return workers
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
@@ -7,6 +7,7 @@
 
 from heatherhatch_core.codec import decode_msgpack, encode_msgpack
 from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.state.demand import Demand
 
 from ..protocol.messages import Heartbeat, HeartbeatAnswer, NodeEntry
 from ..settings import Address
@@ -27,11 +28,13 @@
         entry: Its registration.
         seq: Log position in force there.
         asked_s: When the last answered question was sent, monotonic seconds.
+        demand: Work that it sees.
     """
 
     entry: NodeEntry
     seq: int
     asked_s: float
+    demand: tuple[Demand, ...] = ()
 
 
 class Heartbeats(Task):
@@ -40,6 +43,7 @@
     Args:
         registrar: Source of the peers.
         follower: Source of this node's log position.
+        demand_source: Returns the work that this node sees.
         secret: Shared secret of the nodes.
         period_s: Seconds between two rounds.
         clock: Returns monotonic seconds.
@@ -49,6 +53,7 @@
         self,
         registrar: Registrar,
         follower: Follower,
+        demand_source: Callable[[], tuple[Demand, ...]],
         secret: str,
         period_s: float,
         clock: Callable[[], float],
@@ -56,6 +61,7 @@
         super().__init__("heartbeats", period_s, clock)
         self.registrar = registrar
         self.follower = follower
+        self.demand_source = demand_source
         self.secret = secret
         self.clients: dict[str, HttpClient] = {}
         self.views: dict[str, PeerView] = {}
@@ -71,11 +77,15 @@
 
     def answer(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
         """Return the answer to a peer's question."""
-        return HeartbeatAnswer(self.registrar.entry, self.follower.config.seq)
+        return HeartbeatAnswer(
+            self.registrar.entry, self.follower.config.seq, self.demand_source()
+        )
 
     def _ask(self, peer: NodeEntry) -> None:
         asked = self.clock()
-        message = Heartbeat(self.registrar.entry, self.follower.config.seq)
+        message = Heartbeat(
+            self.registrar.entry, self.follower.config.seq, self.demand_source()
+        )
         request = HttpRequest(
             "POST",
             HEARTBEAT_PATH,
@@ -89,7 +99,9 @@
             answer = decode_msgpack(reply.body, HeartbeatAnswer)
         except HeatherhatchError:
             return
-        self.views[peer.name] = PeerView(answer.responder, answer.seq, asked)
+        self.views[peer.name] = PeerView(
+            answer.responder, answer.seq, asked, answer.demand
+        )
 
     def _client(self, peer: NodeEntry) -> HttpClient:
         if peer.peers not in self.clients:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_runner.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_runner.py
@@ -107,7 +107,7 @@
         work_class = config.classes.get(job.spec.work_class)
         if work_class is None or not self.gateway.follower.has_standing():
             return None
-        workers = config.workers_of(work_class.pool)
+        workers = config.serving_workers(work_class.pool)
         able = [worker for worker in workers if worker.control]
         return self.gateway.random.choice(able) if able else None
 
