Give operators a command line with one module for each noun

Keys are made by the client and only their digest is sent, so a change that grants one can be sent again safely and no daemon sees a secret that it does not check. A change records what it replaced, so that the audit trail shows before and after without folding the log again. apply names the position it was computed for; when another change came first it computes the difference again and goes on only if that is the same.

--- /dev/null
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' command line, one module for each noun."""
--- /dev/null
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/status.py
@@ -0,0 +1,19 @@
+"""The state of the nodes."""
+
+import click
+
+from heatherhatch_core.api import NodeStatus, Status
+
+from ..context import Context, output_option
+
+
+@click.command()
+@output_option
+def status(context: Context) -> None:
+    """Show the nodes as the asked one sees them."""
+    answer = context.client.get("/v1/status", Status)
+    own = NodeStatus(answer.node, "(asked)", answer.seq, 0.0)
+    context.show(answer, (own, *answer.nodes))
+    if context.output == "table":
+        standing = "up to date" if answer.standing else "NOT known to be up to date"
+        click.echo(f"{answer.node} is {standing}; {answer.running} requests running")
--- /dev/null
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/waves.py
@@ -0,0 +1,107 @@
+"""Maintenance waves that the landlord has announced."""
+
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+import click
+
+from heatherhatch_core.state.changes import Edit, Removal
+from heatherhatch_core.state.entities import Wave
+
+from ..context import ChangeOptions, Context, change_options, output_option
+from ..output import time_text
+
+
+@dataclass(frozen=True, slots=True)
+class WaveRow:
+    """One line of the list of waves."""
+
+    wave_id: str
+    start: str
+    end: str
+    workers: int
+
+
+class Moment(click.ParamType):
+    """A moment in ISO 8601; without an offset it is UTC."""
+
+    name = "moment"
+
+    def convert(self, value, param, ctx):
+        """Return seconds since the epoch."""
+        try:
+            moment = datetime.fromisoformat(value)
+        except ValueError:
+            self.fail(f"{value!r} is no moment like 2027-01-31T22:00", param, ctx)
+        if moment.tzinfo is None:
+            moment = moment.replace(tzinfo=UTC)
+        return moment.timestamp()
+
+
+@click.group()
+def wave() -> None:
+    """Maintenance waves; their dates are the landlord's."""
+
+
+@wave.command("announce")
+@click.argument("wave_id")
+@click.option("--start", type=Moment(), required=True)
+@click.option("--end", type=Moment(), required=True)
+@click.option("--worker", "workers", multiple=True, help="May be given many times.")
+@click.option("--failure-domain", default="", help="All workers of a failure domain.")
+@click.option("--rack", default="", help="All workers of a rack.")
+@change_options
+@click.pass_obj
+def announce(
+    context: Context,
+    wave_id: str,
+    start: float,
+    end: float,
+    workers: tuple[str, ...],
+    failure_domain: str,
+    rack: str,
+    options: ChangeOptions,
+) -> None:
+    """Announce a wave for workers, a rack or a failure domain.
+
+    \b
+    Example:
+      heatherhatch wave announce feb-1 --start 2027-02-01T22:00 \\
+          --end 2027-02-02T02:00 --failure-domain dc-1 --wait
+    """
+    chosen = set(workers)
+    for name, entry in context.configuration().workers.items():
+        if failure_domain and entry.failure_domain == failure_domain:
+            chosen.add(name)
+        if rack and entry.rack == rack:
+            chosen.add(name)
+    if not chosen:
+        raise click.UsageError("the wave names no worker")
+    entry = Wave(wave_id, start, end, tuple(sorted(chosen)))
+    context.change(Edit(waves=(entry,)), options)
+
+
+@wave.command("remove")
+@click.argument("wave_id")
+@change_options
+@click.pass_obj
+def remove_wave(context: Context, wave_id: str, options: ChangeOptions) -> None:
+    """Remove a wave that the landlord has called off."""
+    context.change(Edit(removals=(Removal("wave", wave_id),)), options)
+
+
+@wave.command("list")
+@output_option
+def list_waves(context: Context) -> None:
+    """List the waves by their start."""
+    waves = sorted(context.configuration().waves.values(), key=lambda w: w.start_s)
+    rows = [
+        WaveRow(
+            item.wave_id,
+            time_text(item.start_s),
+            time_text(item.end_s),
+            len(item.workers),
+        )
+        for item in waves
+    ]
+    context.show(waves, rows)
--- a/packages/heatherhatch-cli/src/heatherhatch_cli/output.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/output.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import fields
+from datetime import UTC, datetime
 
 import click
 import yaml
@@ -28,6 +29,21 @@
         _show_table(rows)
 
 
+def time_text(seconds: float) -> str:
+    """Return a moment as UTC text."""
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+def brief(entity: object) -> str:
+    """Return the facts of an entity in one line, without digests."""
+    facts = [
+        f"{item.name}={_text(getattr(entity, item.name))}"
+        for item in fields(entity)
+        if item.name != "digest"
+    ]
+    return " ".join(facts)
+
+
 def _show_table(rows):
     if not rows:
         click.echo("none")
@@ -44,4 +60,8 @@
 def _text(value):
     if isinstance(value, tuple):
         return ",".join(str(item) for item in value)
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:g}"
     return str(getattr(value, "value", value))
--- a/packages/heatherhatch-core/src/heatherhatch_core/api.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/api.py
@@ -16,12 +16,14 @@
         edit: What to change.
         reason: Why.
         dry_run: True to check only.
+        base_seq: Position that the log must still have, -1 for any.
     """
 
     change_id: str
     edit: Edit
     reason: str = ""
     dry_run: bool = False
+    base_seq: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,33 +38,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class KeyRequest:
-    """An operator's wish for a new key.
-
-    Attributes:
-        change_id: Unique id that makes resends safe.
-        team: Team that the key is for.
-        reason: Why.
-    """
-
-    change_id: str
-    team: str
-    reason: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class KeyAnswer:
-    """A new key; its token is shown this once.
+class InForce:
+    """How far a change has come.
 
     Attributes:
         seq: Position of the change in the log.
-        key_id: Public part.
-        token: What the team presents.
+        missing: Nodes that may still act on an older configuration.
     """
 
     seq: int
-    key_id: str
-    token: str
+    missing: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
@@ -83,6 +83,7 @@
         reason: Why, in the operator's words.
         at_s: Time of acceptance, seconds since the epoch.
         edit: What changes.
+        before: What the edit replaced or removed, for the audit trail.
     """
 
     seq: int
@@ -91,6 +92,19 @@
     reason: str
     at_s: float
     edit: Edit
+    before: Edit = Edit()
+
+
+def replaced_by(config: Configuration, edit: Edit) -> Edit:
+    """Return, as an edit, what another edit replaces or removes."""
+    before: dict[str, dict[str, Entity]] = {}
+    touched = [(table_of(item), name_of(item)) for item in edit.entities]
+    touched += [(TABLES[item.kind], item.name) for item in edit.removals]
+    for table, name in touched:
+        entity = getattr(config, table).get(name)
+        if entity is not None:
+            before.setdefault(table, {})[name] = entity
+    return Edit(**{table: tuple(found.values()) for table, found in before.items()})
 
 
 def apply_change(config: Configuration, change: Change) -> Configuration:
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/desired.py
@@ -0,0 +1,88 @@
+"""The configuration as operators write it in one file, and the way towards it."""
+
+from dataclasses import dataclass, fields
+
+from .changes import TABLES, Edit, Removal, name_of, table_of
+from .configuration import Configuration
+from .entities import Pool, Team, Wave, WorkClass, Worker
+
+KIND_OF_TABLE = {table: kind for kind, table in TABLES.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Desired:
+    """Everything that an operator states, but for keys.
+
+    Attributes:
+        pools, teams, classes, workers, waves: All entities of each kind.
+    """
+
+    pools: tuple[Pool, ...] = ()
+    teams: tuple[Team, ...] = ()
+    classes: tuple[WorkClass, ...] = ()
+    workers: tuple[Worker, ...] = ()
+    waves: tuple[Wave, ...] = ()
+
+
+def desired_of(config: Configuration) -> Desired:
+    """Return what an operator would write to get a configuration."""
+    return Desired(
+        **{
+            item.name: tuple(_ordered(getattr(config, item.name)))
+            for item in fields(Desired)
+        }
+    )
+
+
+def edit_towards(config: Configuration, desired: Desired, prune: bool) -> Edit:
+    """Return the edit that leads from a configuration to a desired one.
+
+    Args:
+        config: Configuration that is in force.
+        desired: What is wanted.
+        prune: True to remove what the desired configuration does not name.
+    """
+    puts = {}
+    removals = []
+    for item in fields(Desired):
+        present = getattr(config, item.name)
+        wanted = {name_of(entity): entity for entity in getattr(desired, item.name)}
+        puts[item.name] = tuple(
+            entity for name, entity in wanted.items() if present.get(name) != entity
+        )
+        if prune:
+            kind = KIND_OF_TABLE[item.name]
+            gone = sorted(set(present) - set(wanted))
+            removals += [Removal(kind, name) for name in gone]
+    return Edit(**puts, removals=tuple(removals))
+
+
+def describe_edit(config: Configuration, edit: Edit) -> list[str]:
+    """Return a line for each thing that an edit changes.
+
+    A line starts with ``+`` for new, ``~`` for changed, ``-`` for removed.
+    """
+    lines = []
+    for entity in edit.entities:
+        table = table_of(entity)
+        before = getattr(config, table).get(name_of(entity))
+        kind = KIND_OF_TABLE[table]
+        if before is None:
+            lines.append(f"+ {kind} {name_of(entity)}")
+        else:
+            lines.append(f"~ {kind} {name_of(entity)}: {_differences(before, entity)}")
+    lines += [f"- {item.kind} {item.name}" for item in edit.removals]
+    return lines
+
+
+def _differences(before: object, after: object) -> str:
+    changed = [
+        f"{item.name} {getattr(before, item.name)!r} -> {getattr(after, item.name)!r}"
+        for item in fields(after)
+        if getattr(before, item.name) != getattr(after, item.name)
+    ]
+    return ", ".join(changed)
+
+
+def _ordered(table: dict) -> list:
+    return [table[name] for name in sorted(table)]
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -9,9 +9,8 @@
     AuditPage,
     ChangeAnswer,
     ChangeRequest,
+    InForce,
     JobPage,
-    KeyAnswer,
-    KeyRequest,
     NodeStatus,
     PlanAnswer,
     Status,
@@ -19,9 +18,9 @@
 from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
-from heatherhatch_core.keys import new_key, secret_matches, split_token
-from heatherhatch_core.state.changes import Change, Edit, check_edit
-from heatherhatch_core.state.entities import OperatorKey, Role, TeamKey
+from heatherhatch_core.keys import secret_matches, split_token
+from heatherhatch_core.state.changes import Change, check_edit
+from heatherhatch_core.state.entities import OperatorKey, Role
 
 from ..tasks.follower import CONFIG_PREFIX, Follower
 from ..tasks.gateway import Gateway
@@ -59,7 +58,7 @@
     """Return the application that operators talk to."""
     app = new_app()
     app.add_route("/v1/changes", ChangesResource(services))
-    app.add_route("/v1/team-keys", TeamKeysResource(services))
+    app.add_route("/v1/in-force", InForceResource(services))
     app.add_route("/v1/config", ConfigResource(services))
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
@@ -108,21 +107,30 @@
             check_edit(follower.config, wish.edit)
             write_message(response, ChangeAnswer(0))
             return
-        seq = follower.append(wish.change_id, actor, wish.reason, wish.edit)
+        seq = follower.append(
+            wish.change_id, actor, wish.reason, wish.edit, wish.base_seq
+        )
         write_message(response, ChangeAnswer(seq))
 
 
-class TeamKeysResource(OperatorResource):
-    """Makes keys for teams."""
+class InForceResource(OperatorResource):
+    """Tells how far a change has come."""
 
-    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Make one key and show its token this once."""
-        actor = self.operator(request, Role.OPERATOR)
-        wish = read_message(request, KeyRequest, self.services.body_bytes)
-        key = new_key(wish.team)
-        edit = Edit(team_keys=(TeamKey(key.key_id, wish.team, key.digest),))
-        seq = self.services.follower.append(wish.change_id, actor, wish.reason, edit)
-        write_message(response, KeyAnswer(seq, key.key_id, key.token))
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the nodes that have not confirmed a change."""
+        self.operator(request, Role.VIEWER)
+        seq = request.get_param_as_int("seq", required=True, min_value=0)
+        heartbeats = self.services.heartbeats
+        views = heartbeats.views
+        own = heartbeats.registrar.entry.name
+        missing = [
+            name
+            for name in sorted(heartbeats.registrar.nodes)
+            if name != own and (name not in views or views[name].seq < seq)
+        ]
+        if self.services.follower.config.seq < seq:
+            missing.append(own)
+        write_message(response, InForce(seq, tuple(missing)))
 
 
 class ConfigResource(OperatorResource):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -5,7 +5,13 @@
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.coordination.standing import Standing
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
-from heatherhatch_core.state.changes import Change, Edit, apply_change, check_edit
+from heatherhatch_core.state.changes import (
+    Change,
+    Edit,
+    apply_change,
+    check_edit,
+    replaced_by,
+)
 from heatherhatch_core.state.configuration import Configuration
 
 from ..events import Event, log
@@ -79,7 +85,9 @@
         """Tell whether this node may act on its configuration."""
         return self.standing.holds(self.clock())
 
-    def append(self, change_id: str, actor: str, reason: str, edit: Edit) -> int:
+    def append(
+        self, change_id: str, actor: str, reason: str, edit: Edit, base_seq: int = -1
+    ) -> int:
         """Accept a change and return its position in the log.
 
         Args:
@@ -87,6 +95,7 @@
             actor: Who makes the change.
             reason: Why.
             edit: What changes.
+            base_seq: Position that the log must still have, -1 for any.
 
         Raises:
             HeatherhatchError: If the change is not valid, or others always
@@ -94,9 +103,13 @@
         """
         for _ in range(APPEND_ATTEMPTS):
             self.refresh()
+            if base_seq not in (-1, self.config.seq):
+                raise HeatherhatchError(ErrorKind.CONFLICT, f"not at {base_seq} now")
             check_edit(self.config, edit)
             seq = self.config.seq + 1
-            change = Change(seq, change_id, actor, reason, self.wall_clock(), edit)
+            before = replaced_by(self.config, edit)
+            now = self.wall_clock()
+            change = Change(seq, change_id, actor, reason, now, edit, before)
             if self._write(change):
                 self.apply(change)
                 log(Event.CHANGE_ACCEPTED, seq=seq, actor=actor)
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 import yaml
@@ -10,13 +11,13 @@
 from heatherhatch_core.api import (
     ChangeAnswer,
     ChangeRequest,
-    KeyAnswer,
-    KeyRequest,
     Status,
 )
 from heatherhatch_core.codec import from_builtins
 from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.keys import new_key
 from heatherhatch_core.state.changes import Edit
+from heatherhatch_core.state.entities import TeamKey
 
 from .ports import free_ports
 from .processes import FIRST_TOKEN, Trial, node_settings
@@ -32,6 +33,15 @@
     return from_builtins(yaml.safe_load(path.read_text(encoding="utf-8")), Edit)
 
 
+@dataclass(frozen=True, slots=True)
+class GrantedKey:
+    """A team's key and the change that granted it."""
+
+    seq: int
+    key_id: str
+    token: str
+
+
 class Deployment:
     """Seven nodes, or another number, with everything that is around them.
 
@@ -105,10 +115,11 @@
         request = ChangeRequest(new_change_id(), edit, "trial")
         return self.client(node).post("/v1/changes", request, ChangeAnswer).seq
 
-    def grant_key(self, team: str, node: str = "") -> KeyAnswer:
+    def grant_key(self, team: str, node: str = "") -> GrantedKey:
         """Make a key for a team."""
-        request = KeyRequest(new_change_id(), team, "trial")
-        return self.client(node).post("/v1/team-keys", request, KeyAnswer)
+        key = new_key(team)
+        edit = Edit(team_keys=(TeamKey(key.key_id, team, key.digest),))
+        return GrantedKey(self.change(edit, node), key.key_id, key.token)
 
     def wait_for_seq(self, seq: int) -> None:
         """Wait until a change is in force on every node."""
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,88 @@
+"""The operators' command line, run in this process against real nodes."""
+
+import json
+import os
+from pathlib import Path
+
+import pytest
+import yaml
+from click.testing import CliRunner
+
+from heatherhatch_cli.cmdline import main
+from heatherhatch_standins.deployment import Deployment
+from heatherhatch_standins.processes import FIRST_TOKEN
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "ciosg.yaml"
+
+
+@pytest.fixture
+def cli(trial, small_edit):
+    deployment = Deployment(trial, "cli", small_edit, nodes=2)
+    deployment.start()
+    environment = {
+        "HEATHERHATCH_ADDRESS": deployment.operators(deployment.node_names[0]),
+        "HEATHERHATCH_TOKEN": FIRST_TOKEN,
+    }
+
+    def run(*arguments, exit_code=0):
+        result = CliRunner().invoke(main, arguments, env=environment)
+        assert result.exit_code == exit_code, result.output
+        return result.stdout
+
+    return run
+
+
+def test_cli_states_a_whole_fleet(cli, tmp_path):
+    assert cli("apply", str(EXAMPLE), "--prune", "--wait", "--reason", "start")
+    assert cli("diff", str(EXAMPLE), "--prune") == "nothing to change\n"
+
+    exported = tmp_path / "fleet.yaml"
+    exported.write_text(cli("export"), encoding="utf-8")
+    assert cli("diff", str(exported), "--prune") == "nothing to change\n"
+    assert len(yaml.safe_load(exported.read_text())["workers"]) == 30
+
+    pools = json.loads(cli("pool", "list", "--output", "json"))
+    assert [row["serving"] for row in pools] == [6] * 5
+
+    key = json.loads(cli("key", "grant", "siop-bala", "--output", "json"))
+    assert cli("key", "list").count(key["key_id"]) == 1
+    assert key["token"].split(".")[1] not in cli("export")
+    cli("key", "withdraw", key["key_id"], "--wait", "--reason", "lost till")
+    assert cli("key", "list") == "none\n"
+
+    cli("team", "set", "cwmni", "--limit", "40", "--reason", "busy week")
+    trail = cli("audit", "--kind", "team", "--name", "cwmni")
+    assert "limit=32" in trail and "limit=40" in trail and "busy week" in trail
+
+    cli(
+        "wave",
+        "announce",
+        "w1",
+        "--start",
+        "2099-02-01T22:00",
+        "--end",
+        "2099-02-02T02:00",
+        "--failure-domain",
+        "dc-1",
+    )
+    assert "w1" in cli("wave", "list")
+    assert "w1" in cli("plan", "calendar")
+
+
+def test_cli_ends_with_the_code_of_the_error(cli):
+    cli("team", "set", "new", "--limit", "1", "--share", "-1", exit_code=2)
+    cli("worker", "drain", "nobody", exit_code=2)
+    cli("class", "set", "x", "--pool", "none", "--target-s", "1", exit_code=2)
+
+
+def test_cli_dry_run_changes_nothing(cli):
+    before = cli("export")
+    cli("team", "set", "red", "--limit", "1", "--dry-run")
+    assert cli("export") == before
+
+
+def test_cli_prints_completion_scripts():
+    result = CliRunner().invoke(main, ["completion", "bash"])
+    assert result.exit_code == 0
+    assert "_HEATHERHATCH_COMPLETE" in result.output
+    assert "HEATHERHATCH_ADDRESS" not in os.environ
