--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)/packages/heatherhatch-core/src:$(CURDIR)/packages/heatherhatch-daemon/src:$(CURDIR)/packages/heatherhatch-cli/src:$(CURDIR)/packages/heatherhatch-standins/src:$(CURDIR)
 SEED ?= 1
 
-.PHONY: help setup demo test format lint check-format unit bench capacity proof clean
+.PHONY: help setup demo test format lint check-format unit pages bench capacity proof clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
@@ -35,6 +35,9 @@
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
 
+pages: setup  ## write the pages of docs/ that are made from the code
+	$(BIN)/python -m heatherhatch_standins.pages
+
 bench: setup  ## print measurements as lines of name, value, unit
 	$(BIN)/python -m bench
 
--- /dev/null
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/pages.py
@@ -0,0 +1,86 @@
+"""Pages of the docs that are made from the code: errors, events, metrics."""
+
+from pathlib import Path
+
+from heatherhatch_core.exceptions import ANSWERS
+from heatherhatch_daemon.events import Event
+from heatherhatch_daemon.metrics import Metric
+
+DOCS = Path("docs")
+ERRORS_INTRO = """\
+# Errors
+
+Every error answer is an RFC 9457 problem details object. Its `type` is
+`urn:heatherhatch:error:` and the kind below; `code`, `execution` and `retry` are the
+columns of this table. `not run` means that provably no byte of the request reached a
+backend server. `outcome unknown` means that it may have run: send it again only with
+the same `Idempotency-Key`. Where the client may try again later, `Retry-After` says
+when. The command line ends with the exit code of the error's kind.
+
+| code | kind | HTTP status | execution | retry | exit code | meaning |
+|---|---|---|---|---|---|---|
+"""
+EVENTS_INTRO = """\
+# Log events
+
+The daemon writes one JSON object a line, in the form of the `eliot` library, to
+`log_file` or standard error. `event` is the number below.
+
+| number | name | meaning |
+|---|---|---|
+"""
+METRICS_INTRO = """\
+# Metrics
+
+The daemon sends these by statsd to `platform.statsd`; a statsd that is down costs
+nothing. Names carry the prefix `heatherhatch.`.
+
+| name | what it counts |
+|---|---|
+"""
+
+
+def errors_page() -> str:
+    """Return the page of error kinds."""
+    rows = [
+        f"| {row.code} | `{kind.value}` | {row.status} | {row.execution.value}"
+        f" | {row.retry.value} | {row.exit_code} | {row.title} |"
+        for kind, row in ANSWERS.items()
+    ]
+    return ERRORS_INTRO + "\n".join(sorted(rows, key=_number)) + "\n"
+
+
+def events_page() -> str:
+    """Return the catalogue of log events."""
+    rows = [
+        f"| {event.value.number} | `{event.name.lower()}` | {event.value.meaning} |"
+        for event in Event
+    ]
+    return EVENTS_INTRO + "\n".join(sorted(rows, key=_number)) + "\n"
+
+
+def metrics_page() -> str:
+    """Return the list of metrics."""
+    rows = [f"| `{metric.name.lower()}` | {metric.value} |" for metric in Metric]
+    return METRICS_INTRO + "\n".join(rows) + "\n"
+
+
+PAGES = {
+    "ERRORS.md": errors_page,
+    "EVENTS.md": events_page,
+    "METRICS.md": metrics_page,
+}
+
+
+def main() -> None:
+    """Write the pages."""
+    for name, page in PAGES.items():
+        (DOCS / name).write_text(page(), encoding="utf-8")
+
+
+def _number(row: str) -> int:
+    return int(row.split("|")[1])
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,7 @@
 settings.load_profile("ci")
 
 
-@pytest.fixture
-def small_edit():
+def make_small_edit():
     return Edit(
         pools=(Pool("tills", 1), Pool("spare", 0, spare=True)),
         teams=(Team("red", 1.0, 14), Team("blue", 1.0, 14)),
@@ -30,12 +29,28 @@
     )
 
 
+@pytest.fixture
+def small_edit():
+    return make_small_edit()
+
+
+@pytest.fixture(scope="module")
+def module_edit():
+    return make_small_edit()
+
+
 @pytest.fixture
 def trial():
     with Trial() as running:
         yield running
 
 
+@pytest.fixture(scope="module")
+def module_trial():
+    with Trial() as running:
+        yield running
+
+
 @pytest.fixture
 def seven_nodes(trial, small_edit):
     deployment = Deployment(trial, "test", small_edit)
