--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,12 +5,15 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
+from . import requests
+
 
 def main() -> None:
     """Run every measurement."""
     begun = time.perf_counter()
     plan_waves(Configuration(), 0.0)
     print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
+    requests.run()
 
 
 if __name__ == "__main__":
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -115,7 +115,7 @@
         self.stop_requested.wait()
         log(Event.STOPPING)
         grace_s = self.settings.timing.grace_s
-        whole = self.callers.stop(grace_s)
+        whole = self.callers.stop(grace_s, self.settings.timing.linger_s)
         self.gateway.draining = True
         self.operators.stop(grace_s)
         for task in reversed(self.tasks):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
@@ -21,7 +21,9 @@
     length = request.content_length
     if length is not None and length > limit_bytes:
         raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
-    body = request.bounded_stream.read(limit_bytes + 1)
+    # Only the raw stream of the server knows the end of a chunked body.
+    stream = request.bounded_stream if length is not None else request.stream
+    body = stream.read(limit_bytes + 1)
     if len(body) > limit_bytes:
         raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
     if length is not None and len(body) != length:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -125,6 +125,8 @@
         standing_s: How long evidence of the log head counts.
         lease_s: Life of the node's registration in the store.
         grace_s: Longest graceful shutdown.
+        linger_s: How long a node that shuts down still serves, because the
+            balancer's list lags.
         outcome_s: How long the outcome of a keyed request is remembered.
     """
 
@@ -132,6 +134,7 @@
     standing_s: float = 2.0
     lease_s: float = 6.0
     grace_s: float = 30.0
+    linger_s: float = 1.0
     outcome_s: float = 600.0
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -1,9 +1,12 @@
 """HTTP client with one attempt for each call and one connection for each attempt."""
 
+import select
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 import gevent
+from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
@@ -12,6 +15,9 @@
 from ..settings import Address
 
 READ_BLOCK_BYTES = 65_536
+ANSWER_BYTES = 16_777_216
+IDLE_S = 5.0
+NO_BODY_STATUSES = (204, 304)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +74,46 @@
         self.sent = sent
 
 
+class Connections(ConnectionPool):
+    """Connections to one address, each idle for a short time only."""
+
+    def __init__(self, address: Address, size: int, connect_timeout_s: float):
+        super().__init__(
+            address.host,
+            address.port,
+            address.host,
+            address.port,
+            size=size,
+            connection_timeout=connect_timeout_s,
+            network_timeout=None,
+        )
+        self.idle_since_s: dict[socket.socket, float] = {}
+
+    def after_connect(self, sock: socket.socket) -> None:
+        """Let small writes leave at once."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def return_socket(self, sock: socket.socket) -> None:
+        """Keep a connection for the next exchange."""
+        self.idle_since_s[sock] = time.monotonic()
+        super().return_socket(sock)
+
+    def _resolve(self):
+        # Addresses are IP numbers, so no resolver is asked.
+        host, port = self._connection_host, self._connection_port
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        return [(family, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", (host, port))]
+
+    def _is_socket_alive(self, sock):
+        # The library's check uses select, which fails on numbers above 1,023.
+        idle_since_s = self.idle_since_s.pop(sock, 0.0)
+        if time.monotonic() - idle_since_s > IDLE_S or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
 class HttpClient:
     """Exchanges requests with one address over a pool of connections.
 
@@ -77,15 +123,7 @@
 
     def __init__(self, address: Address, connections: int, connect_timeout_s: float):
         self.address = address
-        self.pool = ConnectionPool(
-            address.host,
-            address.port,
-            address.host,
-            address.port,
-            size=connections,
-            connection_timeout=connect_timeout_s,
-            network_timeout=None,
-        )
+        self.pool = Connections(address, connections, connect_timeout_s)
 
     def exchange(self, request: HttpRequest, timeout_s: float) -> HttpAnswer:
         """Send a request once and return the whole answer.
@@ -107,11 +145,12 @@
             data = request.encode(str(self.address))
             sent = True
             sock.sendall(data)
-            answer = HTTPSocketPoolResponse(sock, self.pool, method=request.method)
-            # The response owns the socket from here on and gives it back.
-            sock = None
-            body = bytes(answer.read())
-            return HttpAnswer(answer.status_code, tuple(answer.items()), body)
+            # The response owns the socket from here on and gives it back, also
+            # if its constructor fails.
+            owned, sock = sock, None
+            answer = HTTPSocketPoolResponse(owned, self.pool, method=request.method)
+            body = _read_whole(answer)
+            return HttpAnswer(answer.status_code, _headers_of(answer), body)
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
@@ -148,3 +187,34 @@
     def close(self) -> None:
         """Close every idle connection."""
         self.pool.close()
+
+
+def _read_whole(answer: HTTPSocketPoolResponse) -> bytes:
+    """Return the whole body of an answer whose end can be told.
+
+    Raises:
+        HTTPParseError: If the body is cut short, too large, or ends only with
+            the connection, so that a cut could not be seen.
+    """
+    bodiless = answer.method == "HEAD" or answer.status_code in NO_BODY_STATUSES
+    length = answer.content_length
+    chunked = "transfer-encoding" in answer
+    if not bodiless and length is None and not chunked:
+        raise HTTPParseError("the answer has neither a length nor chunks")
+    if not bodiless and (length or 0) > ANSWER_BYTES:
+        raise HTTPParseError(f"the answer is above {ANSWER_BYTES} bytes")
+    if not chunked:
+        return bytes(answer.read())
+    blocks = []
+    size = 0
+    while block := answer.read(READ_BLOCK_BYTES):
+        blocks.append(bytes(block))
+        size += len(block)
+        if size > ANSWER_BYTES:
+            raise HTTPParseError(f"the answer is above {ANSWER_BYTES} bytes")
+    return b"".join(blocks)
+
+
+def _headers_of(answer: HTTPSocketPoolResponse) -> tuple[tuple[str, str], ...]:
+    """Return the headers in order, a repeated one as often as it came."""
+    return tuple(answer.items())
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/balancer.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/balancer.py
@@ -32,6 +32,8 @@
         if upstream is None:
             client.close()
             return
+        for side in (client, upstream):
+            side.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         pumps = [
             gevent.spawn(_pump, client, upstream),
             gevent.spawn(_pump, upstream, client),
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/serving.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/serving.py
@@ -3,6 +3,7 @@
 import signal
 
 import gevent
+from gevent import socket
 from gevent.event import Event as Signal
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -24,9 +25,18 @@
         super().handle_error(kind, value, traceback)
 
 
+class PromptServer(WSGIServer):
+    """A WSGI server whose connections send small writes at once."""
+
+    def handle(self, sock, address):
+        """Serve one connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
 def open_server(app, port: int = 0) -> WSGIServer:
     """Return a started server; the kernel chooses the port if it is 0."""
-    server = WSGIServer(
+    server = PromptServer(
         (LOOPBACK, port), app, log=None, error_log=None, handler_class=DroppingHandler
     )
     server.start()
