--- a/packages/heatherhatch-standins/src/heatherhatch_standins/backend.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/backend.py
@@ -8,12 +8,16 @@
 import msgspec
 from gevent.lock import BoundedSemaphore
 
+from heatherhatch_core.codec import encode_json
+
 from .faults import FAULTS_PATH, FaultBox, FaultsResource
-from .serving import ConnectionDroppedError, serve
+from .ledger import Ledger
+from .serving import ConnectionDroppedError, new_app, serve
 
 NEVER_S = 3_600.0
 ID_HEADER = "X-Request-Id"
 WORK_HEADER = "X-Work-Seconds"
+TEAM_HEADER = "X-Trial-Team"
 
 
 class Backend:
@@ -23,14 +27,15 @@
         name: Name in its answers.
         slots: Requests that it works on at once; others wait.
         work_s: Seconds that a request takes unless it says otherwise.
+        ledger: Record that all backend servers of the process share.
     """
 
-    def __init__(self, name: str, slots: int, work_s: float):
+    def __init__(self, name: str, slots: int, work_s: float, ledger: Ledger):
         self.name = name
+        self.ledger = ledger
         self.work_s = work_s
         self.slots = BoundedSemaphore(slots)
         self.executed: Counter[str] = Counter()
-        self.running: Counter[str] = Counter()
 
 
 class WorkSink:
@@ -50,7 +55,9 @@
         seconds = float(request.get_header(WORK_HEADER) or self.backend.work_s)
         with self.backend.slots:
             self.backend.executed[request_id] += 1
-            gevent.sleep(seconds + faults.delay_s)
+            team = request.get_header(TEAM_HEADER) or ""
+            with self.backend.ledger.work(self.backend.name, request_id, team):
+                gevent.sleep(seconds + faults.delay_s)
         if self.box.hits(faults.silent_share):
             gevent.sleep(NEVER_S)
         if self.box.hits(faults.lost_share):
@@ -76,11 +83,23 @@
         response.data = msgspec.json.encode(dict(self.backend.executed))
 
 
+class LedgerResource:
+    """Shows the record that all backend servers of the process share."""
+
+    def __init__(self, ledger: Ledger):
+        self.ledger = ledger
+
+    def on_get(self, _request, response):
+        """Return the record."""
+        response.data = encode_json(self.ledger.page())
+
+
 def backend_app(backend: Backend, box: FaultBox) -> falcon.App:
     """Return the application of a backend server stand-in."""
-    app = falcon.App()
+    app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(box))
     app.add_route("/executed", ExecutedResource(backend))
+    app.add_route("/ledger", LedgerResource(backend.ledger))
     app.add_sink(WorkSink(backend, box), "/")
     return app
 
@@ -91,12 +110,10 @@
 @click.option("--work-s", default=0.002, help="Seconds that a request takes.")
 def main(count: int, slots: int, work_s: float) -> None:
     """Run backend server stand-ins."""
-    serve(
-        tuple(
-            backend_app(Backend(f"backend-{seed}", slots, work_s), FaultBox(seed))
-            for seed in range(count)
-        )
-    )
+    ledger = Ledger()
+    backends = [Backend(f"{i}", slots, work_s, ledger) for i in range(count)]
+    apps = [backend_app(item, FaultBox(i)) for i, item in enumerate(backends)]
+    serve(tuple(apps))
 
 
 if __name__ == "__main__":
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/members.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/members.py
@@ -9,7 +9,7 @@
 from heatherhatch_core.codec import decode_json, encode_json
 
 from .faults import FAULTS_PATH, FaultBox, FaultsResource
-from .serving import ConnectionDroppedError, serve
+from .serving import ConnectionDroppedError, new_app, serve
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
 
 def members_app(members: MemberList) -> falcon.App:
     """Return the application of a member list stand-in."""
-    app = falcon.App()
+    app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(members.box))
     app.add_route("/members", MembersResource(members))
     return app
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/serving.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/serving.py
@@ -2,6 +2,7 @@
 
 import signal
 
+import falcon
 import gevent
 from gevent import socket
 from gevent.event import Event as Signal
@@ -34,6 +35,18 @@
         super().handle(sock, address)
 
 
+def new_app() -> falcon.App:
+    """Return a falcon application that passes `ConnectionDroppedError` on."""
+    app = falcon.App()
+    app.add_error_handler(ConnectionDroppedError, _drop)
+    return app
+
+
+def _drop(_request, _response, error, _params):
+    # Falcon would otherwise answer with status 500.
+    raise error
+
+
 def open_server(app, port: int = 0) -> WSGIServer:
     """Return a started server; the kernel chooses the port if it is 0."""
     server = PromptServer(
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
@@ -12,12 +12,12 @@
 from heatherhatch_daemon.transport.store import Entry, Expect, Put, Transaction
 
 from .faults import FAULTS_PATH, FaultBox, FaultsResource
-from .serving import ConnectionDroppedError, serve
+from .serving import ConnectionDroppedError, new_app, serve
 
 
 def store_app(store: MemoryStore, box: FaultBox) -> falcon.App:
     """Return the application of a store stand-in."""
-    app = falcon.App()
+    app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(box))
     for path, handler in (
         ("/v3/kv/range", _range),
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/worker.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/worker.py
@@ -10,7 +10,7 @@
 from heatherhatch_daemon.transport.workers import TaskOrder, TaskReport, TaskState
 
 from .faults import FAULTS_PATH, FaultBox, FaultsResource
-from .serving import ConnectionDroppedError, serve
+from .serving import ConnectionDroppedError, new_app, serve
 
 
 @dataclass(slots=True)
@@ -145,7 +145,7 @@
 
 def worker_app(worker: Worker) -> falcon.App:
     """Return the application of a worker stand-in."""
-    app = falcon.App()
+    app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(worker.box))
     app.add_route("/started", StartedResource(worker))
     app.add_route("/tasks/{job_id}", StartResource(worker))
