Close the table of worker states and take budget permits in the log's write

Cause: an edit could put any worker into any state, move it by a new home pool, and drain a pool empty.

A closed table of transitions with causes; a voluntary step that takes a pool below min_available is refused as budget-exceeded at the position right before the write; failed and lost are always recorded. The index of serving workers is kept from change to change, so that serving_workers is a look-up and an edit of one worker does not read the fleet. Assignment.cause became a closed enum, with the words in detail.

Ruled out: permits in a record of their own (two writes, one of which may be lost), a lock for each pool (held by a paused holder).

--- a/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
@@ -6,6 +6,7 @@
 from typing import Literal
 
 from ..exceptions import ErrorKind, HeatherhatchError
+from .budget import check_budgets
 from .configuration import Configuration
 from .entities import (
     Assignment,
@@ -17,6 +18,8 @@
     WorkClass,
     Worker,
 )
+from .fleet_index import update_index
+from .transitions import implicit_problems, transition_problems
 
 EntityKind = Literal[
     "pool", "team", "team-key", "operator-key", "class", "worker", "wave", "assignment"
@@ -71,6 +74,21 @@
             *self.assignments,
         )
 
+    @property
+    def touched_workers(self) -> frozenset[str]:
+        """Workers whose pool or state the edit may change."""
+        return frozenset(
+            [
+                *(worker.worker_id for worker in self.workers),
+                *(item.worker_id for item in self.assignments),
+                *(
+                    removal.name
+                    for removal in self.removals
+                    if removal.kind in ("worker", "assignment")
+                ),
+            ]
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
@@ -111,10 +129,24 @@
     touched: dict[str, dict] = {}
     for entity in change.edit.entities:
         table = _touch(config, touched, table_of(entity))
-        table[name_of(entity)] = entity
+        table[name_of(entity)] = _stamped(entity, change.seq)
     for removal in change.edit.removals:
         _touch(config, touched, TABLES[removal.kind]).pop(removal.name, None)
-    return dataclasses.replace(config, seq=change.seq, **touched)
+        if removal.kind == "worker" and removal.name in config.assignments:
+            _touch(config, touched, "assignments").pop(removal.name, None)
+    after = dataclasses.replace(config, seq=change.seq, **touched)
+    after.keep_index(update_index(config, after, change.edit.touched_workers))
+    return after
+
+
+@singledispatch
+def _stamped(entity: Entity, seq: int) -> Entity:
+    return entity
+
+
+@_stamped.register
+def _(entity: Assignment, seq: int) -> Assignment:
+    return dataclasses.replace(entity, seq=seq)
 
 
 def _touch(config: Configuration, touched: dict[str, dict], table: str) -> dict:
@@ -172,7 +204,8 @@
         edit: Edit to check.
 
     Raises:
-        HeatherhatchError: ``INVALID_CHANGE`` with every fault in its detail.
+        HeatherhatchError: ``INVALID_CHANGE`` with every fault in its detail;
+            ``BUDGET_EXCEEDED`` if a voluntary step takes a pool below its budget.
     """
     probe = Change(config.seq + 1, "", "", "", 0.0, edit)
     after = apply_change(config, probe)
@@ -181,6 +214,11 @@
         for removal in edit.removals
         if removal.name not in getattr(config, TABLES[removal.kind])
     ]
-    problems += after.problems()
+    problems += transition_problems(config, after, edit.assignments)
+    problems += implicit_problems(config, after, edit)
+    # Assignments refer to workers and pools only, and those are checked above.
+    if edit.entities != edit.assignments or edit.removals:
+        problems += after.problems()
     if problems:
         raise HeatherhatchError(ErrorKind.INVALID_CHANGE, "; ".join(problems))
+    check_budgets(config, after, edit)
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/configuration.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/configuration.py
@@ -14,6 +14,7 @@
     Worker,
     WorkerState,
 )
+from .fleet_index import FleetIndex, build_index
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,22 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     waves: dict[str, Wave] = field(default_factory=dict)
     assignments: dict[str, Assignment] = field(default_factory=dict)
+    # Derived from workers and assignments; a leading underscore keeps it off the
+    # wire.
+    _index: FleetIndex | None = field(
+        default=None, init=False, repr=False, compare=False
+    )
+
+    @property
+    def index(self) -> FleetIndex:
+        """The serving workers of each pool, made once for each configuration."""
+        if self._index is None:
+            self.keep_index(build_index(self))
+        return self._index
+
+    def keep_index(self, index: FleetIndex) -> None:
+        """Keep an index that was worked out from the predecessor's."""
+        object.__setattr__(self, "_index", index)
 
     def pool_of(self, worker_id: str) -> str:
         """Return the pool that a worker belongs to now."""
@@ -52,11 +69,7 @@
 
     def serving_workers(self, pool: str) -> tuple[Worker, ...]:
         """Return the workers that serve a pool now, ordered by name."""
-        return tuple(
-            self.workers[name]
-            for name in sorted(self.workers)
-            if self.pool_of(name) == pool and self.state_of(name) is WorkerState.SERVING
-        )
+        return self.index.serving.get(pool, ())
 
     def workers_of(self, pool: str) -> tuple[Worker, ...]:
         """Return the workers whose home is a pool, ordered by name."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
@@ -159,6 +159,21 @@
     LOST = "lost"
 
 
+class Cause(Enum):
+    """Why a worker came to its state."""
+
+    OPERATOR = "operator"
+    WAVE = "wave"
+    MOVE = "move"
+    RESTART = "restart"
+    CONFIRMED = "confirmed"
+    CANCELLED = "cancelled"
+    RETURN = "return"
+    FAILURE = "failure"
+    LOSS = "loss"
+    RECOVERY = "recovery"
+
+
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """The one pool that a worker belongs to, and its state there.
@@ -169,12 +184,21 @@
         worker_id: Worker.
         pool: Pool that it belongs to.
         state: Its state.
-        cause: Why it came to this state, for the audit trail.
+        cause: Why it came to this state.
+        detail: The same in words, for the audit trail.
         since_s: When, seconds since the epoch.
+        next_pool: Pool that it moves to when it is drained, empty if none.
+        replaces: In an edit, the position of the assignment that this one follows;
+            any if it is negative.
+        seq: Position of the change that made it; set when that change is applied.
     """
 
     worker_id: str
     pool: str
     state: WorkerState
-    cause: str = ""
+    cause: Cause = Cause.OPERATOR
+    detail: str = ""
     since_s: float = 0.0
+    next_pool: str = ""
+    replaces: int = -1
+    seq: int = 0
