--- a/packages/heatherhatch-cli/src/heatherhatch_cli/commands/workers.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/workers.py
@@ -6,7 +6,7 @@
 import click
 
 from heatherhatch_core.state.changes import Edit, Removal
-from heatherhatch_core.state.entities import Assignment, Worker, WorkerState
+from heatherhatch_core.state.entities import Assignment, Cause, Worker, WorkerState
 
 from ..context import ChangeOptions, Context, change_options, output_option
 
@@ -24,6 +24,34 @@
     cause: str
 
 
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One change of a worker's state."""
+
+    state: WorkerState
+    cause: Cause
+
+
+# The steps from each state back to serving.
+STEPS_BACK = {
+    WorkerState.DRAINING: (Step(WorkerState.SERVING, Cause.CANCELLED),),
+    WorkerState.DRAINED: (Step(WorkerState.SERVING, Cause.CANCELLED),),
+    WorkerState.MAINTENANCE: (
+        Step(WorkerState.RETURNING, Cause.OPERATOR),
+        Step(WorkerState.SERVING, Cause.OPERATOR),
+    ),
+    WorkerState.RETURNING: (Step(WorkerState.SERVING, Cause.OPERATOR),),
+    WorkerState.FAILED: (
+        Step(WorkerState.RETURNING, Cause.RECOVERY),
+        Step(WorkerState.SERVING, Cause.OPERATOR),
+    ),
+    WorkerState.LOST: (
+        Step(WorkerState.RETURNING, Cause.RECOVERY),
+        Step(WorkerState.SERVING, Cause.OPERATOR),
+    ),
+}
+
+
 @click.group()
 def worker() -> None:
     """Workers, their pools and states."""
@@ -85,7 +113,7 @@
                 entry.failure_domain,
                 entry.rack,
                 entry.address,
-                assignment.cause if assignment else "",
+                _why(assignment),
             )
         )
     context.show(rows, rows)
@@ -102,7 +130,18 @@
     Example:
       heatherhatch worker drain bala-2 --reason "fan is loud" --wait
     """
-    _assign(context, worker_id, WorkerState.DRAINING, options)
+    step = Step(WorkerState.DRAINING, Cause.OPERATOR)
+    _assign(context, worker_id, step, options)
+
+
+@worker.command("release")
+@click.argument("worker_id")
+@change_options
+@click.pass_obj
+def release(context: Context, worker_id: str, options: ChangeOptions) -> None:
+    """Record that a drained worker is handed over for maintenance."""
+    step = Step(WorkerState.MAINTENANCE, Cause.OPERATOR)
+    _assign(context, worker_id, step, options)
 
 
 @worker.command("return")
@@ -110,21 +149,39 @@
 @change_options
 @click.pass_obj
 def give_back(context: Context, worker_id: str, options: ChangeOptions) -> None:
-    """Let a worker serve its pool again."""
-    config = context.configuration()
-    if config.state_of(worker_id) in (WorkerState.FAILED, WorkerState.LOST):
-        _assign(context, worker_id, WorkerState.RETURNING, options)
-    _assign(context, worker_id, WorkerState.SERVING, options)
+    """Let a worker serve its pool again, whatever state it is in.
+
+    \b
+    Example:
+      heatherhatch worker return bala-2 --reason "new fan"
+    """
+    state = context.configuration().state_of(worker_id)
+    if state is WorkerState.SERVING:
+        raise click.UsageError(f"{worker_id} serves already")
+    for step in STEPS_BACK[state]:
+        _assign(context, worker_id, step, options)
 
 
 def _assign(
-    context: Context, worker_id: str, state: WorkerState, options: ChangeOptions
+    context: Context, worker_id: str, step: Step, options: ChangeOptions
 ) -> None:
     config = context.configuration()
     if worker_id not in config.workers:
         raise click.BadParameter(f"no worker {worker_id!r}", param_hint="WORKER_ID")
-    cause = options.reason or f"operator asked for {state.value}"
+    present = config.assignments.get(worker_id)
     assignment = Assignment(
-        worker_id, config.pool_of(worker_id), state, cause, time.time()
+        worker_id,
+        config.pool_of(worker_id),
+        step.state,
+        step.cause,
+        detail=options.reason,
+        since_s=time.time(),
+        replaces=present.seq if present else 0,
     )
     context.change(Edit(assignments=(assignment,)), options)
+
+
+def _why(assignment: Assignment | None) -> str:
+    if assignment is None:
+        return ""
+    return " ".join((assignment.cause.value, assignment.detail)).strip()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -75,6 +75,16 @@
     cli("class", "set", "x", "--pool", "none", "--target-s", "1", exit_code=2)
 
 
+def test_cli_drains_within_the_budget_and_returns(cli):
+    cli("worker", "drain", "w1", "--reason", "loud fan", "--wait")
+    cli("worker", "drain", "w2", exit_code=5)
+    assert "operator loud fan" in cli("worker", "list", "--state", "draining")
+    cli("worker", "return", "w1")
+    assert cli("worker", "list", "--state", "draining") == "none\n"
+    assert cli("moves", "--name", "w1").count("loud fan") >= 1
+    cli("worker", "return", "w1", exit_code=2)
+
+
 def test_cli_dry_run_changes_nothing(cli):
     before = cli("export")
     cli("team", "set", "red", "--limit", "1", "--dry-run")
