Give nodes standing, membership and signed heartbeats

A node acted for a while on its own last look at the store, so a store outage stopped all callers, and a node that nobody could reach was never noticed. Now a node acts if the log head was confirmed within the period, directly or through a peer, or if every member of its view said that it does not reach the store. Members outlive their lease in the registry, so that a newcomer knows whom it has to be known to before it accepts changes; every append is fenced by the writer's live key. Peers pass on changes, the registry and whole logs. Calls between nodes are signed over their path, body, both incarnations and a number; the secret is no longer sent, and answers are bound to their calls.

GET /v1/in-force tells how far a position is in force.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -14,6 +14,7 @@
 from .protocol.messages import NodeEntry
 from .protocol.operator import OperatorServices, operator_app
 from .protocol.peer import peer_app
+from .protocol.signing import Signer
 from .settings import Settings, StoreSettings
 from .tasks.admission import Admission
 from .tasks.follower import Follower
@@ -22,6 +23,7 @@
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
 from .transport.listener import Listener
+from .transport.member_list import open_member_list
 from .transport.memory_store import MemoryStore
 from .transport.store import EtcdStore, Store
 from .transport.workers import HttpWorkerControl
@@ -60,21 +62,32 @@
         store = open_store(settings.store)
         self.follower = Follower(
             store,
-            timing.heartbeat_s,
             Standing(timing.standing_s),
             time.monotonic,
             time.time,
         )
-        self.registrar = Registrar(store, entry, timing.lease_s, time.monotonic)
+        self.member_list = open_member_list(settings.platform.member_list)
+        self.registrar = Registrar(
+            store,
+            entry,
+            timing.lease_s,
+            self.follower,
+            self.member_list.listed,
+            time.monotonic,
+        )
+        self.signer = Signer(
+            settings.security.peer_secret, lambda: self.registrar.entry.incarnation
+        )
         self.admission = Admission(self.follower, self.registrar)
         self.heartbeats = Heartbeats(
             self.registrar,
             self.follower,
             self.admission.demand,
-            settings.security.peer_secret,
+            self.signer,
             timing.heartbeat_s,
             time.monotonic,
         )
+        self.follower.on_accept = self.heartbeats.hurry
         self.gateway = Gateway(
             self.follower,
             self.admission,
@@ -135,8 +148,7 @@
             self.settings.security.first_operator_digest,
             limits.body_bytes,
         )
-        secret = self.settings.security.peer_secret
-        peers = peer_app(self.heartbeats, secret, limits.body_bytes)
+        peers = peer_app(self.heartbeats, self.signer, limits.body_bytes)
         callers = caller_app(self.gateway, self.runner, limits.body_bytes)
         return (
             Listener(listen.callers, callers, limits),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -29,6 +29,7 @@
     STOP_FORCED = EventInfo(1004, "The grace time ran out with requests open.")
     REGISTERED = EventInfo(1101, "The node wrote its entry in the store.")
     REGISTRATION_LOST = EventInfo(1102, "The node's entry or lease has lapsed.")
+    NODE_FORGOTTEN = EventInfo(1103, "A member that is gone left the registry.")
     STORE_LOST = EventInfo(1201, "The store has stopped answering.")
     STORE_BACK = EventInfo(1202, "The store answers again.")
     STANDING_LOST = EventInfo(1203, "The node may be out of date.")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
@@ -2,24 +2,12 @@
 
 from dataclasses import dataclass
 
+from heatherhatch_core.coordination.membership import Registry
+from heatherhatch_core.state.changes import Change
 from heatherhatch_core.state.demand import Demand
+from heatherhatch_core.state.nodes import NodeEntry
 
-
-@dataclass(frozen=True, slots=True)
-class NodeEntry:
-    """A node's registration in the store.
-
-    Attributes:
-        name: Name of the node.
-        incarnation: Random id of this start of the process.
-        peers: ``host:port`` where it hears its peers.
-        data_centre: Where it runs.
-    """
-
-    name: str
-    incarnation: str
-    peers: str
-    data_centre: str
+__all__ = ["Heartbeat", "HeartbeatAnswer", "NodeEntry"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,13 +15,24 @@
     """A question from one node to another.
 
     Attributes:
-        sender: Who asks.
+        name: Who asks.
+        incarnation: Its registration.
         seq: Log position that is in force at the sender.
+        revision: Store revision of the registry that the sender knows.
+        entry: The sender's registration, until the receiver has shown that it
+            knows it.
+        registered: Store revision of that registration.
+        lease: Lease that the sender can't renew itself, 0 if none.
         demand: Work that the sender sees.
     """
 
-    sender: NodeEntry
+    name: str
+    incarnation: str
     seq: int
+    revision: int
+    entry: NodeEntry | None = None
+    registered: int = 0
+    lease: int = 0
     demand: tuple[Demand, ...] = ()
 
 
@@ -42,11 +41,26 @@
     """The answer to a heartbeat.
 
     Attributes:
-        responder: Who answers.
+        name: Who answers.
+        incarnation: Its registration.
         seq: Log position that is in force at the responder.
+        lost: True if the responder does not reach the store.
+        age_s: Age of the responder's confirmation of the log head; infinite
+            if it has none.
+        accepts: True if the responder may accept changes.
+        knows: True if the asker is in the responder's view.
+        changes: Entries of the log that the asker lacks, in order.
+        registry: The registry, if the responder's is newer.
         demand: Work that the responder sees.
     """
 
-    responder: NodeEntry
+    name: str
+    incarnation: str
     seq: int
+    lost: bool
+    age_s: float
+    accepts: bool
+    knows: bool
+    changes: tuple[Change, ...] = ()
+    registry: Registry | None = None
     demand: tuple[Demand, ...] = ()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -16,14 +16,13 @@
     PlanAnswer,
     Status,
 )
-from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.keys import new_key, secret_matches, split_token
-from heatherhatch_core.state.changes import Change, Edit, check_edit
+from heatherhatch_core.state.changes import Edit, check_edit
 from heatherhatch_core.state.entities import OperatorKey, Role, TeamKey
 
-from ..tasks.follower import CONFIG_PREFIX, Follower
+from ..tasks.follower import Follower
 from ..tasks.gateway import Gateway
 from ..tasks.heartbeats import Heartbeats
 from ..tasks.job_runner import JobRunner
@@ -63,6 +62,7 @@
     app.add_route("/v1/config", ConfigResource(services))
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
+    app.add_route("/v1/in-force", InForceResource(services))
     app.add_route("/v1/plan", PlanResource(services))
     app.add_route("/v1/jobs", JobsResource(services))
     return app
@@ -180,11 +180,20 @@
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the accepted changes in order."""
         self.operator(request, Role.VIEWER)
-        snapshot = self.services.follower.store.range(CONFIG_PREFIX)
-        changes = tuple(decode_json(item.value, Change) for item in snapshot.entries)
+        changes = self.services.follower.log_store.audit()
         write_message(response, AuditPage(changes))
 
 
+class InForceResource(OperatorResource):
+    """Tells how far a change is in force."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return how far the log position in the query is in force."""
+        self.operator(request, Role.VIEWER)
+        seq = request.get_param_as_int("seq", required=True, min_value=0)
+        write_message(response, self.services.follower.in_force(seq))
+
+
 class PlanResource(OperatorResource):
     """Shows the plan for the announced waves."""
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
@@ -1,23 +1,36 @@
 """Heartbeats: one question and answer with each peer in each period."""
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 
 from heatherhatch_core.codec import decode_msgpack, encode_msgpack
-from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.coordination.standing import (
+    PeerAnswered,
+    PeerEvidence,
+    through_peer,
+)
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.demand import Demand
+from heatherhatch_core.state.log import pack_log, unpack_log
+from heatherhatch_core.state.nodes import NodeEntry
 
-from ..protocol.messages import Heartbeat, HeartbeatAnswer, NodeEntry
+from ..protocol.messages import Heartbeat, HeartbeatAnswer
+from ..protocol.signing import SIGNATURE_HEADER, Signer
 from ..settings import Address
-from ..transport.http import HttpClient, HttpRequest
+from ..transport.http import HttpAnswer, HttpClient, HttpRequest
 from .follower import Follower
 from .registrar import Registrar
 from .task import Task
 
 HEARTBEAT_PATH = "/peer/heartbeat"
+LOG_PATH = "/peer/log"
 PEER_CONNECTIONS = 2
+# While something is wrong, peers are asked more often by this factor.
+FAST_FACTOR = 4
+ANSWER_PERIODS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,15 +51,20 @@
 
 
 class Heartbeats(Task):
-    """Asks each registered peer for its log position.
+    """Asks each member in turn for its log position and its evidence.
 
     Args:
-        registrar: Source of the peers.
-        follower: Source of this node's log position.
+        registrar: Source of the members.
+        follower: Source of this node's log and standing.
         demand_source: Returns the work that this node sees.
-        secret: Shared secret of the nodes.
-        period_s: Seconds between two rounds.
+        signer: Signs calls and checks answers.
+        period_s: Seconds between two questions to the same peer.
         clock: Returns monotonic seconds.
+
+    Attributes:
+        views: Last answers by name.
+        due: When each peer is asked next, by name, monotonic seconds.
+        asking: Names of the peers with an open question.
     """
 
     def __init__(
@@ -54,58 +72,173 @@
         registrar: Registrar,
         follower: Follower,
         demand_source: Callable[[], tuple[Demand, ...]],
-        secret: str,
+        signer: Signer,
         period_s: float,
         clock: Callable[[], float],
     ):
-        super().__init__("heartbeats", period_s, clock)
+        super().__init__("heartbeats", period_s / FAST_FACTOR, clock)
         self.registrar = registrar
         self.follower = follower
         self.demand_source = demand_source
-        self.secret = secret
+        self.signer = signer
+        self.ask_s = period_s
         self.clients: dict[str, HttpClient] = {}
         self.views: dict[str, PeerView] = {}
+        self.due: dict[str, float] = {}
+        self.asking: set[str] = set()
+        self.known_to: dict[str, str] = {}
 
     def step(self) -> None:
-        """Ask every peer at once."""
-        own = self.registrar.entry.name
-        peers = [e for e in self.registrar.nodes.values() if e.name != own]
-        known = {peer.name for peer in peers}
-        self.views = {k: v for k, v in self.views.items() if k in known}
-        asks = [gevent.spawn(self._ask, peer) for peer in peers]
-        gevent.joinall(asks, timeout=self.period_s)
+        """Ask every peer whose turn it is."""
+        peers = self.registrar.membership.others
+        self._drop_others({peer.name for peer in peers})
+        now = self.clock()
+        for peer in peers:
+            if self.due.get(peer.name, now) <= now:
+                self._start_asking(peer)
+
+    def hurry(self) -> None:
+        """Ask every peer at once, to spread what is new."""
+        for peer in self.registrar.membership.others:
+            self._start_asking(peer)
 
     def answer(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
         """Return the answer to a peer's question."""
+        if heartbeat.entry is not None:
+            self.registrar.hear(heartbeat.entry, heartbeat.registered)
+        if heartbeat.lease and not self.registrar.renewal_failed:
+            gevent.spawn(self._renew, heartbeat.lease)
+        if heartbeat.seq > self.follower.log.seq:
+            self._ask_soon(heartbeat.name)
+        follower = self.follower
+        # The age is read before the position, so that it can't be too young.
+        now = self.clock()
+        membership = self.registrar.membership
+        newer = membership.registry.revision > heartbeat.revision
         return HeartbeatAnswer(
-            self.registrar.entry, self.follower.config.seq, self.demand_source()
+            name=membership.own.name,
+            incarnation=membership.own.incarnation,
+            seq=follower.log.seq,
+            lost=follower.standing.lost(now),
+            age_s=follower.standing.age_s(now),
+            accepts=follower.admitted and follower.may_accept(),
+            knows=self._knows(heartbeat),
+            changes=follower.log.after(heartbeat.seq),
+            registry=membership.registry if newer else None,
+            demand=self.demand_source(),
+        )
+
+    def whole_log(self) -> bytes:
+        """Return the log for a peer that lacks more than heartbeats carry."""
+        return pack_log(self.follower.log)
+
+    def _knows(self, heartbeat):
+        return any(
+            item.name == heartbeat.name and item.incarnation == heartbeat.incarnation
+            for item in self.registrar.membership.others
         )
 
+    def _start_asking(self, peer):
+        if peer.name in self.asking:
+            return
+        self.asking.add(peer.name)
+        gevent.spawn(self._ask, peer)
+
+    def _ask_soon(self, name):
+        for peer in self.registrar.membership.others:
+            if peer.name == name:
+                self._start_asking(peer)
+
     def _ask(self, peer: NodeEntry) -> None:
         asked = self.clock()
-        message = Heartbeat(
-            self.registrar.entry, self.follower.config.seq, self.demand_source()
-        )
-        request = HttpRequest(
-            "POST",
-            HEARTBEAT_PATH,
-            encode_msgpack(message),
-            (("Authorization", f"Bearer {self.secret}"),),
-        )
+        heard = False
         try:
-            reply = self._client(peer).exchange(request, self.period_s)
-            if reply.status != 200:
-                return
+            reply = self._call(
+                peer, HEARTBEAT_PATH, encode_msgpack(self._ask_for(peer))
+            )
             answer = decode_msgpack(reply.body, HeartbeatAnswer)
+            heard = answer.name == peer.name
+            if heard:
+                self._take(peer, answer, asked)
         except HeatherhatchError:
-            return
-        self.views[peer.name] = PeerView(
-            answer.responder, answer.seq, asked, answer.demand
+            self.known_to.pop(peer.name, None)
+        finally:
+            self.asking.discard(peer.name)
+            self.due[peer.name] = asked + self._pause_s(heard)
+
+    def _ask_for(self, peer):
+        registrar = self.registrar
+        own = registrar.entry
+        introduced = self.known_to.get(peer.name) == own.incarnation
+        introduce = registrar.revision and not introduced
+        return Heartbeat(
+            name=own.name,
+            incarnation=own.incarnation,
+            seq=self.follower.log.seq,
+            revision=registrar.membership.registry.revision,
+            entry=own if introduce else None,
+            registered=registrar.revision if introduce else 0,
+            lease=registrar.lease if registrar.renewal_failed else 0,
+            demand=self.demand_source(),
         )
 
+    def _take(self, peer, answer, asked):
+        follower = self.follower
+        for change in answer.changes:
+            follower.apply(change)
+        if answer.seq > follower.log.seq:
+            reply = self._call(peer, LOG_PATH, b"")
+            follower.replace(unpack_log(reply.body))
+        if answer.registry is not None:
+            self.registrar.learn(answer.registry)
+        evidence = PeerEvidence(answer.incarnation, asked, answer.lost, answer.seq)
+        follower.advance(PeerAnswered(peer.name, evidence))
+        if follower.log.seq >= answer.seq:
+            follower.advance(through_peer(asked, answer.age_s))
+        entry = self._entry_of(peer, answer.incarnation)
+        if answer.knows:
+            self.known_to[peer.name] = self.registrar.entry.incarnation
+            membership = self.registrar.membership
+            now = self.clock()
+            self.registrar.update(membership.acknowledge(entry, answer.accepts, now))
+        else:
+            self.known_to.pop(peer.name, None)
+        self.views[peer.name] = PeerView(entry, answer.seq, asked, answer.demand)
+
+    def _entry_of(self, peer, incarnation):
+        for item in self.registrar.membership.others:
+            if item.name == peer.name and item.incarnation == incarnation:
+                return item
+        return peer
+
+    def _call(self, peer: NodeEntry, path: str, body: bytes) -> HttpAnswer:
+        call, headers = self.signer.sign_call(peer.incarnation, path, body)
+        request = HttpRequest("POST", path, body, headers)
+        timeout_s = self.ask_s * ANSWER_PERIODS
+        reply = self._client(peer).exchange(request, timeout_s)
+        if reply.status != 200:
+            raise HeatherhatchError(ErrorKind.INTERNAL, f"peer said {reply.status}")
+        proof = dict(reply.headers).get(SIGNATURE_HEADER.lower(), "")
+        self.signer.check_answer(call, proof, reply.body)
+        return reply
+
+    def _pause_s(self, heard):
+        lost = self.follower.standing.lost(self.clock())
+        calm = heard and not lost and self.follower.admitted
+        return self.ask_s if calm else self.ask_s / FAST_FACTOR
+
+    def _drop_others(self, known):
+        self.views = {k: v for k, v in self.views.items() if k in known}
+        self.due = {k: v for k, v in self.due.items() if k in known}
+
+    def _renew(self, lease):
+        # If it fails, the peer asks again, here or elsewhere.
+        with contextlib.suppress(StoreError):
+            self.registrar.renew_for_peer(lease)
+
     def _client(self, peer: NodeEntry) -> HttpClient:
         if peer.peers not in self.clients:
             address = Address.parse(peer.peers)
-            client = HttpClient(address, PEER_CONNECTIONS, self.period_s)
+            client = HttpClient(address, PEER_CONNECTIONS, self.ask_s)
             self.clients[peer.peers] = client
         return self.clients[peer.peers]
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
@@ -1,25 +1,54 @@
 """The node's own entry in the store, and the registry of all nodes."""
 
+import contextlib
+import dataclasses
+import secrets
 from collections.abc import Callable
 
 from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.coordination.membership import (
+    FORGET_S,
+    Membership,
+    Registry,
+)
+from heatherhatch_core.coordination.standing import ViewDropped, ViewRead
+from heatherhatch_core.exceptions import StoreError
+from heatherhatch_core.state.nodes import NodeEntry
 
 from ..events import Event, log
-from ..protocol.messages import NodeEntry
-from ..transport.store import Put, Store, Transaction
+from ..transport.store import Entry, Expect, Put, Store, Transaction
+from .follower import Follower
 from .task import Task
 
 NODES_PREFIX = "nodes/"
+LIVE_PREFIX = "nodes/live/"
+MEMBER_PREFIX = "nodes/member/"
+STEPS_PER_LEASE = 3
+FAST_STEPS_PER_LEASE = 12
+INCARNATION_BYTES = 8
 
 
 class Registrar(Task):
-    """Keeps the node registered under a store lease and reads the registry.
+    """Keeps the node registered and reads the registry.
+
+    A node has two keys. The live one dies with its lease and fences its writes;
+    the member one says that it may act, and stays until the node leaves or is
+    forgotten, because a node whose lease lapsed may still act through its peers.
 
     Args:
         store: The platform's store.
         entry: This node's entry.
-        lease_s: Life of the entry without renewal, in seconds.
+        lease_s: Life of the live key without renewal, in seconds.
+        follower: Keeper of the standing.
+        listed: Returns the instances that the platform's list shows, None if
+            it is not known.
         clock: Returns monotonic seconds.
+
+    Attributes:
+        membership: What is known of the members.
+        revision: Store revision of this node's registration, 0 if it has none.
+        member_revisions: Store revisions of the member keys by name.
+        renewal_failed: True if the lease could not be renewed directly.
     """
 
     def __init__(
@@ -27,34 +56,191 @@
         store: Store,
         entry: NodeEntry,
         lease_s: float,
+        follower: Follower,
+        listed: Callable[[], frozenset[str] | None],
         clock: Callable[[], float],
     ):
-        super().__init__("registrar", lease_s / 4, clock)
+        super().__init__("registrar", lease_s / STEPS_PER_LEASE, clock)
         self.store = store
-        self.entry = entry
         self.lease_s = lease_s
+        self.follower = follower
+        self.listed = listed
         self.lease = 0
-        self.nodes: dict[str, NodeEntry] = {}
+        self.revision = 0
+        self.member_revisions: dict[str, int] = {}
+        self.renewal_failed = False
+        self.renewed_s: dict[int, float] = {}
+        self.membership = Membership(entry)
+
+    @property
+    def entry(self) -> NodeEntry:
+        """This node's registration."""
+        return self.membership.own
+
+    @property
+    def nodes(self) -> dict[str, NodeEntry]:
+        """Members whose lease lives, by name; this node among them."""
+        live = set(self.membership.registry.live)
+        members = self.membership.registry.members
+        return {item.name: item for item in members if item.name in live}
 
     def step(self) -> None:
         """Renew the entry, then read the registry."""
+        try:
+            self._renew()
+            self._read()
+        except StoreError:
+            self.renewal_failed = True
+            self.period_s = self.lease_s / FAST_STEPS_PER_LEASE
+            raise
+        self.renewal_failed = False
+        waiting = not self.follower.admitted
+        steps = FAST_STEPS_PER_LEASE if waiting else STEPS_PER_LEASE
+        self.period_s = self.lease_s / steps
+        self._forget()
+
+    def finish(self) -> None:
+        """Remove both keys, so that nobody waits for this node."""
+        if not self.lease:
+            return
+        deletes = (MEMBER_PREFIX + self.entry.name,)
+        revision = self.member_revisions.get(self.entry.name, 0)
+        expects = (Expect(deletes[0], revision),)
+        # Without the store the lease lapses by itself; the others forget the
+        # node then.
+        with contextlib.suppress(StoreError):
+            self.store.transact(Transaction(expects, deletes=deletes))
+            self.store.revoke_lease(self.lease)
+
+    def update(self, membership: Membership) -> None:
+        """Take over a membership and tell the follower."""
+        self.membership = membership
+        self.follower.admitted_s = membership.admitted_s
+        names = sorted(item.name for item in membership.everyone)
+        self.follower.rank = names.index(membership.own.name)
+
+    def learn(self, registry: Registry, asked_s: float = float("-inf")) -> None:
+        """Take over a registry that was read here or passed on by a peer.
+
+        Args:
+            registry: What the store holds or held.
+            asked_s: When the store was asked, minus infinity if a peer was.
+        """
+        if registry.revision < self.membership.registry.revision:
+            return
+        self.update(self.membership.read(registry, self.clock()))
+        if self.revision and registry.revision >= self.revision:
+            self._check_own(registry)
+        if self.revision:
+            self.follower.advance(ViewRead(self.entry.name, self._view(), asked_s))
+
+    def hear(self, entry: NodeEntry, revision: int) -> None:
+        """Take a node into the view that made itself known.
+
+        Args:
+            entry: Its registration.
+            revision: Store revision of the registration.
+        """
+        before = self.membership
+        self.update(before.hear(entry, revision))
+        if self.revision and self.membership is not before:
+            self.follower.advance(ViewRead(self.entry.name, self._view()))
+
+    def renew_for_peer(self, lease: int) -> None:
+        """Renew the lease of a peer that does not reach the store."""
+        now = self.clock()
+        if now - self.renewed_s.get(lease, float("-inf")) < self.period_s:
+            return
+        self.renewed_s = {k: v for k, v in self.renewed_s.items() if now - v < FORGET_S}
+        self.renewed_s[lease] = now
+        self.store.keep_lease(lease)
+
+    def _view(self):
+        return self.membership.everyone
+
+    def _renew(self):
         if self.lease and not self.store.keep_lease(self.lease):
             log(Event.REGISTRATION_LOST)
-            self.lease = 0
+            self._drop_lease()
         if not self.lease:
             self._register()
-        snapshot = self.store.range(NODES_PREFIX)
-        entries = (decode_json(item.value, NodeEntry) for item in snapshot.entries)
-        self.nodes = {entry.name: entry for entry in entries}
-
-    def finish(self) -> None:
-        """Remove the entry, so that nobody waits for this node."""
-        if self.lease:
-            self.store.revoke_lease(self.lease)
 
     def _register(self):
         lease = self.store.grant_lease(max(1, round(self.lease_s)))
-        put = Put(NODES_PREFIX + self.entry.name, encode_json(self.entry), lease)
-        self.store.transact(Transaction(puts=(put,)))
+        name = self.entry.name
+        live = Put(LIVE_PREFIX + name, encode_json(self.entry.incarnation), lease)
+        member = Put(MEMBER_PREFIX + name, encode_json(self.entry))
+        known = self.member_revisions.get(name, 0) if self.revision else 0
+        if known:
+            # The entry outlived the lease, so that nobody has reclaimed it.
+            expects = (Expect(member.key, known),)
+            outcome = self.store.transact(Transaction(expects, (live,)))
+            if not outcome.succeeded:
+                self._start_anew()
+                return
+        else:
+            outcome = self.store.transact(Transaction(puts=(live, member)))
+            self.revision = outcome.revision
         self.lease = lease
-        log(Event.REGISTERED, lease=lease)
+        log(Event.REGISTERED, lease=lease, incarnation=self.entry.incarnation)
+
+    def _read(self):
+        asked = self.clock()
+        found = self.store.range(NODES_PREFIX)
+        members, live = [], []
+        self.member_revisions = {}
+        for item in found.entries:
+            if item.key.startswith(MEMBER_PREFIX):
+                members.append(decode_json(item.value, NodeEntry))
+                self.member_revisions[members[-1].name] = item.revision
+            else:
+                live.append(item)
+        self._fence(live)
+        names = tuple(item.key.removeprefix(LIVE_PREFIX) for item in live)
+        self.learn(Registry(found.revision, tuple(members), names), asked)
+
+    def _fence(self, live: list[Entry]) -> None:
+        key = LIVE_PREFIX + self.entry.name
+        own = next((item for item in live if item.key == key), None)
+        if own is None or not self.lease or own.lease != self.lease:
+            self.follower.registration = None
+            return
+        self.follower.registration = Expect(key, own.revision)
+
+    def _check_own(self, registry):
+        if self.entry in registry.members:
+            return
+        # Forgotten, or replaced by a later start under the same name.
+        log(Event.REGISTRATION_LOST)
+        replaced = any(item.name == self.entry.name for item in registry.members)
+        self._start_anew()
+        if replaced:
+            self.stopping.wait(self.lease_s)
+
+    def _drop_lease(self):
+        self.lease = 0
+        self.follower.registration = None
+
+    def _start_anew(self):
+        self._drop_lease()
+        self.revision = 0
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        entry = dataclasses.replace(self.entry, incarnation=incarnation)
+        self.update(self.membership.renamed(entry))
+        self.follower.advance(ViewDropped())
+
+    def _forget(self):
+        settle_s = self.follower.standing.margin_s
+        accepts = self.follower.may_accept() and self.follower.admitted
+        silent = self.membership.forgettable(
+            self.clock(), settle_s, accepts, self.listed()
+        )
+        for item in silent:
+            live = LIVE_PREFIX + item.name
+            member = MEMBER_PREFIX + item.name
+            expects = (
+                Expect(member, self.member_revisions.get(item.name, 0)),
+                Expect(live, 0),
+            )
+            self.store.transact(Transaction(expects, deletes=(member,)))
+            log(Event.NODE_FORGOTTEN, node=item.name)
--- /dev/null
+++ b/tests/test_signing.py
@@ -0,0 +1,63 @@
+"""Signatures of calls between nodes."""
+
+import pytest
+
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_daemon.protocol.signing import WINDOW_CALLS, Signer
+
+
+@pytest.fixture
+def signers():
+    return Signer("secret", lambda: "a1"), Signer("secret", lambda: "b1")
+
+
+def refused(check, *arguments):
+    with pytest.raises(HeatherhatchError) as caught:
+        check(*arguments)
+    return caught.value.kind is ErrorKind.UNAUTHENTICATED
+
+
+def test_signing_accepts_a_call_once(signers):
+    asker, responder = signers
+    call, ((_, header),) = asker.sign_call("b1", "/p", b"body")
+    assert responder.check_call(header, "/p", b"body") == call
+    assert refused(responder.check_call, header, "/p", b"body")
+
+
+@pytest.mark.parametrize("part", ["path", "body", "target", "secret", "number"])
+def test_signing_refuses_what_was_changed(signers, part):
+    asker, responder = signers
+    if part == "secret":
+        asker = Signer("other", lambda: "a1")
+    target = "b0" if part == "target" else "b1"
+    _, ((_, header),) = asker.sign_call(target, "/p", b"body")
+    if part == "number":
+        header = header.replace(":1:", ":2:")
+    path = "/q" if part == "path" else "/p"
+    body = b"bodY" if part == "body" else b"body"
+    assert refused(responder.check_call, header, path, body)
+
+
+@pytest.mark.parametrize("header", ["", "a", "a:b:1", "a:b:x:y", "\xff:b:1:\xff"])
+def test_signing_refuses_malformed_headers(signers, header):
+    assert refused(signers[1].check_call, header, "/p", b"")
+
+
+def test_signing_binds_the_answer_to_its_call(signers):
+    asker, responder = signers
+    first, _ = asker.sign_call("b1", "/p", b"")
+    second, _ = asker.sign_call("b1", "/p", b"")
+    proof = responder.sign_answer(first, b"answer")
+    asker.check_answer(first, proof, b"answer")
+    assert refused(asker.check_answer, second, proof, b"answer")
+    assert refused(asker.check_answer, first, proof, b"other")
+
+
+def test_signing_refuses_numbers_that_left_the_window(signers):
+    asker, responder = signers
+    _, ((_, old),) = asker.sign_call("b1", "/p", b"")
+    for _ in range(3 * WINDOW_CALLS):
+        _, ((_, header),) = asker.sign_call("b1", "/p", b"")
+        responder.check_call(header, "/p", b"")
+    assert refused(responder.check_call, old, "/p", b"")
+    assert len(responder.windows["a1"].taken) <= 2 * WINDOW_CALLS + 1
