--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -9,18 +9,17 @@
     AuditPage,
     ChangeAnswer,
     ChangeRequest,
+    InForce,
     JobPage,
-    KeyAnswer,
-    KeyRequest,
     NodeStatus,
     PlanAnswer,
     Status,
 )
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
-from heatherhatch_core.keys import new_key, secret_matches, split_token
-from heatherhatch_core.state.changes import Edit, check_edit
-from heatherhatch_core.state.entities import OperatorKey, Role, TeamKey
+from heatherhatch_core.keys import secret_matches, split_token
+from heatherhatch_core.state.changes import check_edit
+from heatherhatch_core.state.entities import OperatorKey, Role
 
 from ..tasks.follower import Follower
 from ..tasks.gateway import Gateway
@@ -58,7 +57,6 @@
     """Return the application that operators talk to."""
     app = new_app()
     app.add_route("/v1/changes", ChangesResource(services))
-    app.add_route("/v1/team-keys", TeamKeysResource(services))
     app.add_route("/v1/config", ConfigResource(services))
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
@@ -108,21 +106,25 @@
             check_edit(follower.config, wish.edit)
             write_message(response, ChangeAnswer(0))
             return
-        seq = follower.append(wish.change_id, actor, wish.reason, wish.edit)
+        seq = follower.append(
+            wish.change_id, actor, wish.reason, wish.edit, wish.base_seq
+        )
         write_message(response, ChangeAnswer(seq))
 
 
-class TeamKeysResource(OperatorResource):
-    """Makes keys for teams."""
+class InForceResource(OperatorResource):
+    """Tells how far a change has come."""
 
-    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Make one key and show its token this once."""
-        actor = self.operator(request, Role.OPERATOR)
-        wish = read_message(request, KeyRequest, self.services.body_bytes)
-        key = new_key(wish.team)
-        edit = Edit(team_keys=(TeamKey(key.key_id, wish.team, key.digest),))
-        seq = self.services.follower.append(wish.change_id, actor, wish.reason, edit)
-        write_message(response, KeyAnswer(seq, key.key_id, key.token))
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the nodes that may still act on an earlier configuration."""
+        self.operator(request, Role.VIEWER)
+        seq = request.get_param_as_int("seq", required=True, min_value=0)
+        services = self.services
+        known = services.follower.in_force(seq)
+        missing = () if known.everywhere else known.missing
+        if not known.everywhere and not missing:
+            missing = (services.heartbeats.registrar.entry.name,)
+        write_message(response, InForce(seq, missing))
 
 
 class ConfigResource(OperatorResource):
@@ -184,16 +186,6 @@
         write_message(response, AuditPage(changes))
 
 
-class InForceResource(OperatorResource):
-    """Tells how far a change is in force."""
-
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Return how far the log position in the query is in force."""
-        self.operator(request, Role.VIEWER)
-        seq = request.get_param_as_int("seq", required=True, min_value=0)
-        write_message(response, self.services.follower.in_force(seq))
-
-
 class PlanResource(OperatorResource):
     """Shows the plan for the announced waves."""
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -13,7 +13,7 @@
     in_force,
 )
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
-from heatherhatch_core.state.changes import Change, Edit, check_edit
+from heatherhatch_core.state.changes import Change, Edit, check_edit, replaced_by
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.log import ChangeLog
 
@@ -158,7 +158,9 @@
         seen = max(self._seen_s(seq), self.admitted_s)
         return in_force(self.standing, seq, seen, now)
 
-    def append(self, change_id: str, actor: str, reason: str, edit: Edit) -> int:
+    def append(
+        self, change_id: str, actor: str, reason: str, edit: Edit, base_seq: int = -1
+    ) -> int:
         """Accept a change and return its position in the log.
 
         A change id that is in the log already returns its position.
@@ -168,13 +170,14 @@
             actor: Who makes the change.
             reason: Why.
             edit: What changes.
+            base_seq: Position that the log must still have, -1 for any.
 
         Raises:
             HeatherhatchError: If the change is not valid, or others always
                 came first, or its outcome is not known.
         """
         with self.appending:
-            writer = _Append(self, change_id, actor, reason, edit)
+            writer = _Append(self, change_id, actor, reason, edit, base_seq)
             return writer.run()
 
     def await_acceptance(self) -> None:
@@ -215,12 +218,13 @@
 class _Append:
     """One change on its way into the log."""
 
-    def __init__(self, follower, change_id, actor, reason, edit):
+    def __init__(self, follower, change_id, actor, reason, edit, base_seq):
         self.follower = follower
         self.change_id = change_id
         self.actor = actor
         self.reason = reason
         self.edit = edit
+        self.base_seq = base_seq
         # Position of a write whose answer was lost, 0 if there is none.
         self.open_seq = 0
 
@@ -246,6 +250,9 @@
             if follower.log.seq >= self.open_seq:
                 # Another change stands where the lost write would be.
                 self.open_seq = 0
+            if self.base_seq not in (-1, follower.log.seq):
+                detail = f"not at {self.base_seq} now"
+                raise HeatherhatchError(ErrorKind.CONFLICT, detail)
             check_edit(follower.config, self.edit)
             seq = follower.log.seq + 1
             if self._write(seq):
@@ -265,6 +272,7 @@
             self.reason,
             follower.wall_clock(),
             self.edit,
+            replaced_by(follower.config, self.edit),
         )
         try:
             written = follower.log_store.append(change, base, (registration,))
