Run the demo in the users' load shape with faults, and check every promise

Bursts of five times the mean go round the queues, two waves are announced, a node is killed, one freezes, one ends with requests held, the store is out for 4 s and a key is withdrawn. A promise that was not checked counts as broken. Operators' keys now need a node that is up to date, as teams' keys do.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	touch $@
 
 demo: setup  ## run both example deployments under load and faults; SEED=n repeats a load
-	$(BIN)/python -m heatherhatch_standins.demo --seed $(SEED)
+	$(BIN)/python -m gevent.monkey --module heatherhatch_standins.demo --seed $(SEED)
 
 test: setup check-format lint unit  ## check the format, lint and run the tests
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -72,12 +72,23 @@
     def __init__(self, services: OperatorServices):
         self.services = services
 
-    def operator(self, request: falcon.Request, role: Role) -> str:
+    def operator(
+        self, request: falcon.Request, role: Role, with_standing: bool = True
+    ) -> str:
         """Return the name of the operator whose key came with a request.
 
+        Args:
+            request: Request of an operator.
+            role: Role that is needed.
+            with_standing: False if the answer may come from a node that does
+                not know whether the key was withdrawn meanwhile.
+
         Raises:
-            HeatherhatchError: ``UNAUTHENTICATED`` or ``FORBIDDEN``.
+            HeatherhatchError: ``NO_STANDING``, ``UNAUTHENTICATED`` or
+                ``FORBIDDEN``.
         """
+        if with_standing and not self.services.follower.has_standing():
+            raise HeatherhatchError(ErrorKind.NO_STANDING)
         key_id, secret = split_token(bearer_token(request))
         key = self._operator_key(key_id)
         if key is None or not secret_matches(secret, key.digest):
@@ -153,7 +164,8 @@
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the status as this node sees it."""
-        self.operator(request, Role.VIEWER)
+        # Operators need this page most while the node is cut off.
+        self.operator(request, Role.VIEWER, with_standing=False)
         heartbeats = self.services.heartbeats
         follower = self.services.follower
         now = heartbeats.clock()
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/demo.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/demo.py
@@ -1,10 +1,11 @@
-"""The demo: a deployment under load and faults, and a report."""
+"""The demo: both example deployments under load and faults, and a report."""
 
 import sys
 import time
 from pathlib import Path
 
 import click
+import gevent
 
 from .deployment import Deployment, read_edit
 from .processes import Trial
@@ -13,21 +14,33 @@
 
 EXAMPLES = ("ciosg", "harcama")
 EXAMPLES_FOLDER = Path("examples")
+WORK_S = 0.05
+SLOTS = 2
+
+
+def run_example(trial: Trial, name: str, seed: int, report: Report) -> None:
+    """Start one example deployment and run the scenario against it."""
+    edit = read_edit(EXAMPLES_FOLDER / f"{name}.yaml")
+    deployment = Deployment(trial, name, edit, work_s=WORK_S, slots=SLOTS)
+    click.echo(f"{name}: starting {len(deployment.node_names)} nodes")
+    deployment.start()
+    Scenario(deployment, seed, report, click.echo).run()
 
 
 @click.command()
 @click.option("--seed", default=1, help="Seed of the load.")
-def main(seed: int) -> None:
-    """Run both example deployments and print a report."""
+@click.option("--only", type=click.Choice(EXAMPLES), help="Run one deployment only.")
+def main(seed: int, only: str | None) -> None:
+    """Run the example deployments side by side and print a report."""
     report = Report()
     begun = time.monotonic()
+    names = (only,) if only else EXAMPLES
     with Trial() as trial:
-        for name in EXAMPLES:
-            edit = read_edit(EXAMPLES_FOLDER / f"{name}.yaml")
-            deployment = Deployment(trial, name, edit)
-            click.echo(f"{name}: starting {len(deployment.node_names)} nodes")
-            deployment.start()
-            Scenario(deployment, seed, report, click.echo).run()
+        runs = [
+            gevent.spawn(run_example, trial, name, seed + i, report)
+            for i, name in enumerate(names)
+        ]
+        gevent.joinall(runs, raise_error=True)
     report.show(click.echo)
     click.echo(f"{time.monotonic() - begun:.1f} s in all")
     sys.exit(0 if report.holds else 1)
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -52,6 +52,7 @@
         nodes: Number of nodes.
         data_centres: Number of data centres that the nodes are spread over.
         work_s: Seconds that a backend server spends on a request.
+        slots: Requests that a backend server works on at once.
     """
 
     def __init__(
@@ -62,12 +63,14 @@
         nodes: int = 7,
         data_centres: int = 3,
         work_s: float = 0.002,
+        slots: int = 32,
     ):
         self.trial = trial
         self.name = name
         self.edit = edit
         self.data_centres = data_centres
         self.work_s = work_s
+        self.slots = slots
         self.node_names = tuple(f"{name}-node-{i + 1}" for i in range(nodes))
         self.ports: dict[str, tuple[int, int, int]] = {}
         self.store = ""
@@ -135,6 +138,8 @@
             count,
             "--work-s",
             str(self.work_s),
+            "--slots",
+            str(self.slots),
         )
         controls = self.trial.start_standin(
             f"{self.name}-workers", "worker", "--count", count
--- /dev/null
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
@@ -0,0 +1,166 @@
+"""Load in the users' shape: bursts in turn, and little between them."""
+
+import random
+import secrets
+import time
+import uuid
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import gevent
+from gevent.pool import Pool as Greenlets
+
+from heatherhatch_core.codec import decode_json
+from heatherhatch_core.state.entities import WorkClass, WorkKind
+from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
+
+from .backend import ID_HEADER, TEAM_HEADER
+from .deployment import Deployment
+from .invariants import Sent
+
+BURST_FACTOR = 5.0
+QUIET_FACTOR = 0.05
+BURST_S = 2.0
+CALL_TIMEOUT_S = 6.0
+MOST_CALLS = 600
+RESENDS = 2
+RESEND_PAUSE_S = 0.2
+BODY_BYTES = 64
+UUID_VERSION = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """One team's credentials.
+
+    Attributes:
+        team: Name of the team.
+        token: Its key.
+    """
+
+    team: str
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """The fields of an error answer that a caller looks at."""
+
+    execution: str = ""
+
+
+def new_uuid7() -> str:
+    """Return a UUID of version 7, which carries its time (RFC 9562)."""
+    milliseconds = time.time_ns() // 1_000_000
+    high = milliseconds << 80 | UUID_VERSION << 76 | secrets.randbits(12) << 64
+    return str(uuid.UUID(int=high | 0b10 << 62 | secrets.randbits(62)))
+
+
+class Load:
+    """Sends requests to a deployment through its balancer and keeps the answers.
+
+    Args:
+        deployment: Started deployment.
+        callers: Credentials of the teams.
+        mean_rate: Mean requests a second of each pool's queue.
+        seed: Seed of arrivals and choices.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        callers: tuple[Caller, ...],
+        mean_rate: float,
+        seed: int,
+    ):
+        self.deployment = deployment
+        self.callers = callers
+        self.mean_rate = mean_rate
+        self.random = random.Random(seed)
+        self.client = HttpClient(
+            Address.parse(deployment.balancer), MOST_CALLS, CALL_TIMEOUT_S
+        )
+        self.greenlets = Greenlets(MOST_CALLS)
+        self.sent: list[Sent] = []
+        self.late: Counter[bool] = Counter()
+        self.statuses: Counter[int] = Counter()
+        self.pools = sorted({item.pool for item in self._request_classes()})
+
+    def run(self, seconds: float) -> None:
+        """Send load for some time and wait for the last answers."""
+        begun = time.monotonic()
+        makers = [gevent.spawn(self._feed, pool, begun, seconds) for pool in self.pools]
+        gevent.joinall(makers, raise_error=True)
+        self.greenlets.join()
+
+    def rate(self, pool: str, elapsed_s: float) -> float:
+        """Return the requests a second of a pool's queue at a moment."""
+        turn = int(elapsed_s / BURST_S) % len(self.pools)
+        bursts = self.pools[turn] == pool
+        return self.mean_rate * (BURST_FACTOR if bursts else QUIET_FACTOR)
+
+    def _request_classes(self) -> list[WorkClass]:
+        classes = self.deployment.edit.classes
+        return [item for item in classes if item.kind is WorkKind.REQUEST]
+
+    def _feed(self, pool: str, begun: float, seconds: float) -> None:
+        classes = [item for item in self._request_classes() if item.pool == pool]
+        while (elapsed := time.monotonic() - begun) < seconds:
+            work_class = self.random.choice(classes)
+            caller = self.random.choice(self.callers)
+            body = self.random.randbytes(BODY_BYTES)
+            self.greenlets.spawn(self._call, work_class, caller, body)
+            gevent.sleep(self.random.expovariate(self.rate(pool, elapsed)))
+
+    def _call(self, work_class: WorkClass, caller: Caller, body: bytes) -> None:
+        request_id = new_uuid7()
+        request = HttpRequest(
+            "POST",
+            f"/run/{work_class.name}/work",
+            body,
+            tuple(_headers(work_class, caller, request_id)),
+        )
+        begun = time.monotonic()
+        sent = Sent(request_id, work_class.idempotent, body, 0, "", b"", False)
+        for _ in range(1 + RESENDS):
+            try:
+                answer = self.client.exchange(request, CALL_TIMEOUT_S)
+            except ExchangeError:
+                # The node behind the connection is gone; the key makes it safe
+                # to send again.
+                gevent.sleep(RESEND_PAUSE_S)
+                continue
+            headers = {name.lower(): value for name, value in answer.headers}
+            sent = Sent(
+                request_id,
+                work_class.idempotent,
+                body,
+                answer.status,
+                headers.get(ID_HEADER.lower(), ""),
+                answer.body,
+                _says_not_run(answer.status, answer.body),
+            )
+            break
+        if sent.status == 200:
+            self.late[time.monotonic() - begun > work_class.target_s] += 1
+        self.statuses[sent.status] += 1
+        self.sent.append(sent)
+
+
+def _headers(
+    work_class: WorkClass, caller: Caller, request_id: str
+) -> Iterator[tuple[str, str]]:
+    yield ID_HEADER, request_id
+    if not work_class.open:
+        yield "Authorization", f"Bearer {caller.token}"
+        yield TEAM_HEADER, caller.team
+    if not work_class.idempotent:
+        yield "Idempotency-Key", request_id
+
+
+def _says_not_run(status: int, body: bytes) -> bool:
+    if status < 400:
+        return False
+    return decode_json(body, Problem).execution == "not run"
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/report.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/report.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from enum import Enum
 
+MOST_DETAILS = 20
+
 
 class Promise(Enum):
     """What must always hold."""
@@ -18,6 +20,7 @@
     LEAVING = "a leaving backend server gets no new work"
     SHUTDOWN = "a graceful shutdown interrupts no request"
     IN_FORCE = "an accepted configuration is in force everywhere and stays"
+    JOBS = "no long job is lost or doubled"
 
 
 class Report:
@@ -27,11 +30,14 @@
         self.checks: Counter[Promise] = Counter()
         self.violations: Counter[Promise] = Counter()
         self.measures: list[str] = []
+        self.details: list[str] = []
 
     @property
     def holds(self) -> bool:
         """True if every promise was checked and none was violated."""
-        return not self.violations and all(self.checks[item] for item in self.checks)
+        return not self.violations.total() and all(
+            self.checks[item] for item in Promise
+        )
 
     def check(self, promise: Promise, holds: bool, count: int = 1) -> None:
         """Record checks of a promise."""
@@ -39,6 +45,12 @@
         if not holds:
             self.violations[promise] += 1
 
+    def check_all(self, promise: Promise, found: list[str], count: int) -> None:
+        """Record a number of checks and a sentence for each violation."""
+        self.checks[promise] += count
+        self.violations[promise] += len(found)
+        self.details += found
+
     def measure(self, name: str, value: float, unit: str) -> None:
         """Record a measure."""
         self.measures.append(f"{name} {value:.3f} {unit}")
@@ -51,5 +63,7 @@
                 continue
             count = f"{self.violations[promise]}/{self.checks[promise]}"
             write(f"{count:>12} violations  {promise.value}")
+        for detail in self.details[:MOST_DETAILS]:
+            write(f"violation: {detail}")
         for measure in self.measures:
             write(measure)
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
@@ -1,23 +1,72 @@
-"""The demo's scenario for one deployment: load, a key withdrawn, a node ended."""
+"""The demo's scenario: load, waves, faults and a withdrawn key, and their checks."""
 
-import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 import gevent
 
-from heatherhatch_core.state.changes import Edit, Removal
-from heatherhatch_core.state.entities import WorkClass, WorkKind
+from heatherhatch_core.api import AuditPage, InForce, JobPage, Status
+from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.state.changes import Change, Edit, Removal
+from heatherhatch_core.state.entities import Pool, Wave, WorkClass, WorkKind
+from heatherhatch_core.state.jobs import JobSpec, JobState
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
 
-from .deployment import Deployment
+from .deployment import Deployment, GrantedKey
+from .faults import FAULTS_PATH, Faults
+from .invariants import (
+    answer_violations,
+    away_intervals,
+    budget_violations,
+    doubling_violations,
+    job_violations,
+    leaving_violations,
+    limit_violations,
+    one_pool_violations,
+    refusal_violations,
+)
+from .ledger import LedgerPage
+from .load import Caller, Load
 from .report import Promise, Report
 
-CALLERS = 8
-LOAD_S = 3.0
-CALL_TIMEOUT_S = 5.0
+LOAD_S = 30.0
+MEAN_RATE = 24.0
+CALL_TIMEOUT_S = 6.0
 KEY_STOP_S = 3.0
+IN_FORCE_S = 4.0
+OUTAGE_S = 4.0
+PAUSE_S = 3.0
+JOBS = 20
+JOB_RUN_S = 1.0
+JOBS_END_S = 15.0
+HELD_REQUESTS = 5
+HELD_S = 0.4
+POLL_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class WavePlan:
+    """When a wave of the demo is, in seconds after the load has begun.
+
+    Attributes:
+        wave_id: Name.
+        rack: Rack whose workers it takes.
+        start_s, end_s: Window.
+    """
+
+    wave_id: str
+    rack: str
+    start_s: float
+    end_s: float
+
+
+WAVES = (
+    WavePlan("first", "dc-1-rack-1", 9.0, 13.0),
+    WavePlan("second", "dc-1-rack-2", 17.0, 21.0),
+)
 
 
 class Scenario:
@@ -38,65 +87,249 @@
         say: Callable[[str], None],
     ):
         self.deployment = deployment
-        self.random = random.Random(seed)
+        self.seed = seed
         self.report = report
         self.say = say
-        self.tokens: dict[str, str] = {}
-        self.answered = 0
+        self.keys: dict[str, GrantedKey] = {}
+        self.jobs: list[str] = []
 
     def run(self) -> None:
-        """Run the whole scenario."""
-        name = self.deployment.name
-        keys = [self.deployment.grant_key(t.name) for t in self.deployment.edit.teams]
-        self.tokens = {key.key_id: key.token for key in keys}
-        self.deployment.wait_for_seq(keys[-1].seq)
-        self.say(f"{name}: load from {CALLERS} callers for {LOAD_S} s")
-        self._load()
-        self.report.measure(f"{name}.answered", self.answered / LOAD_S, "requests/s")
-        self.say(f"{name}: a node ends gracefully")
-        code = self.deployment.trial.end(self.deployment.node_names[-1])
-        self.report.check(Promise.SHUTDOWN, code == 0)
-        self.say(f"{name}: a key is withdrawn")
-        self._withdraw(keys[0].key_id, keys[0].token)
+        """Run the whole scenario and check what it observed."""
+        self._prepare()
+        callers = tuple(Caller(team, key.token) for team, key in self.keys.items())
+        load = Load(self.deployment, callers, MEAN_RATE, self.seed)
+        begun = time.time()
+        events = [gevent.spawn(self._at, begun, *event) for event in self._events()]
+        load.run(LOAD_S)
+        gevent.joinall(events, raise_error=True)
+        self._wait_for_jobs()
+        self._check_load(load)
+        self._check_log(begun)
 
-    def _load(self) -> None:
-        end = time.monotonic() + LOAD_S
-        callers = [gevent.spawn(self._call_until, end) for _ in range(CALLERS)]
-        gevent.joinall(callers, raise_error=True)
+    def _events(self) -> Iterator[tuple[float, str, Callable[[], None]]]:
+        nodes = self.deployment.node_names
+        store = self.deployment.store
+        yield 0.5, "two waves are announced", self._announce
+        yield 1.0, f"{JOBS} long jobs are submitted", self._submit
+        yield 4.0, "a node is killed", lambda: self.deployment.trial.kill(nodes[1])
+        yield 6.0, "a key is withdrawn", self._withdraw
+        yield 7.0, "the node is started", lambda: self.deployment.start_node(nodes[1])
+        yield 10.0, f"a node freezes for {PAUSE_S} s", lambda: self._freeze(nodes[2])
+        yield 14.0, "a node ends gracefully", lambda: self._end(nodes[3])
+        yield (
+            22.5,
+            f"the store is out for {OUTAGE_S} s",
+            lambda: self._fault(store, Faults(down=True), OUTAGE_S),
+        )
 
-    def _call_until(self, end: float) -> None:
-        client = HttpClient(Address.parse(self.deployment.balancer), 1, CALL_TIMEOUT_S)
-        classes = [
-            item
-            for item in self.deployment.edit.classes
-            if item.kind is WorkKind.REQUEST and item.idempotent
-        ]
-        tokens = sorted(self.tokens.values())
-        while time.monotonic() < end:
-            body = self.random.randbytes(64)
-            work_class = self.random.choice(classes)
-            request = _request(work_class, body, self.random.choice(tokens))
+    def _at(self, begun: float, at_s: float, what: str, act: Callable) -> None:
+        gevent.sleep(max(0.0, begun + at_s - time.time()))
+        self.say(f"{self.deployment.name} {at_s:5.1f} s: {what}")
+        act()
+
+    def _prepare(self) -> None:
+        edit = self.deployment.edit
+        pools = tuple(
+            Pool(pool.name, pool.min_available if pool.spare else 5, pool.spare)
+            for pool in edit.pools
+        )
+        self.deployment.change(Edit(pools=pools))
+        self.keys = {
+            team.name: self.deployment.grant_key(team.name) for team in edit.teams
+        }
+        self.deployment.wait_for_seq(max(key.seq for key in self.keys.values()))
+
+    def _announce(self) -> None:
+        now = time.time()
+        waves = tuple(
+            Wave(
+                plan.wave_id,
+                now + plan.start_s,
+                now + plan.end_s,
+                tuple(
+                    worker.worker_id
+                    for worker in self.deployment.edit.workers
+                    if worker.rack == plan.rack
+                ),
+            )
+            for plan in WAVES
+        )
+        self._change_in_time(Edit(waves=waves))
+
+    def _change_in_time(self, edit: Edit) -> None:
+        begun = time.monotonic()
+        seq = self.deployment.change(edit)
+        path = f"/v1/in-force?seq={seq}"
+        while self.deployment.client().get(path, InForce).missing:
+            gevent.sleep(POLL_S)
+        spent = time.monotonic() - begun
+        self.report.check(Promise.IN_FORCE, spent <= IN_FORCE_S)
+        self.report.measure(f"{self.deployment.name}.in_force", spent, "s")
+
+    def _submit(self) -> None:
+        work_class = next(
+            item for item in self.deployment.edit.classes if item.kind is WorkKind.JOB
+        )
+        team = self.deployment.edit.teams[0].name
+        body = encode_json(JobSpec(work_class.name, "demo", run_s=JOB_RUN_S))
+        headers = (("Authorization", f"Bearer {self.keys[team].token}"),)
+        request = HttpRequest("POST", "/jobs", body, headers)
+        client = self._client(self.deployment.balancer)
+        for _ in range(JOBS):
             answer = client.exchange(request, CALL_TIMEOUT_S)
-            if answer.status == 200:
-                self.report.check(Promise.WHOLE_ANSWER, answer.body == body)
-                self.answered += 1
+            if answer.status == 201:
+                self.jobs.append(decode_json(answer.body, dict)["job_id"])
 
-    def _withdraw(self, key_id: str, token: str) -> None:
-        edit = Edit(removals=(Removal("team-key", key_id),))
-        self.deployment.change(edit)
+    def _withdraw(self) -> None:
+        team = self.deployment.edit.teams[-1].name
+        key = self.keys[team]
+        self.deployment.change(Edit(removals=(Removal("team-key", key.key_id),)))
         gevent.sleep(KEY_STOP_S)
-        classes = self.deployment.edit.classes
-        closed = next(item for item in classes if not item.open)
-        for node in self.deployment.node_names[:-1]:
-            address = Address.parse(self.deployment.callers(node))
-            client = HttpClient(address, 1, CALL_TIMEOUT_S)
+        closed = self._class(open_to_all=False)
+        for node in self.deployment.node_names:
+            client = self._client(self.deployment.callers(node))
             try:
-                answer = client.exchange(_request(closed, b"", token), CALL_TIMEOUT_S)
+                answer = client.exchange(_request(closed, key.token), CALL_TIMEOUT_S)
             except ExchangeError:
                 continue
-            self.report.check(Promise.KEYS, answer.status == 401)
+            self.report.check(Promise.KEYS, answer.status in (401, 503))
+
+    def _freeze(self, node: str) -> None:
+        self.deployment.trial.pause(node)
+        gevent.sleep(PAUSE_S)
+        self.deployment.trial.resume(node)
+
+    def _end(self, node: str) -> None:
+        client = self._client(self.deployment.callers(node))
+        work_class = self._class(open_to_all=False, idempotent=True)
+        token = self.keys[self.deployment.edit.teams[0].name].token
+        request = _request(work_class, token, HELD_S)
+        held = [
+            gevent.spawn(client.exchange, request, CALL_TIMEOUT_S)
+            for _ in range(HELD_REQUESTS)
+        ]
+        gevent.sleep(POLL_S)
+        code = self.deployment.trial.end(node)
+        self.report.check(Promise.SHUTDOWN, code == 0)
+        for item in held:
+            item.join()
+            answered = item.successful() and item.value.status == 200
+            self.report.check(Promise.SHUTDOWN, answered)
+        self.deployment.start_node(node)
+
+    def _fault(self, address: str, faults: Faults, seconds: float) -> None:
+        self._put(address, faults)
+        gevent.sleep(seconds)
+        self._put(address, Faults())
+
+    def _put(self, address: str, faults: Faults) -> None:
+        request = HttpRequest("PUT", FAULTS_PATH, encode_json(faults))
+        self._client(address).exchange(request, CALL_TIMEOUT_S)
+
+    def _wait_for_jobs(self) -> None:
+        deadline = time.monotonic() + JOBS_END_S
+        done: set[str] = set()
+        while time.monotonic() < deadline and len(done) < len(self.jobs):
+            try:
+                jobs = self.deployment.client().get("/v1/jobs", JobPage).jobs
+            except HeatherhatchError:
+                # The store is just coming back.
+                jobs = ()
+            done |= {job.job_id for job in jobs if job.state is JobState.DONE}
+            gevent.sleep(POLL_S)
+        self.report.check_all(
+            Promise.JOBS, [f"job {j} is lost" for j in set(self.jobs) - done], JOBS
+        )
+        starts = []
+        for control in self.deployment.workers.values():
+            request = HttpRequest("GET", "/started")
+            answer = self._client(control).exchange(request, CALL_TIMEOUT_S)
+            starts += decode_json(answer.body, tuple[tuple[str, int], ...])
+        found = job_violations(starts, done)
+        self.report.check_all(Promise.JOBS, found, len(starts))
+
+    def _check_load(self, load: Load) -> None:
+        name = self.deployment.name
+        page = self._ledger()
+        count = len(load.sent)
+        keyed = [item for item in load.sent if not item.idempotent]
+        report = self.report
+        report.check_all(Promise.WHOLE_ANSWER, answer_violations(load.sent), count)
+        refused = refusal_violations(load.sent, page.starts)
+        report.check_all(Promise.TRUE_REFUSAL, refused, count)
+        doubled = doubling_violations(load.sent, page.starts)
+        report.check_all(Promise.AT_MOST_ONCE, doubled, len(keyed))
+        teams = self.deployment.edit.teams
+        report.check_all(Promise.LIMIT, limit_violations(page.peaks, teams), len(teams))
+        answered = load.statuses[200]
+        report.measure(f"{name}.sent", count, "requests")
+        report.measure(f"{name}.answered", 100 * answered / count, "%")
+        on_time = 100 * load.late[False] / max(1, answered)
+        report.measure(f"{name}.answered_in_target", on_time, "%")
+        for status, number in sorted(load.statuses.items()):
+            if status != 200:
+                report.measure(f"{name}.status_{status}", number, "requests")
+
+    def _check_log(self, begun: float) -> None:
+        changes = self.deployment.client().get("/v1/audit", AuditPage).changes
+        report = self.report
+        count = len(changes)
+        report.check_all(Promise.BUDGET, budget_violations(changes), count)
+        report.check_all(Promise.ONE_POOL, one_pool_violations(changes), count)
+        by_backend = dict(zip(map(str, range(count)), self._worker_ids(), strict=False))
+        late = leaving_violations(
+            self._ledger().starts, by_backend, away_intervals(changes)
+        )
+        away = len(away_intervals(changes))
+        report.check_all(Promise.LEAVING, late, away)
+        self._measure_fleet(changes)
+        for node in self.deployment.node_names:
+            status = self.deployment.client(node).get("/v1/status", Status)
+            report.check(Promise.IN_FORCE, status.seq >= changes[-1].seq)
+
+    def _measure_fleet(self, changes: tuple[Change, ...]) -> None:
+        name = self.deployment.name
+        spans = away_intervals(changes)
+        moves = sum(
+            item.pool != before.pool
+            for change in changes
+            for item in change.edit.assignments
+            for before in change.before.assignments
+            if item.worker_id == before.worker_id
+        )
+        ended = [span for span in spans if span.end_s != float("inf")]
+        buffer_s = sum(span.end_s - span.start_s for span in ended)
+        roll_out = max((span.end_s for span in ended), default=0.0) - min(
+            (span.start_s for span in ended), default=0.0
+        )
+        self.report.measure(f"{name}.moves", moves, "moves")
+        self.report.measure(f"{name}.out_of_service", buffer_s, "worker-seconds")
+        self.report.measure(f"{name}.roll_out", roll_out, "s")
+
+    def _ledger(self) -> LedgerPage:
+        backend = next(iter(self.deployment.backends.values()))
+        request = HttpRequest("GET", "/ledger")
+        answer = self._client(backend).exchange(request, CALL_TIMEOUT_S)
+        return decode_json(answer.body, LedgerPage)
+
+    def _worker_ids(self) -> list[str]:
+        return [worker.worker_id for worker in self.deployment.edit.workers]
+
+    def _client(self, address: str) -> HttpClient:
+        return HttpClient(Address.parse(address), HELD_REQUESTS, CALL_TIMEOUT_S)
+
+    def _class(self, open_to_all: bool, idempotent: bool = True) -> WorkClass:
+        return next(
+            item
+            for item in self.deployment.edit.classes
+            if item.open == open_to_all
+            and item.idempotent == idempotent
+            and item.kind is WorkKind.REQUEST
+        )
 
 
-def _request(work_class: WorkClass, body: bytes, token: str) -> HttpRequest:
-    headers = (("Authorization", f"Bearer {token}"),)
-    return HttpRequest("POST", f"/run/{work_class.name}/demo", body, headers)
+def _request(work_class: WorkClass, token: str, work_s: float = 0.0) -> HttpRequest:
+    headers = [("Authorization", f"Bearer {token}")]
+    if work_s:
+        headers.append(("X-Work-Seconds", str(work_s)))
+    return HttpRequest("POST", f"/run/{work_class.name}/demo", b"", tuple(headers))
