Dispatch long jobs under a claim, with leases that workers count themselves

Every node read every job twice a second and started any queued job that it saw, on a random worker. Jobs are now recorded by group commit under an id derived from team and Idempotency-Key; one node at a time dispatches under a store lease, every write states the claim's and the job's revision; the order to a worker carries the end of the task's lease by the worker's own clock, so that an order that arrives late starts nothing. Ended jobs leave the prefix that is watched.

A class that is not idempotent now needs an Idempotency-Key for its jobs; the path test gives one. Additive edits outside the jobs' modules: the routes in the callers' and operators' API, a settings section, five events, the list of jobs in the command line shows all workers of a gang.

--- a/packages/heatherhatch-cli/src/heatherhatch_cli/commands/jobs.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/jobs.py
@@ -20,7 +20,7 @@
     work_class: str
     state: JobState
     attempt: int
-    worker: str
+    workers: str
     submitted: str
     detail: str
 
@@ -52,7 +52,7 @@
         item.spec.work_class,
         item.state,
         item.attempt,
-        item.worker,
+        " ".join(item.workers),
         time_text(item.submitted_s),
         item.detail,
     )
--- a/packages/heatherhatch-core/src/heatherhatch_core/api.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/api.py
@@ -4,7 +4,7 @@
 
 from .coordination.planner import Plan
 from .state.changes import Change, Edit
-from .state.jobs import Job
+from .state.jobs import Job, JobState
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,11 +104,47 @@
     plan: Plan
 
 
+@dataclass(frozen=True, slots=True)
+class JobFilter:
+    """Which jobs are wanted; an empty field wants all.
+
+    Attributes:
+        team: Team that submitted them.
+        work_class: Class of work.
+        worker_id: Worker that runs them.
+        state: Where they are in their life.
+        after: Place from which a page goes on, as in ``JobPage.next_after``.
+        limit: Most jobs in a page.
+    """
+
+    team: str = ""
+    work_class: str = ""
+    worker_id: str = ""
+    state: JobState | None = None
+    after: str = ""
+    limit: int = 10_000
+
+    def matches(self, job: Job) -> bool:
+        """Tell whether a job is wanted."""
+        return (
+            self.team in ("", job.team)
+            and self.work_class in ("", job.spec.work_class)
+            and (not self.worker_id or self.worker_id in job.workers)
+            and self.state in (None, job.state)
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class JobPage:
-    """Some jobs."""
+    """Some jobs.
+
+    Attributes:
+        jobs: The jobs.
+        next_after: Place from which the next page goes on, empty if none.
+    """
 
     jobs: tuple[Job, ...]
+    next_after: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,3 +152,17 @@
     """The id of an accepted job."""
 
     job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequest:
+    """Jobs that a team gives up."""
+
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAnswer:
+    """How many live jobs a cancellation reached."""
+
+    count: int
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -16,17 +16,17 @@
 from .protocol.peer import peer_app
 from .settings import Settings, StoreSettings
 from .tasks.admission import Admission
+from .tasks.dispatcher import DispatcherPorts, open_dispatcher
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
 from .tasks.heartbeats import Heartbeats
+from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
 from .transport.listener import Listener
 from .transport.memory_store import MemoryStore
 from .transport.store import EtcdStore, Store
-from .transport.workers import HttpWorkerControl
 
-JOB_PERIOD_S = 0.5
 INCARNATION_BYTES = 8
 
 
@@ -82,15 +82,14 @@
             time.monotonic,
             random.Random(),
         )
+        records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
         self.runner = JobRunner(
-            store,
-            self.gateway,
-            HttpWorkerControl(),
-            JOB_PERIOD_S,
-            time.monotonic,
-            time.time,
+            records, GroupCommit(records, time.monotonic), self.gateway, time.time
+        )
+        self.dispatcher = open_dispatcher(
+            records, self.follower, settings.jobs, DispatcherPorts()
         )
-        self.tasks = (self.registrar, self.follower, self.heartbeats, self.runner)
+        self.tasks = (self.registrar, self.follower, self.heartbeats, self.dispatcher)
         self.callers, self.operators, self.peers = self._listeners()
 
     def start(self) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -35,6 +35,11 @@
     STANDING_BACK = EventInfo(1204, "The node is up to date again.")
     CHANGE_ACCEPTED = EventInfo(1301, "This node accepted a change.")
     CHANGE_APPLIED = EventInfo(1302, "A change is in force on this node.")
+    CLAIM_TAKEN = EventInfo(1501, "This node dispatches long jobs from now on.")
+    CLAIM_LOST = EventInfo(1502, "This node's claim to dispatch jobs has lapsed.")
+    WORKER_QUARANTINED = EventInfo(1511, "Jobs of several teams fail on a worker.")
+    WORKER_TRUSTED = EventInfo(1512, "A trial ended a worker's quarantine.")
+    JOBS_RELIEVED = EventInfo(1521, "Long jobs of a pool make way, or get it back.")
     TASK_FAILED = EventInfo(1901, "A task failed and is started again.")
     REQUEST_FAILED = EventInfo(1902, "A request ended in an internal error.")
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/caller.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/caller.py
@@ -2,13 +2,11 @@
 
 import falcon
 
-from heatherhatch_core.api import JobAnswer
-from heatherhatch_core.state.jobs import JobSpec
-
 from ..tasks.gateway import Gateway, Work
 from ..tasks.job_runner import JobRunner
 from ..transport.http import HttpRequest
-from .bodies import bearer_token, read_body, read_message, write_message
+from .bodies import bearer_token, read_body
+from .jobs import add_caller_routes
 from .problems import new_app
 
 # Headers that concern one connection or this system only.
@@ -33,7 +31,7 @@
 def caller_app(gateway: Gateway, runner: JobRunner, body_bytes: int) -> falcon.App:
     """Return the application that callers talk to."""
     app = new_app()
-    app.add_route("/jobs", JobsResource(runner, body_bytes))
+    add_caller_routes(app, runner, body_bytes)
     app.add_sink(RequestSink(gateway, body_bytes), r"/run/(?P<work_class>[^/]+)")
     return app
 
@@ -68,18 +66,3 @@
             if name.lower() not in DROPPED_HEADERS:
                 response.set_header(name, value)
         response.data = answer.body
-
-
-class JobsResource:
-    """Takes long jobs."""
-
-    def __init__(self, runner: JobRunner, body_bytes: int):
-        self.runner = runner
-        self.body_bytes = body_bytes
-
-    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Record a job."""
-        spec = read_message(request, JobSpec, self.body_bytes)
-        job = self.runner.submit(bearer_token(request), spec)
-        response.status = falcon.HTTP_201
-        write_message(response, JobAnswer(job.job_id))
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/jobs.py
@@ -0,0 +1,112 @@
+"""Long jobs in the callers' and the operators' API."""
+
+import falcon
+
+from heatherhatch_core.api import (
+    CancelAnswer,
+    CancelRequest,
+    JobAnswer,
+    JobFilter,
+)
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_core.state.entities import Role
+from heatherhatch_core.state.jobs import JobSpec, JobState
+
+from ..tasks.job_runner import JobRunner
+from .bodies import bearer_token, read_message, write_message
+
+CANCEL_IDS_MAX = 10_000
+LIST_JOBS_MAX = 10_000
+
+
+def add_caller_routes(app: falcon.App, runner: JobRunner, body_bytes: int) -> None:
+    """Add what submitters use."""
+    jobs = JobsResource(runner, body_bytes)
+    app.add_route("/jobs", jobs)
+    app.add_route("/jobs/cancel", jobs, suffix="cancel")
+    app.add_route("/jobs/{job_id}", jobs, suffix="one")
+
+
+class JobsResource:
+    """Takes, shows and cancels the jobs of a team."""
+
+    def __init__(self, runner: JobRunner, body_bytes: int):
+        self.runner = runner
+        self.body_bytes = body_bytes
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Record a job."""
+        spec = read_message(request, JobSpec, self.body_bytes)
+        key = request.get_header("Idempotency-Key") or ""
+        job = self.runner.submit(bearer_token(request), spec, key)
+        response.status = falcon.HTTP_201
+        write_message(response, JobAnswer(job.job_id))
+
+    def on_get_one(
+        self, request: falcon.Request, response: falcon.Response, job_id: str
+    ) -> None:
+        """Show one job."""
+        write_message(response, self.runner.show(bearer_token(request), job_id))
+
+    def on_delete_one(
+        self, request: falcon.Request, response: falcon.Response, job_id: str
+    ) -> None:
+        """Cancel one job."""
+        count = self.runner.cancel(bearer_token(request), (job_id,))
+        write_message(response, CancelAnswer(count))
+
+    def on_post_cancel(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Cancel many jobs by their ids."""
+        wish = read_message(request, CancelRequest, self.body_bytes)
+        if len(wish.job_ids) > CANCEL_IDS_MAX:
+            detail = f"above {CANCEL_IDS_MAX} ids"
+            raise HeatherhatchError(ErrorKind.TOO_LARGE, detail)
+        count = self.runner.cancel(bearer_token(request), wish.job_ids)
+        write_message(response, CancelAnswer(count))
+
+
+class OperatorJobsResource:
+    """Lists and cancels the jobs of all teams.
+
+    Args:
+        runner: Long jobs.
+        authorize: Checks a request's key against a role.
+        body_bytes: Largest body.
+    """
+
+    def __init__(self, runner: JobRunner, authorize, body_bytes: int):
+        self.runner = runner
+        self.authorize = authorize
+        self.body_bytes = body_bytes
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the jobs that match the query's filters."""
+        self.authorize(request, Role.VIEWER)
+        write_message(response, self.runner.list_jobs(_filter_of(request)))
+
+    def on_post_cancel(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Cancel every live job that matches a filter."""
+        self.authorize(request, Role.OPERATOR)
+        wanted = read_message(request, JobFilter, self.body_bytes)
+        write_message(response, CancelAnswer(self.runner.cancel_matching(wanted)))
+
+
+def _filter_of(request: falcon.Request) -> JobFilter:
+    state = request.get_param("state")
+    try:
+        wanted_state = JobState(state) if state else None
+    except ValueError as error:
+        raise HeatherhatchError(ErrorKind.BAD_REQUEST, f"state {state!r}") from error
+    limit = request.get_param_as_int("limit", min_value=1, max_value=LIST_JOBS_MAX)
+    return JobFilter(
+        team=request.get_param("team", default=""),
+        work_class=request.get_param("class", default=""),
+        worker_id=request.get_param("worker", default=""),
+        state=wanted_state,
+        after=request.get_param("after", default=""),
+        limit=limit or LIST_JOBS_MAX,
+    )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -10,7 +10,6 @@
     ChangeAnswer,
     ChangeRequest,
     InForce,
-    JobPage,
     NodeStatus,
     PlanAnswer,
     Status,
@@ -27,6 +26,7 @@
 from ..tasks.heartbeats import Heartbeats
 from ..tasks.job_runner import JobRunner
 from .bodies import bearer_token, read_message, write_message
+from .jobs import OperatorJobsResource
 from .problems import new_app
 
 FIRST_OPERATOR = "first"
@@ -63,7 +63,10 @@
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
     app.add_route("/v1/plan", PlanResource(services))
-    app.add_route("/v1/jobs", JobsResource(services))
+    authorize = OperatorResource(services).operator
+    jobs = OperatorJobsResource(services.runner, authorize, services.body_bytes)
+    app.add_route("/v1/jobs", jobs)
+    app.add_route("/v1/jobs/cancel", jobs, suffix="cancel")
     return app
 
 
@@ -201,12 +204,3 @@
         self.operator(request, Role.VIEWER)
         plan = plan_waves(self.services.follower.config, PLAN_LEAD_S)
         write_message(response, PlanAnswer(plan))
-
-
-class JobsResource(OperatorResource):
-    """Shows long jobs."""
-
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Return all jobs."""
-        self.operator(request, Role.VIEWER)
-        write_message(response, JobPage(self.services.runner.list_jobs()))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -138,6 +138,23 @@
     outcome_s: float = 600.0
 
 
+@dataclass(frozen=True, slots=True)
+class JobSettings:
+    """Times that concern long jobs, in seconds.
+
+    Attributes:
+        claim_s: Life of the dispatcher's claim without renewal.
+        look_s: Between two looks of the other nodes at the claim.
+        lease_s: After which a task that is not renewed ends itself.
+        keep_s: For which an ended job, and its Idempotency-Key, is remembered.
+    """
+
+    claim_s: int = 6
+    look_s: float = 5.0
+    lease_s: float = 15.0
+    keep_s: float = 86_400.0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
     """Bounds on what one client can cost.
@@ -160,7 +177,7 @@
     """All settings of one daemon.
 
     Attributes:
-        node, listen, store, platform, security, timing, limits: Sections.
+        node, listen, store, platform, security, timing, limits, jobs: Sections.
         log_file: Path of the event log, empty for standard error.
     """
 
@@ -171,6 +188,7 @@
     platform: PlatformSettings = field(default_factory=PlatformSettings)
     timing: TimingSettings = field(default_factory=TimingSettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
+    jobs: JobSettings = field(default_factory=JobSettings)
     log_file: str = ""
 
 
@@ -214,6 +232,9 @@
         found.append("timing.standing_s: expected at least two heartbeats")
     if timing.standing_s >= timing.lease_s:
         found.append("timing.lease_s: expected more than standing_s")
+    jobs = settings.jobs
+    if jobs.claim_s + jobs.look_s >= jobs.lease_s:
+        found.append("jobs.lease_s: expected more than claim_s and look_s together")
     return found
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_runner.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_runner.py
@@ -1,123 +1,146 @@
-"""The runner of long jobs: records, starts and follows them."""
+"""Long jobs as their submitters and operators see them."""
 
-import dataclasses
 import uuid
 from collections.abc import Callable
 
-from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.api import JobFilter, JobPage
+from heatherhatch_core.coordination.placement import lacking
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
-from heatherhatch_core.state.entities import Worker, WorkKind
-from heatherhatch_core.state.jobs import Job, JobSpec, JobState
-
-from ..transport.http import ExchangeError
-from ..transport.store import Entry, Expect, Put, Store, Transaction
-from ..transport.workers import TaskOrder, TaskState, WorkerControl
+from heatherhatch_core.state.entities import WorkClass, WorkKind
+from heatherhatch_core.state.jobs import (
+    ENDED_PREFIX,
+    ENDED_STATES,
+    JOBS_PREFIX,
+    Job,
+    JobSpec,
+    job_id_of,
+)
+
+from ..transport.store import Entry
 from .gateway import Gateway
-from .task import Task
+from .job_records import GroupCommit, JobRecords, hot_key, job_of
 
-JOBS_PREFIX = "jobs/"
-TASK_LEASE_S = 5.0
+RUN_S_MAX = 30 * 86_400.0
+GANG_MAX = 256
+SINGLE_READS_MAX = 20
 
 
-class JobRunner(Task):
-    """Submits jobs to the store, starts queued ones and records their end.
+class JobRunner:
+    """Submits, shows, lists and cancels jobs; any node does this.
 
     Args:
-        store: The platform's store.
+        records: Job records in the store.
+        commits: Group commit of submissions.
         gateway: Checks classes and keys.
-        workers: Control of the workers.
-        period_s: Seconds between two rounds.
-        clock: Returns monotonic seconds.
         wall_clock: Returns seconds since the epoch.
     """
 
     def __init__(
         self,
-        store: Store,
+        records: JobRecords,
+        commits: GroupCommit,
         gateway: Gateway,
-        workers: WorkerControl,
-        period_s: float,
-        clock: Callable[[], float],
         wall_clock: Callable[[], float],
     ):
-        super().__init__("job-runner", period_s, clock)
-        self.store = store
+        self.records = records
+        self.commits = commits
         self.gateway = gateway
-        self.workers = workers
         self.wall_clock = wall_clock
 
-    def submit(self, token: str, spec: JobSpec) -> Job:
-        """Record a job; it is not acknowledged before the store has it."""
+    def submit(self, token: str, spec: JobSpec, key: str = "") -> Job:
+        """Record a job and return it once the store has it.
+
+        Args:
+            token: Key of the team.
+            spec: What to run.
+            key: Idempotency-Key; a resend with it returns the same job.
+
+        Raises:
+            HeatherhatchError: ``KEY_REQUIRED`` if the class is not idempotent
+                and there is no key, ``BAD_REQUEST`` if the job can never run.
+        """
         work_class = self.gateway.class_of(spec.work_class, WorkKind.JOB)
         team = self.gateway.authenticate(token, work_class)
-        job = Job(uuid.uuid4().hex, team, spec, self.wall_clock())
-        if not self._write(job, 0):
-            raise HeatherhatchError(ErrorKind.CONFLICT, "job id in use")
+        if not key and not work_class.idempotent:
+            raise HeatherhatchError(ErrorKind.KEY_REQUIRED)
+        self._check(spec, work_class)
+        job_id = job_id_of(team, key) if key else uuid.uuid4().hex
+        return self.commits.submit(Job(job_id, team, spec, self.wall_clock()))
+
+    def show(self, token: str, job_id: str) -> Job:
+        """Return a job of the team whose key this is.
+
+        Raises:
+            HeatherhatchError: ``NOT_FOUND`` also for other teams' jobs.
+        """
+        entry = self.records.find(job_id)
+        job = job_of(entry) if entry is not None else None
+        if job is None or not self._owns(token, job):
+            raise HeatherhatchError(ErrorKind.NOT_FOUND, f"job {job_id!r}")
         return job
 
-    def list_jobs(self) -> tuple[Job, ...]:
-        """Return all recorded jobs."""
-        return tuple(_job_of(entry) for entry in self.store.range(JOBS_PREFIX).entries)
-
-    def step(self) -> None:
-        """Start queued jobs and look after running ones."""
-        for entry in self.store.range(JOBS_PREFIX).entries:
-            job = _job_of(entry)
-            if job.state is JobState.QUEUED:
-                self._start(job, entry.revision)
-            elif job.state is JobState.RUNNING:
-                self._follow(job, entry.revision)
-
-    def _start(self, job: Job, revision: int) -> None:
-        worker = self._worker_for(job)
-        if worker is None:
-            return
-        started = dataclasses.replace(
-            job,
-            state=JobState.RUNNING,
-            attempt=job.attempt + 1,
-            worker=worker.worker_id,
-        )
-        if not self._write(started, revision):
-            return
-        order = TaskOrder(job.job_id, started.attempt, job.spec, TASK_LEASE_S)
-        try:
-            self.workers.start(worker.control, order)
-        except ExchangeError:
-            # The worker's own lease ends the attempt if it did begin.
-            return
-
-    def _follow(self, job: Job, revision: int) -> None:
-        worker = self.gateway.follower.config.workers.get(job.worker)
-        if worker is None:
-            return
-        try:
-            report = self.workers.renew(worker.control, job.job_id, job.attempt)
-        except ExchangeError:
-            return
-        ends = {TaskState.DONE: JobState.DONE, TaskState.FAILED: JobState.FAILED}
-        if report.state in ends:
-            ended = dataclasses.replace(
-                job, state=ends[report.state], detail=report.detail
-            )
-            self._write(ended, revision)
-
-    def _worker_for(self, job: Job) -> Worker | None:
-        config = self.gateway.follower.config
-        work_class = config.classes.get(job.spec.work_class)
-        if work_class is None or not self.gateway.follower.has_standing():
-            return None
-        workers = config.serving_workers(work_class.pool)
-        able = [worker for worker in workers if worker.control]
-        return self.gateway.random.choice(able) if able else None
-
-    def _write(self, job: Job, revision: int) -> bool:
-        key = JOBS_PREFIX + job.job_id
-        transaction = Transaction(
-            (Expect(key, revision),), (Put(key, encode_json(job)),)
-        )
-        return self.store.transact(transaction).succeeded
-
-
-def _job_of(entry: Entry) -> Job:
-    return decode_json(entry.value, Job)
+    def list_jobs(self, wanted: JobFilter) -> JobPage:
+        """Return some jobs, live ones first, in the order of their keys."""
+        found: dict[str, Job] = {}
+        for entry in self._entries(wanted):
+            job = job_of(entry)
+            if wanted.matches(job):
+                found[job.job_id] = job
+            if len(found) >= wanted.limit:
+                return JobPage(tuple(found.values()), entry.key)
+        return JobPage(tuple(found.values()))
+
+    def cancel(self, token: str, job_ids: tuple[str, ...]) -> int:
+        """Cancel jobs of the team whose key this is; return how many were live."""
+        entries = self._live_entries(frozenset(job_ids))
+        owned = [entry for entry in entries if self._owns(token, job_of(entry))]
+        return self.records.cancel(owned, self.wall_clock())
+
+    def cancel_matching(self, wanted: JobFilter) -> int:
+        """Cancel every live job that matches; return how many did."""
+        count = 0
+        for page in self.records.pages(JOBS_PREFIX):
+            matching = [entry for entry in page if wanted.matches(job_of(entry))]
+            count += self.records.cancel(matching, self.wall_clock())
+        return count
+
+    def _entries(self, wanted: JobFilter):
+        live = wanted.state not in ENDED_STATES
+        ended = wanted.state is None or wanted.state in ENDED_STATES
+        after = wanted.after
+        if live and not after.startswith(ENDED_PREFIX):
+            for page in self.records.pages(JOBS_PREFIX, after):
+                yield from page
+            after = ""
+        if ended:
+            after = after if after.startswith(ENDED_PREFIX) else ""
+            for page in self.records.pages(ENDED_PREFIX, after):
+                yield from page
+
+    def _live_entries(self, job_ids: frozenset[str]) -> list[Entry]:
+        if len(job_ids) <= SINGLE_READS_MAX:
+            found = [self.records.store.get(hot_key(job_id)) for job_id in job_ids]
+            return [entry for entry in found if entry is not None]
+        keys = {hot_key(job_id) for job_id in job_ids}
+        pages = self.records.pages(JOBS_PREFIX)
+        return [entry for page in pages for entry in page if entry.key in keys]
+
+    def _owns(self, token: str, job: Job) -> bool:
+        work_class = self.gateway.follower.config.classes.get(job.spec.work_class)
+        if work_class is None:
+            return False
+        return self.gateway.authenticate(token, work_class) == job.team
+
+    def _check(self, spec: JobSpec, work_class: WorkClass) -> None:
+        problems = []
+        if not 1 <= spec.gang <= GANG_MAX:
+            problems.append(f"gang must be 1 to {GANG_MAX}")
+        if not 0 < spec.run_s <= RUN_S_MAX:
+            problems.append(f"run_s must be above 0 and at most {RUN_S_MAX:.0f}")
+        if min(spec.cpus, spec.memory_mb, spec.accelerators) < 0:
+            problems.append("sizes must not be negative")
+        missing = lacking(spec, work_class.pool, self.gateway.follower.config)
+        if missing:
+            problems.append(f"it can never run: {missing}")
+        if problems:
+            raise HeatherhatchError(ErrorKind.BAD_REQUEST, "; ".join(problems))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/workers.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/workers.py
@@ -1,4 +1,4 @@
-"""Control of tasks on workers: start, renew, checkpoint, throttle, stop."""
+"""Control of tasks on workers: sync, start, checkpoint, throttle, stop."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -22,9 +22,27 @@
     CHECKPOINTED = "checkpointed"
     DONE = "done"
     FAILED = "failed"
+    STOPPED = "stopped"
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A reading of a worker's monotonic clock.
+
+    Attributes:
+        boot: Id of this start of the worker's task control.
+        clock_s: Monotonic seconds there.
+    """
+
+    boot: str
+    clock_s: float
+
+    def plus(self, seconds: float) -> "Reading":
+        """Return the reading that many seconds later."""
+        return Reading(self.boot, self.clock_s + seconds)
+
+
 @dataclass(frozen=True, slots=True)
 class TaskOrder:
     """An order to run a task under a lease.
@@ -33,13 +51,45 @@
         job_id: Job that the task belongs to.
         attempt: Number of the start; a worker refuses a lower one.
         spec: What to run.
-        lease_s: Seconds after which an unrenewed task stops itself.
+        until: End of the lease by the worker's own clock. A worker refuses an
+            order whose end is past or that names another boot, so that a late
+            order starts nothing.
+        progress: Part of the work that was saved by earlier attempts, 0 to 1.
     """
 
     job_id: str
     attempt: int
     spec: JobSpec
-    lease_s: float
+    until: Reading
+    progress: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """A task whose lease is to be prolonged.
+
+    Attributes:
+        job_id: Job that the task belongs to.
+        attempt: Number of the start.
+        until_s: End of the lease by the worker's clock; never shortens it.
+    """
+
+    job_id: str
+    attempt: int
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerSync:
+    """Renewals for the tasks of one worker, in one message.
+
+    Attributes:
+        boot: Boot that the times refer to, empty if none is known.
+        renewals: Tasks to renew and to report on.
+    """
+
+    boot: str = ""
+    renewals: tuple[Renewal, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,10 +100,11 @@
         job_id: Job that the task belongs to.
         attempt: Number of the start.
         state: Where it is.
-        cpus: Processors in use lately.
-        memory_mb: Memory in use lately, mebibytes.
-        progress: Part of the work that is done, 0 to 1.
+        cpus: Processors in use lately, 0 if not known yet.
+        memory_mb: Memory in use lately, mebibytes, 0 if not known yet.
+        progress: Part of the work that is done and saved, 0 to 1.
         detail: Why it failed, or empty.
+        run_s: Seconds that it ran.
     """
 
     job_id: str
@@ -63,17 +114,31 @@
     memory_mb: float = 0.0
     progress: float = 0.0
     detail: str = ""
+    run_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReport:
+    """The answer to a sync.
+
+    Attributes:
+        reading: The worker's clock.
+        tasks: A report for each task that was asked for.
+    """
+
+    reading: Reading
+    tasks: tuple[TaskReport, ...] = ()
 
 
 class WorkerControl(Protocol):
     """What the system needs of a worker; methods raise `ExchangeError`."""
 
+    def sync(self, control: str, message: WorkerSync) -> WorkerReport:
+        """Renew tasks, read the worker's clock and get reports."""
+
     def start(self, control: str, order: TaskOrder) -> TaskReport:
         """Start a task, or return the report of the same attempt."""
 
-    def renew(self, control: str, job_id: str, attempt: int) -> TaskReport:
-        """Renew a task's lease."""
-
     def checkpoint(self, control: str, job_id: str, attempt: int) -> TaskReport:
         """Save a task's work and stop it."""
 
@@ -81,7 +146,7 @@
         """Limit a task to a part of its processors, 0 to 1."""
 
     def stop(self, control: str, job_id: str, attempt: int) -> TaskReport:
-        """Stop a task."""
+        """Stop a task and refuse its attempt, and lower ones, from now on."""
 
 
 class HttpWorkerControl:
@@ -90,27 +155,32 @@
     def __init__(self):
         self.clients: dict[str, HttpClient] = {}
 
+    def sync(self, control: str, message: WorkerSync) -> WorkerReport:
+        """Renew tasks, read the worker's clock and get reports."""
+        return self._call(control, "/sync", encode_json(message), WorkerReport)
+
     def start(self, control: str, order: TaskOrder) -> TaskReport:
         """Start a task, or return the report of the same attempt."""
-        return self._call(control, f"/tasks/{order.job_id}", encode_json(order))
-
-    def renew(self, control: str, job_id: str, attempt: int) -> TaskReport:
-        """Renew a task's lease."""
-        return self._call(control, f"/tasks/{job_id}/{attempt}/renew")
+        path = f"/tasks/{order.job_id}"
+        return self._call(control, path, encode_json(order), TaskReport)
 
     def checkpoint(self, control: str, job_id: str, attempt: int) -> TaskReport:
         """Save a task's work and stop it."""
-        return self._call(control, f"/tasks/{job_id}/{attempt}/checkpoint")
+        return self._act(control, job_id, attempt, "checkpoint")
 
     def throttle(self, control: str, job_id: str, attempt: int, share: float) -> None:
         """Limit a task to a part of its processors, 0 to 1."""
-        self._call(control, f"/tasks/{job_id}/{attempt}/throttle?share={share}")
+        self._act(control, job_id, attempt, f"throttle?share={share}")
 
     def stop(self, control: str, job_id: str, attempt: int) -> TaskReport:
-        """Stop a task."""
-        return self._call(control, f"/tasks/{job_id}/{attempt}/stop")
+        """Stop a task and refuse its attempt, and lower ones, from now on."""
+        return self._act(control, job_id, attempt, "stop")
+
+    def _act(self, control, job_id, attempt, action):
+        path = f"/tasks/{job_id}/{attempt}/{action}"
+        return self._call(control, path, b"", TaskReport)
 
-    def _call(self, control, path, body=b""):
+    def _call(self, control, path, body, kind):
         if control not in self.clients:
             address = Address.parse(control)
             client = HttpClient(address, WORKER_CONNECTIONS, WORKER_TIMEOUT_S)
@@ -120,4 +190,4 @@
         if answer.status != 200:
             detail = f"worker said {answer.status}"
             raise ExchangeError(ErrorKind.BACKEND_FAILED, detail, True)
-        return decode_json(answer.body, TaskReport)
+        return decode_json(answer.body, kind)
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/worker.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/worker.py
@@ -1,17 +1,34 @@
 """Stand-in for a worker: runs tasks under leases."""
 
+import secrets
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import click
 import falcon
 
 from heatherhatch_core.codec import decode_json, encode_json
-from heatherhatch_daemon.transport.workers import TaskOrder, TaskReport, TaskState
+from heatherhatch_core.state.jobs import JobSpec, Usage
+from heatherhatch_daemon.transport.workers import (
+    Reading,
+    TaskOrder,
+    TaskReport,
+    TaskState,
+    WorkerReport,
+    WorkerSync,
+)
 
 from .faults import FAULTS_PATH, FaultBox, FaultsResource
 from .serving import ConnectionDroppedError, serve
 
+USAGE_LAG_S = 2.0
+
+
+def declared_usage(spec: JobSpec) -> Usage:
+    """Return what a task uses if its declaration is true."""
+    return Usage(spec.cpus, spec.memory_mb, spec.accelerators, spec.run_s)
+
 
 @dataclass(slots=True)
 class Task:
@@ -19,6 +36,7 @@
 
     order: TaskOrder
     state: TaskState
+    begun_s: float
     touched_s: float
     progress_s: float
     expires_s: float
@@ -26,44 +44,62 @@
 
 
 class Worker:
-    """Runs tasks in virtual work: a task is done after its ``run_s``.
+    """Runs tasks in virtual work: a task is done after its true run time.
 
     Args:
         box: Faults; ``error_share`` is the part of the tasks that fail.
         clock: Returns monotonic seconds.
+        truth: Returns what a task really uses.
     """
 
-    def __init__(self, box: FaultBox, clock=time.monotonic):
+    def __init__(
+        self,
+        box: FaultBox,
+        clock: Callable[[], float] = time.monotonic,
+        truth: Callable[[JobSpec], Usage] = declared_usage,
+    ):
         self.box = box
         self.clock = clock
-        self.tasks: dict[str, Task] = {}
+        self.truth = truth
         self.started: list[tuple[str, int]] = []
+        self.boot = ""
+        self.tasks: dict[str, Task] = {}
+        self.fences: dict[str, int] = {}
+        self.reboot()
+
+    def reboot(self) -> None:
+        """Forget every task, as after a crash of the worker."""
+        self.boot = secrets.token_hex(8)
+        self.tasks = {}
+        self.fences = {}
+
+    def sync(self, message: WorkerSync) -> WorkerReport:
+        """Renew tasks and report on them."""
+        if message.boot == self.boot:
+            for item in message.renewals:
+                if self.report(item.job_id, item.attempt).state is TaskState.RUNNING:
+                    task = self.tasks[item.job_id]
+                    task.expires_s = max(task.expires_s, item.until_s)
+        reports = [self.report(item.job_id, item.attempt) for item in message.renewals]
+        return WorkerReport(Reading(self.boot, self.clock()), tuple(reports))
 
     def start(self, order: TaskOrder) -> TaskReport:
-        """Start an attempt unless the same or a later one is known."""
-        known = self.tasks.get(order.job_id)
-        if known is None or known.order.attempt < order.attempt:
-            now = self.clock()
-            fails = self.box.hits(self.box.faults.error_share)
-            state = TaskState.FAILED if fails else TaskState.RUNNING
-            task = Task(order, state, now, 0.0, now + order.lease_s)
-            self.tasks[order.job_id] = task
-            self.started.append((order.job_id, order.attempt))
+        """Start an attempt unless it is late, fenced, or known already."""
+        late = order.until.boot != self.boot or order.until.clock_s <= self.clock()
+        fenced = order.attempt <= self.fences.get(order.job_id, 0)
+        if not late and not fenced:
+            self._begin(order)
         return self.report(order.job_id, order.attempt)
 
-    def renew(self, job_id: str, attempt: int) -> TaskReport:
-        """Renew the lease of a running attempt."""
-        report = self.report(job_id, attempt)
-        if report.state is TaskState.RUNNING:
-            task = self.tasks[job_id]
-            task.expires_s = self.clock() + task.order.lease_s
-        return report
-
     def end(self, job_id: str, attempt: int, state: TaskState) -> TaskReport:
-        """End a running attempt."""
+        """End an attempt if it runs, and refuse it from now on."""
         if self.report(job_id, attempt).state is TaskState.RUNNING:
             self.tasks[job_id].state = state
-        return self.report(job_id, attempt)
+        self.fences[job_id] = max(self.fences.get(job_id, 0), attempt)
+        report = self.report(job_id, attempt)
+        if report.state is TaskState.UNKNOWN:
+            return TaskReport(job_id, attempt, TaskState.STOPPED)
+        return report
 
     def throttle(self, job_id: str, attempt: int, share: float) -> TaskReport:
         """Limit an attempt to a part of its speed."""
@@ -78,20 +114,67 @@
         if task is None or task.order.attempt != attempt:
             return TaskReport(job_id, attempt, TaskState.UNKNOWN)
         self._advance(task)
-        spec = task.order.spec
-        done = min(1.0, task.progress_s / spec.run_s) if spec.run_s else 1.0
-        return TaskReport(job_id, attempt, task.state, spec.cpus, spec.memory_mb, done)
+        used = self.truth(task.order.spec)
+        done = min(1.0, task.progress_s / used.run_s) if used.run_s else 1.0
+        ran_s = task.touched_s - task.begun_s
+        seen = used if ran_s >= USAGE_LAG_S or done >= 1.0 else Usage()
+        return TaskReport(
+            job_id,
+            attempt,
+            task.state,
+            seen.cpus,
+            seen.memory_mb,
+            done,
+            run_s=ran_s,
+        )
+
+    def running(self) -> list[tuple[str, int]]:
+        """Return job id and attempt of every task that runs now."""
+        found = []
+        for job_id, task in self.tasks.items():
+            if self.report(job_id, task.order.attempt).state is TaskState.RUNNING:
+                found.append((job_id, task.order.attempt))
+        return found
+
+    def _begin(self, order: TaskOrder) -> None:
+        known = self.tasks.get(order.job_id)
+        if known is not None and known.order.attempt >= order.attempt:
+            return
+        now = self.clock()
+        fails = self.box.hits(self.box.faults.error_share)
+        state = TaskState.FAILED if fails else TaskState.RUNNING
+        done_s = order.progress * self.truth(order.spec).run_s
+        self.tasks[order.job_id] = Task(
+            order, state, now, now, done_s, order.until.clock_s
+        )
+        self.fences[order.job_id] = order.attempt - 1
+        self.started.append((order.job_id, order.attempt))
 
     def _advance(self, task: Task) -> None:
         if task.state is not TaskState.RUNNING:
             return
         now = min(self.clock(), task.expires_s)
         task.progress_s += max(0.0, now - task.touched_s) * task.share
-        task.touched_s = now
-        if task.progress_s >= task.order.spec.run_s:
+        task.touched_s = max(task.touched_s, now)
+        if task.progress_s >= self.truth(task.order.spec).run_s:
             task.state = TaskState.DONE
         elif self.clock() >= task.expires_s:
-            task.state = TaskState.UNKNOWN
+            saves = task.order.spec.checkpoints
+            task.state = TaskState.CHECKPOINTED if saves else TaskState.STOPPED
+
+
+class SyncResource:
+    """Renews tasks and reports on them."""
+
+    def __init__(self, worker: Worker):
+        self.worker = worker
+
+    def on_post(self, request, response):
+        """Answer one sync."""
+        if self.worker.box.faults.down:
+            raise ConnectionDroppedError
+        message = decode_json(request.bounded_stream.read(), WorkerSync)
+        response.data = encode_json(self.worker.sync(message))
 
 
 class StartResource:
@@ -109,7 +192,7 @@
 
 
 class ActionResource:
-    """Renews, checkpoints, throttles and stops tasks."""
+    """Checkpoints, throttles and stops tasks."""
 
     def __init__(self, worker: Worker):
         self.worker = worker
@@ -118,12 +201,10 @@
         """Carry out one action on an attempt."""
         if self.worker.box.faults.down:
             raise ConnectionDroppedError
-        if action == "renew":
-            report = self.worker.renew(job_id, attempt)
-        elif action == "checkpoint":
+        if action == "checkpoint":
             report = self.worker.end(job_id, attempt, TaskState.CHECKPOINTED)
         elif action == "stop":
-            report = self.worker.end(job_id, attempt, TaskState.FAILED)
+            report = self.worker.end(job_id, attempt, TaskState.STOPPED)
         elif action == "throttle":
             share = request.get_param_as_float("share", required=True)
             report = self.worker.throttle(job_id, attempt, share)
@@ -148,6 +229,7 @@
     app = falcon.App()
     app.add_route(FAULTS_PATH, FaultsResource(worker.box))
     app.add_route("/started", StartedResource(worker))
+    app.add_route("/sync", SyncResource(worker))
     app.add_route("/tasks/{job_id}", StartResource(worker))
     app.add_route("/tasks/{job_id}/{attempt:int}/{action}", ActionResource(worker))
     return app
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -33,7 +33,8 @@
         assert (reply.status, reply.body) == (200, b"whole body")
 
     spec = encode_json(JobSpec("reconcile", "books", run_s=0.2))
-    reply = call(seven_nodes.balancer, "POST", "/jobs", key.token, spec)
+    headers = {"Idempotency-Key": "books-1"}
+    reply = call(seven_nodes.balancer, "POST", "/jobs", key.token, spec, headers)
     assert reply.status == 201
     job = wait_for_job(seven_nodes, reply.json()["job_id"])
     assert job.attempt == 1
