--- a/packages/heatherhatch-standins/src/heatherhatch_standins/worker.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/worker.py
@@ -20,7 +20,7 @@
 )
 
 from .faults import FAULTS_PATH, FaultBox, FaultsResource
-from .serving import ConnectionDroppedError, serve
+from .serving import ConnectionDroppedError, new_app, serve
 
 USAGE_LAG_S = 2.0
 
@@ -226,7 +226,7 @@
 
 def worker_app(worker: Worker) -> falcon.App:
     """Return the application of a worker stand-in."""
-    app = falcon.App()
+    app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(worker.box))
     app.add_route("/started", StartedResource(worker))
     app.add_route("/sync", SyncResource(worker))
