--- a/packages/heatherhatch-core/src/heatherhatch_core/api.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/api.py
@@ -111,6 +111,17 @@
     jobs: tuple[Job, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TicketPage:
+    """Tickets that a node issued.
+
+    Attributes:
+        tickets: Values for Idempotency-Key, each good for one request.
+    """
+
+    tickets: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobAnswer:
     """The id of an accepted job."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
@@ -57,6 +57,7 @@
     STORE_UNAVAILABLE = "store-unavailable"
     NO_BACKEND = "no-backend"
     SHUTTING_DOWN = "shutting-down"
+    OUTCOMES_FULL = "outcomes-full"
     KEY_REQUIRED = "idempotency-key-required"
     KEY_EXPIRED = "idempotency-key-expired"
     ISSUER_GONE = "ticket-issuer-gone"
@@ -112,6 +113,9 @@
     ErrorKind.SHUTTING_DOWN: Answer(
         205, 503, _NOT_RUN, Retry.LATER, "This node is shutting down.", 7
     ),
+    ErrorKind.OUTCOMES_FULL: Answer(
+        206, 503, _NOT_RUN, Retry.LATER, "No room to remember another outcome.", 7
+    ),
     ErrorKind.KEY_REQUIRED: Answer(
         300, 400, _NOT_RUN, Retry.AFTER_FIX, "An Idempotency-Key is required.", 2
     ),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -6,6 +6,7 @@
 
 from gevent.event import Event as Signal
 
+from heatherhatch_core.coordination.outcomes import OutcomeBook
 from heatherhatch_core.coordination.standing import Standing
 
 from .events import Event, log
@@ -16,8 +17,12 @@
 from .protocol.peer import peer_app
 from .settings import Settings, StoreSettings
 from .tasks.admission import Admission
+from .tasks.at_most_once import AtMostOnce
+from .tasks.claims import ClaimWriter
+from .tasks.exchange import Exchange
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
+from .tasks.handovers import HandoverSender
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
@@ -78,9 +83,10 @@
         self.gateway = Gateway(
             self.follower,
             self.admission,
+            Exchange(self.follower, time.monotonic, random.Random()),
+            self._open_at_most_once(store, entry),
             open_metrics(settings.platform.statsd),
             time.monotonic,
-            random.Random(),
         )
         self.runner = JobRunner(
             store,
@@ -124,6 +130,20 @@
         log(Event.STOPPED if whole else Event.STOP_FORCED)
         return whole
 
+    def _open_at_most_once(self, store: Store, entry: NodeEntry) -> AtMostOnce:
+        secret = self.settings.security.peer_secret
+        outcome_s = self.settings.timing.outcome_s
+        return AtMostOnce(
+            entry,
+            OutcomeBook(self.settings.limits.outcome_bytes),
+            ClaimWriter(store, outcome_s, time.monotonic),
+            HandoverSender(secret, time.monotonic),
+            secret,
+            outcome_s,
+            time.monotonic,
+            time.time,
+        )
+
     def _listeners(self) -> tuple[Listener, Listener, Listener]:
         listen = self.settings.listen
         limits = self.settings.limits
@@ -136,7 +156,7 @@
             limits.body_bytes,
         )
         secret = self.settings.security.peer_secret
-        peers = peer_app(self.heartbeats, secret, limits.body_bytes)
+        peers = peer_app(self.heartbeats, self.gateway, secret, limits.body_bytes)
         callers = caller_app(self.gateway, self.runner, limits.body_bytes)
         return (
             Listener(listen.callers, callers, limits),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
@@ -1,5 +1,6 @@
 """Reading and writing of typed HTTP bodies."""
 
+import math
 from typing import TypeVar
 
 import falcon
@@ -8,6 +9,7 @@
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 Message = TypeVar("Message")
+TIMEOUT_HEADER = "X-Request-Timeout"
 BEARER = "Bearer "
 
 
@@ -48,3 +50,23 @@
     """Return the token of the Authorization header, or an empty text."""
     header = request.get_header("Authorization") or ""
     return header[len(BEARER) :] if header.startswith(BEARER) else ""
+
+
+def read_timeout_s(request: falcon.Request) -> float:
+    """Return the seconds that the client waits, infinity if it does not say.
+
+    Raises:
+        HeatherhatchError: ``BAD_REQUEST`` if they are no number above 0.
+    """
+    text = request.get_header(TIMEOUT_HEADER)
+    if text is None:
+        return math.inf
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = math.nan
+    if not 0 < timeout_s < math.inf:
+        raise HeatherhatchError(
+            ErrorKind.BAD_REQUEST, f"{TIMEOUT_HEADER}: expected seconds above 0"
+        )
+    return timeout_s
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/caller.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/caller.py
@@ -2,13 +2,19 @@
 
 import falcon
 
-from heatherhatch_core.api import JobAnswer
+from heatherhatch_core.api import JobAnswer, TicketPage
 from heatherhatch_core.state.jobs import JobSpec
 
 from ..tasks.gateway import Gateway, Work
 from ..tasks.job_runner import JobRunner
 from ..transport.http import HttpRequest
-from .bodies import bearer_token, read_body, read_message, write_message
+from .bodies import (
+    bearer_token,
+    read_body,
+    read_message,
+    read_timeout_s,
+    write_message,
+)
 from .problems import new_app
 
 # Headers that concern one connection or this system only.
@@ -26,6 +32,7 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        "x-request-timeout",
     ]
 )
 
@@ -34,6 +41,7 @@
     """Return the application that callers talk to."""
     app = new_app()
     app.add_route("/jobs", JobsResource(runner, body_bytes))
+    app.add_route("/tickets", TicketsResource(gateway))
     app.add_sink(RequestSink(gateway, body_bytes), r"/run/(?P<work_class>[^/]+)")
     return app
 
@@ -61,15 +69,32 @@
             request=HttpRequest(
                 request.method, path, read_body(request, self.body_bytes), headers
             ),
+            timeout_s=read_timeout_s(request),
         )
         answer = self.gateway.handle(work)
         response.status = answer.status
         for name, value in answer.headers:
             if name.lower() not in DROPPED_HEADERS:
+                response.append_header(name, value)
+            elif name.lower() == "content-length" and request.method == "HEAD":
                 response.set_header(name, value)
         response.data = answer.body
 
 
+class TicketsResource:
+    """Issues tickets: idempotency keys that need no store."""
+
+    def __init__(self, gateway: Gateway):
+        self.gateway = gateway
+
+    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Issue ``count`` tickets, one by default."""
+        count = request.get_param_as_int("count", default=1)
+        tickets = self.gateway.issue_tickets(bearer_token(request), count)
+        response.status = falcon.HTTP_201
+        write_message(response, TicketPage(tickets))
+
+
 class JobsResource:
     """Takes long jobs."""
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
@@ -50,3 +50,30 @@
     responder: NodeEntry
     seq: int
     demand: tuple[Demand, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """A keyed request that belongs to the node that it is sent to.
+
+    Attributes:
+        incarnation: Start of that node that the key belongs to.
+        team: Team that the request counts against, empty for open work.
+        key_id: Team key that came with it, empty for open work.
+        work_class: Name of the class.
+        idempotency_key: The caller's Idempotency-Key.
+        method: HTTP method.
+        path: Path and query.
+        headers: Names and values.
+        body: Content.
+    """
+
+    incarnation: str
+    team: str
+    key_id: str
+    work_class: str
+    idempotency_key: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -147,12 +147,14 @@
         header_bytes: Largest request head.
         idle_s: Seconds that a silent client keeps its connection.
         connections: Open connections for each listener.
+        outcome_bytes: Memory for outcomes of keyed requests.
     """
 
     body_bytes: int = 1_048_576
     header_bytes: int = 16_384
     idle_s: float = 10.0
     connections: int = 2_000
+    outcome_bytes: int = 67_108_864
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,6 +30,27 @@
     )
 
 
+@pytest.fixture(scope="module")
+def keyed_edit():
+    return Edit(
+        pools=(Pool("tills", 1),),
+        teams=(Team("red", 1.0, 70), Team("blue", 1.0, 70)),
+        classes=(
+            WorkClass("stock", "tills", WorkKind.REQUEST, 2.0, idempotent=True),
+            WorkClass("settle", "tills", WorkKind.REQUEST, 2.0),
+        ),
+        workers=tuple(
+            Worker(f"w{i}", f"fd-{i}", "r1", "127.0.0.1:1", "tills") for i in range(3)
+        ),
+    )
+
+
+@pytest.fixture(scope="module")
+def module_trial():
+    with Trial() as running:
+        yield running
+
+
 @pytest.fixture
 def trial():
     with Trial() as running:
