--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/outcomes.py
@@ -53,6 +53,34 @@
         return RECORD_BYTES + heads + len(self.body) + len(self.detail)
 
 
+def outcome_of(error: HeatherhatchError) -> Outcome:
+    """Return the outcome that an error is."""
+    return Outcome(
+        error=error.kind, detail=error.detail, retry_after_s=error.retry_after_s
+    )
+
+
+UNDECIDED_KINDS = {
+    ErrorKind.NO_STANDING: ErrorKind.KEY_UNDECIDED,
+    ErrorKind.SHUTTING_DOWN: ErrorKind.KEY_UNDECIDED,
+    ErrorKind.STORE_UNAVAILABLE: ErrorKind.KEY_UNDECIDED,
+    ErrorKind.UNAUTHENTICATED: ErrorKind.KEY_UNVERIFIED,
+}
+
+
+def undecided(error: HeatherhatchError) -> HeatherhatchError:
+    """Return the error to show if a key's owner has not been asked.
+
+    A refusal before that says nothing of earlier attempts under the same key,
+    so it must not claim that the work has not run.
+    """
+    kind = UNDECIDED_KINDS.get(error.kind)
+    if kind is None:
+        return error
+    detail = f"{error.kind.value}: {error.detail or error.answer.title}"
+    return HeatherhatchError(kind, detail, error.retry_after_s)
+
+
 @dataclass(slots=True)
 class Record:
     """What is known of one key.
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -15,14 +15,13 @@
     PlanAnswer,
     Status,
 )
-from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.keys import secret_matches, split_token
-from heatherhatch_core.state.changes import Change, check_edit
+from heatherhatch_core.state.changes import check_edit
 from heatherhatch_core.state.entities import OperatorKey, Role
 
-from ..tasks.follower import CONFIG_PREFIX, Follower
+from ..tasks.follower import Follower
 from ..tasks.gateway import Gateway
 from ..tasks.heartbeats import Heartbeats
 from ..tasks.job_runner import JobRunner
@@ -58,10 +57,10 @@
     """Return the application that operators talk to."""
     app = new_app()
     app.add_route("/v1/changes", ChangesResource(services))
-    app.add_route("/v1/in-force", InForceResource(services))
     app.add_route("/v1/config", ConfigResource(services))
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
+    app.add_route("/v1/in-force", InForceResource(services))
     app.add_route("/v1/plan", PlanResource(services))
     app.add_route("/v1/jobs", JobsResource(services))
     return app
@@ -117,20 +116,15 @@
     """Tells how far a change has come."""
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Return the nodes that have not confirmed a change."""
+        """Return the nodes that may still act on an earlier configuration."""
         self.operator(request, Role.VIEWER)
         seq = request.get_param_as_int("seq", required=True, min_value=0)
-        heartbeats = self.services.heartbeats
-        views = heartbeats.views
-        own = heartbeats.registrar.entry.name
-        missing = [
-            name
-            for name in sorted(heartbeats.registrar.nodes)
-            if name != own and (name not in views or views[name].seq < seq)
-        ]
-        if self.services.follower.config.seq < seq:
-            missing.append(own)
-        write_message(response, InForce(seq, tuple(missing)))
+        services = self.services
+        known = services.follower.in_force(seq)
+        missing = () if known.everywhere else known.missing
+        if not known.everywhere and not missing:
+            missing = (services.heartbeats.registrar.entry.name,)
+        write_message(response, InForce(seq, missing))
 
 
 class ConfigResource(OperatorResource):
@@ -188,8 +182,7 @@
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the accepted changes in order."""
         self.operator(request, Role.VIEWER)
-        snapshot = self.services.follower.store.range(CONFIG_PREFIX)
-        changes = tuple(decode_json(item.value, Change) for item in snapshot.entries)
+        changes = self.services.follower.log_store.audit()
         write_message(response, AuditPage(changes))
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/at_most_once.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/at_most_once.py
@@ -18,6 +18,8 @@
     OutcomeBook,
     RequestKey,
     Step,
+    outcome_of,
+    undecided,
 )
 from heatherhatch_core.coordination.tickets import (
     Ticket,
@@ -81,7 +83,8 @@
     node hands the request over to it.
 
     Args:
-        entry: This node.
+        entry: This start of the process; its registration may be renewed under
+            another incarnation, but its memory stays the same.
         book: Memory of outcomes.
         claims: Writer of claims.
         handovers: Sends requests to the node whose key it is.
@@ -152,15 +155,12 @@
             return self._decide(work, ticket.issued_s + self.outcome_s, run)
         return self._carry_out_claimed(work, run)
 
-    def take_over(self, handover: Handover, work: KeyedWork, run: Runner) -> HttpAnswer:
-        """Carry out a request that another node handed over.
+    def take_over(self, work: KeyedWork, run: Runner) -> HttpAnswer:
+        """Carry out a request that another node handed over to this start of it.
 
         Raises:
-            HeatherhatchError: ``ISSUER_GONE`` if the key belongs to an earlier
-                start of this node; as ``carry_out`` otherwise.
+            HeatherhatchError: The kind tells whether the work may have run.
         """
-        if handover.incarnation != self.entry.incarnation:
-            raise HeatherhatchError(ErrorKind.ISSUER_GONE)
         if is_ticket(work.idempotency_key):
             ticket = read_ticket(work.idempotency_key, self.secret)
             _check_team(work, ticket)
@@ -173,7 +173,12 @@
             return self._decide(work, kept_until, run)
         entry = self.entry
         own = Claim(entry.name, entry.incarnation, entry.peers, work.fingerprint)
-        claim = self.claims.claim(work.team, work.idempotency_key, own, work.deadline_s)
+        try:
+            claim = self.claims.claim(
+                work.team, work.idempotency_key, own, work.deadline_s
+            )
+        except HeatherhatchError as error:
+            raise undecided(error) from error
         if claim.fingerprint != own.fingerprint:
             raise HeatherhatchError(ErrorKind.KEY_REUSED)
         if claim.incarnation != entry.incarnation:
@@ -189,7 +194,7 @@
 
     def _hand_over(self, work: KeyedWork, incarnation: str, peers: str) -> HttpAnswer:
         handover = Handover(
-            incarnation=incarnation,
+            timeout_s=0.0,
             team=work.team,
             key_id=work.key_id,
             work_class=work.work_class,
@@ -199,7 +204,9 @@
             headers=work.request.headers,
             body=work.request.body,
         )
-        return answer_of(self.handovers.send(peers, handover, work.deadline_s))
+        return answer_of(
+            self.handovers.send(peers, incarnation, handover, work.deadline_s)
+        )
 
     def _decide(self, work: KeyedWork, expires_s: float, run: Runner) -> HttpAnswer:
         key = RequestKey(work.team, work.idempotency_key)
@@ -218,11 +225,7 @@
             answer = run(work)
             outcome = Outcome(answer.status, answer.headers, answer.body)
         except HeatherhatchError as error:
-            outcome = Outcome(
-                error=error.kind,
-                detail=error.detail,
-                retry_after_s=error.retry_after_s,
-            )
+            outcome = outcome_of(error)
         finally:
             # Also when the greenlet is ended: the record then says unknown.
             self._settle(key, outcome)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claims.py
@@ -16,6 +16,7 @@
 CLAIMS_PREFIX = "claims/"
 BATCH_SIZE = 64
 ROTATION_PART = 0.25
+RETRY_AFTER_S = 1.0
 STORE_HINT = (
     "the store must record the key first; tickets (POST /tickets) need no store"
 )
@@ -85,7 +86,9 @@
         try:
             return wish.result.get(timeout=left)
         except (StoreError, gevent.Timeout) as error:
-            raise HeatherhatchError(ErrorKind.STORE_UNAVAILABLE, STORE_HINT) from error
+            raise HeatherhatchError(
+                ErrorKind.STORE_UNAVAILABLE, STORE_HINT, RETRY_AFTER_S
+            ) from error
 
     def _run(self) -> None:
         while not self.wishes.empty():
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/gateway.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/gateway.py
@@ -1,8 +1,10 @@
 """The gateway: admits a caller's work, places it and returns the answer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
+from heatherhatch_core.coordination.outcomes import undecided
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.keys import secret_matches, split_token
 from heatherhatch_core.state.entities import WorkClass, WorkKind
@@ -79,10 +81,11 @@
         Raises:
             HeatherhatchError: The kind tells whether the work may have run.
         """
-        if self.draining:
-            raise HeatherhatchError(ErrorKind.SHUTTING_DOWN)
-        work_class = self.class_of(work.work_class, WorkKind.REQUEST)
-        team = self.authenticate(work.token, work_class)
+        with self._before_decision(work.idempotency_key):
+            if self.draining:
+                raise HeatherhatchError(ErrorKind.SHUTTING_DOWN)
+            work_class = self.class_of(work.work_class, WorkKind.REQUEST)
+            team = self.authenticate(work.token, work_class)
         deadline_s = self.clock() + min(work_class.target_s, work.timeout_s)
         if work_class.idempotent:
             return self._run(work_class, team, work.request, deadline_s)
@@ -96,7 +99,7 @@
         )
         return self.once.carry_out(keyed, self._run_keyed)
 
-    def take_over(self, handover: Handover, timeout_s: float) -> HttpAnswer:
+    def take_over(self, handover: Handover) -> HttpAnswer:
         """Carry out a keyed request that another node handed over.
 
         The other node has checked the team's key; this one checks that it has
@@ -105,11 +108,12 @@
         Raises:
             HeatherhatchError: The kind tells whether the work may have run.
         """
-        work_class = self.class_of(handover.work_class, WorkKind.REQUEST)
-        key = self.follower.config.team_keys.get(handover.key_id)
-        known = key is not None and key.team == handover.team
-        if not known and not (work_class.open and handover.team == OPEN_TEAM):
-            raise HeatherhatchError(ErrorKind.UNAUTHENTICATED)
+        with self._before_decision(handover.idempotency_key):
+            work_class = self.class_of(handover.work_class, WorkKind.REQUEST)
+            key = self.follower.config.team_keys.get(handover.key_id)
+            known = key is not None and key.team == handover.team
+            if not known and not (work_class.open and handover.team == OPEN_TEAM):
+                raise HeatherhatchError(ErrorKind.UNAUTHENTICATED)
         work = KeyedWork(
             team=handover.team,
             key_id=handover.key_id,
@@ -118,9 +122,9 @@
             request=HttpRequest(
                 handover.method, handover.path, handover.body, handover.headers
             ),
-            deadline_s=self.clock() + min(work_class.target_s, timeout_s),
+            deadline_s=self.clock() + min(work_class.target_s, handover.timeout_s),
         )
-        return self.once.take_over(handover, work, self._run_keyed)
+        return self.once.take_over(work, self._run_keyed)
 
     def issue_tickets(self, token: str, count: int) -> tuple[str, ...]:
         """Return tickets for the team whose key came with the request.
@@ -171,6 +175,14 @@
         if not self.follower.has_standing():
             raise HeatherhatchError(ErrorKind.NO_STANDING)
 
+    @contextmanager
+    def _before_decision(self, idempotency_key: str) -> Iterator[None]:
+        """Keep refusals from saying more than is known of earlier attempts."""
+        try:
+            yield
+        except HeatherhatchError as error:
+            raise (undecided(error) if idempotency_key else error) from None
+
     def _run_keyed(self, work: KeyedWork) -> HttpAnswer:
         work_class = self.class_of(work.work_class, WorkKind.REQUEST)
         return self._run(work_class, work.team, work.request, work.deadline_s)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,7 @@
 settings.load_profile("ci")
 
 
-@pytest.fixture
-def small_edit():
+def make_small_edit():
     return Edit(
         pools=(Pool("tills", 1), Pool("spare", 0, spare=True)),
         teams=(Team("red", 1.0, 14), Team("blue", 1.0, 14)),
@@ -51,6 +50,16 @@
         yield running
 
 
+@pytest.fixture
+def small_edit():
+    return make_small_edit()
+
+
+@pytest.fixture(scope="module")
+def module_edit():
+    return make_small_edit()
+
+
 @pytest.fixture
 def trial():
     with Trial() as running:
