Test every fault of the platform and of nodes end to end, alone and in pairs

Eleven faults, among them connections that go silent for good while new ones work, are caused under load against four real nodes; afterwards each node has to serve again and the shared checks must find nothing. Single faults run in make test, the 55 pairs in make proof.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,10 @@
 	$(BIN)/ruff check $(SOURCES)
 
 unit: setup  ## run the tests
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not proof"
+
+proof: setup  ## run the long proofs: pairs of faults, larger bounds
+	$(BIN)/python -m pytest -m proof
 
 format: setup  ## format the code and sort the imports
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/backend.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/backend.py
@@ -10,11 +10,10 @@
 
 from heatherhatch_core.codec import encode_json
 
-from .faults import FAULTS_PATH, FaultBox, FaultsResource
+from .faults import FAULTS_PATH, NEVER_S, FaultBox, FaultsResource, SilencingApp
 from .ledger import Ledger
 from .serving import ConnectionDroppedError, new_app, serve
 
-NEVER_S = 3_600.0
 ID_HEADER = "X-Request-Id"
 WORK_HEADER = "X-Work-Seconds"
 TEAM_HEADER = "X-Trial-Team"
@@ -94,14 +93,14 @@
         response.data = encode_json(self.ledger.page())
 
 
-def backend_app(backend: Backend, box: FaultBox) -> falcon.App:
+def backend_app(backend: Backend, box: FaultBox) -> SilencingApp:
     """Return the application of a backend server stand-in."""
     app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(box))
     app.add_route("/executed", ExecutedResource(backend))
     app.add_route("/ledger", LedgerResource(backend.ledger))
     app.add_sink(WorkSink(backend, box), "/")
-    return app
+    return SilencingApp(app, box)
 
 
 @click.command()
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/faults.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/faults.py
@@ -1,6 +1,8 @@
 """Faults that tests and the demo set on a stand-in from outside."""
 
 import random
+import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import falcon
@@ -9,6 +11,7 @@
 from heatherhatch_core.codec import decode_json, encode_json
 
 FAULTS_PATH = "/faults"
+NEVER_S = 3_600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +26,8 @@
         silent_share: Part of the requests that never get an answer.
         error_share: Part of the requests that fail with status 500.
         lag_s: Seconds by which a list or a usage report lags.
+        silent_open: True to let every connection that is open now go silent for
+            good, while new ones work.
     """
 
     down: bool = False
@@ -32,6 +37,7 @@
     silent_share: float = 0.0
     error_share: float = 0.0
     lag_s: float = 0.0
+    silent_open: bool = False
 
 
 class FaultBox:
@@ -44,6 +50,13 @@
     def __init__(self, seed: int = 0):
         self.faults = Faults()
         self.random = random.Random(seed)
+        self.silenced_s = float("-inf")
+
+    def set(self, faults: Faults) -> None:
+        """Replace the faults."""
+        self.faults = faults
+        if faults.silent_open:
+            self.silenced_s = time.monotonic()
 
     def hits(self, share: float) -> bool:
         """Draw whether a fault with a share hits now."""
@@ -63,9 +76,31 @@
 
     def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
         """Replace the faults."""
-        self.box.faults = decode_json(request.bounded_stream.read(), Faults)
+        self.box.set(decode_json(request.bounded_stream.read(), Faults))
         response.status = falcon.HTTP_204
 
     def on_get(self, _request: falcon.Request, response: falcon.Response) -> None:
         """Return the faults."""
         response.data = encode_json(self.box.faults)
+
+
+class SilencingApp:
+    """Never answers on connections that were open when they were silenced.
+
+    Args:
+        app: Application that answers on the other connections.
+        box: Faults; the page that sets them is always answered.
+    """
+
+    def __init__(self, app: Callable, box: FaultBox):
+        self.app = app
+        self.box = box
+        self.opened_s: dict[str, float] = {}
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request, or hold it for good."""
+        now = time.monotonic()
+        opened = self.opened_s.setdefault(environ["REMOTE_PORT"], now)
+        if opened <= self.box.silenced_s and environ["PATH_INFO"] != FAULTS_PATH:
+            gevent.sleep(NEVER_S)
+        return self.app(environ, start_response)
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
@@ -4,18 +4,17 @@
 import time
 
 import click
-import falcon
 import gevent
 import msgspec
 
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 from heatherhatch_daemon.transport.store import Entry, Expect, Put, Transaction
 
-from .faults import FAULTS_PATH, FaultBox, FaultsResource
+from .faults import FAULTS_PATH, FaultBox, FaultsResource, SilencingApp
 from .serving import ConnectionDroppedError, new_app, serve
 
 
-def store_app(store: MemoryStore, box: FaultBox) -> falcon.App:
+def store_app(store: MemoryStore, box: FaultBox) -> SilencingApp:
     """Return the application of a store stand-in."""
     app = new_app()
     app.add_route(FAULTS_PATH, FaultsResource(box))
@@ -28,7 +27,7 @@
     ):
         app.add_route(path, CallResource(store, box, handler))
     app.add_route("/v3/watch", WatchResource(store, box))
-    return app
+    return SilencingApp(app, box)
 
 
 class CallResource:
