--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -36,7 +36,9 @@
     for name in ("ciosg", "harcama"):
         _measure_plan(name, today(name), TODAY_TARGETS, BoundView(absences=True))
     for seed in FULL_SEEDS:
-        _measure_plan(f"full-{seed}", full_size(seed), FULL_TARGETS, BoundView(domains=True))
+        _measure_plan(
+            f"full-{seed}", full_size(seed), FULL_TARGETS, BoundView(domains=True)
+        )
     _measure_replan()
     _measure_check()
     _measure_state()
--- a/bench/fleet_bounds.py
+++ b/bench/fleet_bounds.py
@@ -81,9 +81,7 @@
     stood_in_s = _stood_in_s(config, plan)
     first_s = min(leave.at_s for leave in plan.departures)
     rollout_s = end_s + timing.return_s - first_s
-    return Figures(
-        len(plan.moves), (lent_s - stood_in_s) / HOUR_S, rollout_s / HOUR_S
-    )
+    return Figures(len(plan.moves), (lent_s - stood_in_s) / HOUR_S, rollout_s / HOUR_S)
 
 
 def _stood_in_s(config, plan) -> float:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/assembly.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/assembly.py
@@ -3,9 +3,10 @@
 from ...state.configuration import Configuration
 from .demand import Timeline, find_absences, find_needs
 from .explanation import list_covers, list_moves, list_shortfalls
+from .improvement import improve
 from .lending import Lenders
-from .steps import is_late
 from .messages import Departure, Plan, PlanTiming
+from .steps import is_late
 
 NO_TIMING = PlanTiming()
 
@@ -32,6 +33,8 @@
     needs = find_needs(config, timeline, absences)
     lenders = Lenders(config, timeline, absences)
     lending = lenders.lend(needs, previous.covers if previous else ())
+    if previous is None:
+        improve(lending.lenders, timeline)
     return Plan(
         moves=list_moves(lending, timeline),
         shortfalls=list_shortfalls(config, lending, timeline),
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/demand.py
@@ -61,9 +61,7 @@
         timing: How long steps take.
     """
 
-    def __init__(
-        self, now_s: float, absences: tuple[Absence, ...], timing: PlanTiming
-    ):
+    def __init__(self, now_s: float, absences: tuple[Absence, ...], timing: PlanTiming):
         lead_s = timing.lead_s
         cuts = {now_s, now_s + lead_s, now_s + timing.restart_s}
         for absence in absences:
@@ -113,7 +111,9 @@
     found = [
         absence for wave in waves for absence in _wave_absences(config, wave, timing)
     ]
-    in_wave = {absence.worker.worker_id for absence in found if absence.start_s <= now_s}
+    in_wave = {
+        absence.worker.worker_id for absence in found if absence.start_s <= now_s
+    }
     for assignment in config.assignments.values():
         worker = config.workers[assignment.worker_id]
         if assignment.state in INVOLUNTARY_STATES:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
@@ -238,13 +238,12 @@
     for absence in absences:
         mask = timeline.mask(absence.start_s, absence.end_s)
         away[absence.worker.worker_id] |= mask
-    lenders = []
-    for name in sorted(config.workers):
-        worker = config.workers[name]
-        if is_lendable(config, worker):
-            if config.state_of(name) not in INVOLUNTARY_STATES:
-                pool = present_pool(config, name)
-                lenders.append(Lender(worker, pool, away[name]))
+    lenders = [
+        Lender(worker, present_pool(config, name), away[name])
+        for name, worker in sorted(config.workers.items())
+        if is_lendable(config, worker)
+        and config.state_of(name) not in INVOLUNTARY_STATES
+    ]
     return _without_reserve(config, lenders)
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/steps.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/steps.py
@@ -88,9 +88,7 @@
     causes = {_S.FAILED: Cause.FAILURE, _S.LOST: Cause.LOSS}
     return Edit(
         assignments=tuple(
-            Assignment(
-                name, config.pool_of(name), state, causes[state], detail, now_s
-            )
+            Assignment(name, config.pool_of(name), state, causes[state], detail, now_s)
             for name, state in sorted(states.items())
             if name in config.workers and config.state_of(name) not in away
         )
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from heatherhatch_core.coordination.planner import (
     Evidence,
@@ -146,6 +148,64 @@
     assert [item.missing for item in plan.shortfalls] == [1]
 
 
+@given(st.data())
+@settings(max_examples=60)
+def test_planner_holds_every_budget_or_says_what_is_missing(data):
+    numbers = st.integers(0, 40)
+    workers = tuple(
+        Worker(f"{pool}{i}", f"fd-{i % 3}", f"r{i}", "127.0.0.1:1", pool)
+        for pool, size in (("a", 4), ("b", 4), ("c", 3), ("s", 5))
+        for i in range(size)
+    )
+    pools = (Pool("a", 3), Pool("b", 4), Pool("c", 2), Pool("s", 0, spare=True))
+    fleet = accept(Configuration(), Edit(pools=pools, workers=workers))
+    names = st.lists(st.sampled_from(sorted(fleet.workers)), min_size=1, max_size=5)
+    waves = []
+    for i in range(data.draw(st.integers(1, 5))):
+        start_s = 100.0 * data.draw(numbers)
+        end_s = start_s + 100.0 * data.draw(st.integers(1, 8))
+        waves.append(Wave(f"w{i}", start_s, end_s, tuple(data.draw(names))))
+    fleet = announce(fleet, *waves)
+    plan = plan_waves(fleet, 0.0, TIMING)
+    for at_s in range(0, 5000, 25):
+        check_moment(fleet, waves, plan, float(at_s))
+    assert_moves_lead_to_covers(plan)
+
+
+def check_moment(fleet, waves, plan, at_s):
+    away = {
+        name
+        for wave in waves
+        if wave.start_s - TIMING.lead_s <= at_s < wave.end_s + TIMING.return_s
+        for name in wave.workers
+    }
+    covers = [c for c in plan.covers if c.start_s <= at_s < c.end_s]
+    assert len({c.worker_id for c in covers}) == len(covers)
+    assert not away & {c.worker_id for c in covers}
+    for pool in ("a", "b", "c"):
+        there = sum(w.worker_id not in away for w in fleet.workers_of(pool))
+        there += sum(c.pool == pool for c in covers)
+        told = sum(
+            item.missing
+            for item in plan.shortfalls
+            if item.pool == pool and item.at_s <= at_s < item.until_s
+        )
+        assert there + told >= fleet.pools[pool].min_available
+
+
+def assert_moves_lead_to_covers(plan):
+    places = {}
+    steps = [(move.at_s, 0, move) for move in plan.moves]
+    steps += [(cover.start_s, 1, cover) for cover in plan.covers]
+    for _, kind, step in sorted(steps, key=lambda step: step[:2]):
+        if kind == 0:
+            assert places.get(step.worker_id, "s") == step.from_pool
+            places[step.worker_id] = step.to_pool
+        else:
+            assert places[step.worker_id] == step.pool
+    assert set(places.values()) <= {"s"}
+
+
 class Holder:
     """A planner on one node, driven by a clock that the test sets."""
 
