--- a/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
@@ -57,10 +57,13 @@
     STORE_UNAVAILABLE = "store-unavailable"
     NO_BACKEND = "no-backend"
     SHUTTING_DOWN = "shutting-down"
+    OUTCOMES_FULL = "outcomes-full"
     KEY_REQUIRED = "idempotency-key-required"
     KEY_EXPIRED = "idempotency-key-expired"
     ISSUER_GONE = "ticket-issuer-gone"
     KEY_REUSED = "idempotency-key-reused"
+    KEY_UNDECIDED = "idempotency-key-undecided"
+    KEY_UNVERIFIED = "idempotency-key-unverified"
     BACKEND_FAILED = "backend-failed"
     BACKEND_TIMEOUT = "backend-timeout"
     PARTIAL_ANSWER = "partial-answer"
@@ -112,6 +115,9 @@
     ErrorKind.SHUTTING_DOWN: Answer(
         205, 503, _NOT_RUN, Retry.LATER, "This node is shutting down.", 7
     ),
+    ErrorKind.OUTCOMES_FULL: Answer(
+        206, 503, _NOT_RUN, Retry.LATER, "No room to remember another outcome.", 7
+    ),
     ErrorKind.KEY_REQUIRED: Answer(
         300, 400, _NOT_RUN, Retry.AFTER_FIX, "An Idempotency-Key is required.", 2
     ),
@@ -124,6 +130,12 @@
     ErrorKind.KEY_REUSED: Answer(
         303, 422, _UNKNOWN, Retry.NEVER, "The key was used for another request.", 5
     ),
+    ErrorKind.KEY_UNDECIDED: Answer(
+        304, 503, _UNKNOWN, Retry.SAME_KEY, "An earlier attempt may have run.", 7
+    ),
+    ErrorKind.KEY_UNVERIFIED: Answer(
+        305, 401, _UNKNOWN, Retry.SAME_KEY, "No valid key; it may have run before.", 3
+    ),
     ErrorKind.BACKEND_FAILED: Answer(
         400, 502, _UNKNOWN, Retry.SAME_KEY, "The backend server failed.", 8
     ),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
@@ -1,5 +1,6 @@
 """Reading and writing of typed HTTP bodies."""
 
+import math
 from typing import TypeVar
 
 import falcon
@@ -8,6 +9,7 @@
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 Message = TypeVar("Message")
+TIMEOUT_HEADER = "X-Request-Timeout"
 BEARER = "Bearer "
 
 
@@ -21,7 +23,9 @@
     length = request.content_length
     if length is not None and length > limit_bytes:
         raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
-    body = request.bounded_stream.read(limit_bytes + 1)
+    # Only the raw stream of the server knows the end of a chunked body.
+    stream = request.bounded_stream if length is not None else request.stream
+    body = stream.read(limit_bytes + 1)
     if len(body) > limit_bytes:
         raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
     if length is not None and len(body) != length:
@@ -46,3 +50,23 @@
     """Return the token of the Authorization header, or an empty text."""
     header = request.get_header("Authorization") or ""
     return header[len(BEARER) :] if header.startswith(BEARER) else ""
+
+
+def read_timeout_s(request: falcon.Request) -> float:
+    """Return the seconds that the client waits, infinity if it does not say.
+
+    Raises:
+        HeatherhatchError: ``BAD_REQUEST`` if they are no number above 0.
+    """
+    text = request.get_header(TIMEOUT_HEADER)
+    if text is None:
+        return math.inf
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = math.nan
+    if not 0 < timeout_s < math.inf:
+        raise HeatherhatchError(
+            ErrorKind.BAD_REQUEST, f"{TIMEOUT_HEADER}: expected seconds above 0"
+        )
+    return timeout_s
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/serving.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/serving.py
@@ -2,7 +2,9 @@
 
 import signal
 
+import falcon
 import gevent
+from gevent import socket
 from gevent.event import Event as Signal
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -24,9 +26,30 @@
         super().handle_error(kind, value, traceback)
 
 
+class PromptServer(WSGIServer):
+    """A WSGI server whose connections send small writes at once."""
+
+    def handle(self, sock, address):
+        """Serve one connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
+def new_app() -> falcon.App:
+    """Return a falcon application that passes `ConnectionDroppedError` on."""
+    app = falcon.App()
+    app.add_error_handler(ConnectionDroppedError, _drop)
+    return app
+
+
+def _drop(_request, _response, error, _params):
+    # Falcon would otherwise answer with status 500.
+    raise error
+
+
 def open_server(app, port: int = 0) -> WSGIServer:
     """Return a started server; the kernel chooses the port if it is 0."""
-    server = WSGIServer(
+    server = PromptServer(
         (LOOPBACK, port), app, log=None, error_log=None, handler_class=DroppingHandler
     )
     server.start()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,7 @@
 settings.load_profile("ci")
 
 
-@pytest.fixture
-def small_edit():
+def make_small_edit():
     return Edit(
         pools=(Pool("tills", 1), Pool("spare", 0, spare=True)),
         teams=(Team("red", 1.0, 14), Team("blue", 1.0, 14)),
@@ -30,6 +29,37 @@
     )
 
 
+@pytest.fixture(scope="module")
+def keyed_edit():
+    return Edit(
+        pools=(Pool("tills", 1),),
+        teams=(Team("red", 1.0, 70), Team("blue", 1.0, 70)),
+        classes=(
+            WorkClass("stock", "tills", WorkKind.REQUEST, 2.0, idempotent=True),
+            WorkClass("settle", "tills", WorkKind.REQUEST, 2.0),
+        ),
+        workers=tuple(
+            Worker(f"w{i}", f"fd-{i}", "r1", "127.0.0.1:1", "tills") for i in range(3)
+        ),
+    )
+
+
+@pytest.fixture(scope="module")
+def module_trial():
+    with Trial() as running:
+        yield running
+
+
+@pytest.fixture
+def small_edit():
+    return make_small_edit()
+
+
+@pytest.fixture(scope="module")
+def module_edit():
+    return make_small_edit()
+
+
 @pytest.fixture
 def trial():
     with Trial() as running:
