--- /dev/null
+++ b/bench/capacity/slope.py
@@ -0,0 +1,51 @@
+"""A straight line through measurements at several sizes."""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Measurements along one axis and the line that fits them.
+
+    Attributes:
+        name: What was measured.
+        axis: What the sizes count.
+        unit: Unit of the values.
+        sizes: Sizes measured.
+        values: Value at each size.
+        target_size: Size in two years, from the users' letter.
+    """
+
+    name: str
+    axis: str
+    unit: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+    target_size: float
+
+    @property
+    def line(self) -> tuple[float, float]:
+        """Slope and intercept of the least-squares line."""
+        gradient, intercept = np.polyfit(self.sizes, self.values, 1)
+        return float(gradient), float(intercept)
+
+    @property
+    def residual(self) -> float:
+        """Largest distance of a value from the line, as part of the largest value."""
+        distances = [
+            abs(value - self.at(size))
+            for size, value in zip(self.sizes, self.values, strict=True)
+        ]
+        return max(distances) / max(max(map(abs, self.values)), 1e-12)
+
+    @property
+    def at_target(self) -> float:
+        """Value of the line at the target size."""
+        return self.at(self.target_size)
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        gradient, intercept = self.line
+        return gradient * size + intercept
