Plan over all announced waves with chains of needs and exchanges

Cause: the plan went wave by wave, sent a spare from each pool's list without regard to its own waves or failure domain, and never took it back.

The planner became a package: demand over time, lending, exchanges, explanation, and the steps that are due. Spares stay between two waves of a pool, go on to the next pool directly, hand over where they are away themselves, and do not stand in for a worker of their own failure domain unless nobody else is free; the reason says so then. Shortfalls name wave, pool, moment, size and the least change. A drain that is due without a permit is held back, and a wave that begins before a release is certain is said to be late.

The property test fails without the check of absences, of overlaps, of held time, and without shortfalls.

--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/__init__.py
@@ -0,0 +1,28 @@
+"""Plans for announced maintenance waves: demand over time, lending, explanation."""
+
+from .assembly import plan_waves
+from .messages import (
+    Cover,
+    Departure,
+    Move,
+    Plan,
+    PlanTiming,
+    Shortfall,
+    leaving_at,
+)
+from .steps import Evidence, Steps, due_steps, failure_edit
+
+__all__ = [
+    "Cover",
+    "Departure",
+    "Evidence",
+    "Move",
+    "Plan",
+    "PlanTiming",
+    "Shortfall",
+    "Steps",
+    "due_steps",
+    "failure_edit",
+    "leaving_at",
+    "plan_waves",
+]
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/steps.py
@@ -0,0 +1,211 @@
+"""Steps: the edits of a plan that are due."""
+
+import dataclasses
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ...state.budget import room_of
+from ...state.changes import Edit
+from ...state.configuration import Configuration
+from ...state.entities import Assignment, Cause, Wave, WorkerState
+from ...state.transitions import INVOLUNTARY_STATES
+from .messages import Plan
+
+_S = WorkerState
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What the node that carries out the plan has seen for itself.
+
+    Attributes:
+        is_drained: Tells whether nothing can be sent to, or runs on, the worker
+            of an assignment.
+        is_up: Tells whether a worker's backend server answers.
+    """
+
+    is_drained: Callable[[Assignment], bool]
+    is_up: Callable[[str], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Steps:
+    """What is due now.
+
+    Attributes:
+        progress: Steps of workers that serve no pool now; they cost no budget.
+        drains: Steps that take a permit.
+        held_back: Workers whose drain is due but has no permit.
+        late: Workers whose wave has begun before their release is certain.
+    """
+
+    progress: tuple[Assignment, ...] = ()
+    drains: tuple[Assignment, ...] = ()
+    held_back: tuple[str, ...] = ()
+    late: tuple[str, ...] = ()
+
+    @property
+    def edits(self) -> tuple[Edit, ...]:
+        """Edits to write in order; one that is refused does not stop the next."""
+        groups = (self.progress, self.drains)
+        return tuple(Edit(assignments=group) for group in groups if group)
+
+
+def due_steps(
+    config: Configuration, plan: Plan, now_s: float, evidence: Evidence
+) -> Steps:
+    """Return the steps that are due.
+
+    They rest on the configuration and the plan alone, so that another node goes
+    on where one has stopped.
+
+    Args:
+        config: Configuration at the head of the log, as far as it is known here.
+        plan: Plan made from it or from an earlier one.
+        now_s: Seconds since the epoch.
+        evidence: What this node has seen for itself.
+    """
+    active = _active_waves(config, now_s)
+    progress = [
+        step
+        for item in config.assignments.values()
+        if (step := _next_step(config, item, active, plan, evidence)) is not None
+    ]
+    progress = [dataclasses.replace(item, since_s=now_s) for item in progress]
+    drains, held_back = _due_drains(config, plan, now_s)
+    late = [name for name in sorted(active) if is_late(config, name)]
+    return Steps(tuple(progress), drains, held_back, tuple(late))
+
+
+def failure_edit(
+    config: Configuration, states: dict[str, WorkerState], now_s: float, detail: str
+) -> Edit:
+    """Return the edit that records failed and lost workers.
+
+    Workers that are known to be away are left out: their silence is expected.
+    """
+    away = (_S.MAINTENANCE, *INVOLUNTARY_STATES)
+    causes = {_S.FAILED: Cause.FAILURE, _S.LOST: Cause.LOSS}
+    return Edit(
+        assignments=tuple(
+            Assignment(name, config.pool_of(name), state, causes[state], detail, now_s)
+            for name, state in sorted(states.items())
+            if name in config.workers and config.state_of(name) not in away
+        )
+    )
+
+
+def _active_waves(config: Configuration, now_s: float) -> dict[str, Wave]:
+    return {
+        name: wave
+        for wave in config.waves.values()
+        if wave.start_s <= now_s < wave.end_s
+        for name in wave.workers
+        if name in config.workers
+    }
+
+
+def is_late(config: Configuration, name: str) -> bool:
+    """Tell whether a worker whose wave has begun is not released yet."""
+    away = (_S.MAINTENANCE, *INVOLUNTARY_STATES)
+    return config.state_of(name) not in away
+
+
+def _next_step(config, item, active, plan, evidence) -> Assignment | None:
+    if item.state is _S.DRAINING:
+        return _after_draining(item, active, plan, evidence)
+    if item.state is _S.DRAINED:
+        return _after_drained(config, item, active, plan)
+    if item.state in INVOLUNTARY_STATES:
+        return _after_failure(item, active, evidence)
+    if item.state is _S.MAINTENANCE:
+        over = item.worker_id not in active and item.cause is not Cause.OPERATOR
+        if over and evidence.is_up(item.worker_id):
+            return _follow(item, _S.RETURNING, Cause.RETURN)
+    if item.state is _S.RETURNING and evidence.is_up(item.worker_id):
+        return _follow(item, _S.SERVING, Cause.RETURN)
+    return None
+
+
+def _after_draining(item, active, plan, evidence) -> Assignment | None:
+    if _is_pointless(item, active, plan):
+        return _follow(item, _S.SERVING, Cause.CANCELLED, "its wave is over")
+    if evidence.is_drained(item):
+        step = _follow(item, _S.DRAINED, item.cause, item.detail)
+        return dataclasses.replace(step, next_pool=item.next_pool)
+    return None
+
+
+def _after_drained(config, item, active, plan) -> Assignment | None:
+    if item.cause is Cause.MOVE:
+        if item.next_pool not in config.pools:
+            return _follow(item, _S.SERVING, Cause.CANCELLED, "its next pool is gone")
+        step = _follow(item, _S.SERVING, Cause.MOVE, item.detail)
+        return dataclasses.replace(step, pool=item.next_pool)
+    if item.cause is Cause.RESTART or (
+        item.cause is Cause.WAVE and item.worker_id in active
+    ):
+        return _follow(item, _S.MAINTENANCE, item.cause, item.detail)
+    if _is_pointless(item, active, plan):
+        return _follow(item, _S.SERVING, Cause.CANCELLED, "its wave is over")
+    return None
+
+
+def _after_failure(item, active, evidence) -> Assignment | None:
+    if item.worker_id in active:
+        if evidence.is_drained(item):
+            return _follow(item, _S.MAINTENANCE, Cause.WAVE, "failed before its wave")
+        return None
+    if evidence.is_up(item.worker_id):
+        return _follow(item, _S.RETURNING, Cause.RECOVERY)
+    return None
+
+
+def _is_pointless(item, active, plan) -> bool:
+    if item.cause is not Cause.WAVE or item.worker_id in active:
+        return False
+    return all(leave.worker_id != item.worker_id for leave in plan.departures)
+
+
+def _follow(item: Assignment, state, cause, detail="") -> Assignment:
+    # Every step names what it follows, so that a planner with an old view loses.
+    return Assignment(
+        item.worker_id, item.pool, state, cause, detail, replaces=item.seq
+    )
+
+
+def _due_drains(config, plan, now_s):
+    rooms: dict[str, int] = {}
+    drains: dict[str, Assignment] = {}
+    held_back = []
+    for item in _wanted_drains(config, plan, now_s):
+        name, pool = item.worker_id, item.pool
+        if name in drains or config.state_of(name) is not _S.SERVING:
+            continue
+        if pool not in rooms:
+            rooms[pool] = room_of(config, pool)
+        if rooms[pool] <= 0:
+            held_back.append(name)
+            continue
+        rooms[pool] -= 1
+        drains[name] = dataclasses.replace(item, since_s=now_s)
+    return tuple(drains.values()), tuple(held_back)
+
+
+def _wanted_drains(config, plan, now_s):
+    for leave in plan.departures:
+        if leave.at_s <= now_s < leave.end_s and leave.worker_id in config.workers:
+            yield _drain(config, leave.worker_id, Cause.WAVE, f"wave {leave.wave_id}")
+    for move in plan.moves:
+        if move.at_s > now_s or move.worker_id not in config.workers:
+            continue
+        if config.pool_of(move.worker_id) == move.from_pool:
+            step = _drain(config, move.worker_id, Cause.MOVE, move.reason)
+            yield dataclasses.replace(step, next_pool=move.to_pool)
+
+
+def _drain(config, name, cause, detail) -> Assignment:
+    assignment = config.assignments.get(name)
+    seq = assignment.seq if assignment is not None else 0
+    pool = config.pool_of(name)
+    return Assignment(name, pool, _S.DRAINING, cause, detail, replaces=seq)
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
@@ -166,7 +166,6 @@
     WAVE = "wave"
     MOVE = "move"
     RESTART = "restart"
-    CONFIRMED = "confirmed"
     CANCELLED = "cancelled"
     RETURN = "return"
     FAILURE = "failure"
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/transitions.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/transitions.py
@@ -18,7 +18,8 @@
 
 TRANSITIONS: dict[tuple[WorkerState, WorkerState], frozenset[Cause]] = {
     (_S.SERVING, _S.DRAINING): _LEAVE,
-    (_S.DRAINING, _S.DRAINED): frozenset([_C.CONFIRMED]),
+    # The cause of the drain is kept, because it tells what comes after it.
+    (_S.DRAINING, _S.DRAINED): _LEAVE,
     (_S.DRAINING, _S.SERVING): frozenset([_C.CANCELLED]),
     (_S.DRAINED, _S.SERVING): frozenset([_C.CANCELLED, _C.MOVE]),
     (_S.DRAINED, _S.MAINTENANCE): _RELEASE,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -29,7 +29,6 @@
 from .problems import new_app
 
 FIRST_OPERATOR = "first"
-PLAN_LEAD_S = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,5 +206,6 @@
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the plan."""
         self.operator(request, Role.VIEWER)
-        plan = plan_waves(self.services.follower.config, PLAN_LEAD_S)
+        follower = self.services.follower
+        plan = plan_waves(follower.config, follower.wall_clock())
         write_message(response, PlanAnswer(plan))
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,299 @@
+"""Plans over all waves, and the steps that carry them out."""
+
+import dataclasses
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heatherhatch_core.coordination.planner import (
+    Evidence,
+    PlanTiming,
+    due_steps,
+    failure_edit,
+    leaving_at,
+    plan_waves,
+)
+from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.state.changes import Change, Edit, apply_change, check_edit
+from heatherhatch_core.state.configuration import Configuration
+from heatherhatch_core.state.entities import (
+    Assignment,
+    Cause,
+    Pool,
+    Wave,
+    Worker,
+    WorkerState,
+)
+
+TIMING = PlanTiming(lead_s=10.0, return_s=10.0, restart_s=60.0)
+
+
+def accept(config, edit):
+    check_edit(config, edit)
+    return apply_change(config, Change(config.seq + 1, "id", "actor", "", 0.0, edit))
+
+
+@pytest.fixture
+def fleet():
+    edit = Edit(
+        pools=(Pool("a", 3), Pool("b", 3), Pool("spare", 0, spare=True)),
+        workers=tuple(
+            Worker(f"{pool}{i}", f"fd-{i}", f"r{i}", "127.0.0.1:1", pool)
+            for pool, size in (("a", 3), ("b", 3), ("spare", 3))
+            for i in range(size)
+        ),
+    )
+    return accept(Configuration(), edit)
+
+
+def announce(config, *waves):
+    return accept(config, Edit(waves=waves))
+
+
+def moves_of(plan):
+    return [(m.at_s, m.worker_id, m.from_pool, m.to_pool) for m in plan.moves]
+
+
+def test_planner_lends_before_a_wave_and_takes_back_after_it(fleet):
+    fleet = announce(fleet, Wave("w", 1000.0, 2000.0, ("a0",)))
+    plan = plan_waves(fleet, 0.0, TIMING)
+    assert moves_of(plan) == [
+        (980.0, "spare1", "spare", "a"),
+        (2010.0, "spare1", "a", "spare"),
+    ]
+    assert plan.moves[0].reason == "wave w takes a below its budget"
+    assert plan.shortfalls == ()
+    assert leaving_at(plan, "a0") == 990.0
+    assert leaving_at(plan, "spare1") == 980.0
+    assert leaving_at(plan, "b0") is None
+
+
+def test_planner_keeps_a_spare_between_two_waves_of_a_pool(fleet):
+    first = Wave("w1", 1000.0, 2000.0, ("a0",))
+    second = Wave("w2", 9000.0, 9500.0, ("a1",))
+    plan = plan_waves(announce(fleet, first, second), 0.0, TIMING)
+    assert [move[2:] for move in moves_of(plan)] == [("spare", "a"), ("a", "spare")]
+    # It shares its failure domain with neither of the two.
+    assert plan.moves[0].worker_id == "spare2"
+
+
+def test_planner_sends_a_spare_on_to_the_next_pool_directly(fleet):
+    first = Wave("w1", 1000.0, 2000.0, ("a0",))
+    second = Wave("w2", 9000.0, 9500.0, ("b0",))
+    plan = plan_waves(announce(fleet, first, second), 0.0, TIMING)
+    steps = [move[2:] for move in moves_of(plan)]
+    assert steps == [("spare", "a"), ("a", "b"), ("b", "spare")]
+
+
+def test_planner_spares_do_not_share_a_domain_with_whom_they_replace(fleet):
+    fleet = announce(fleet, Wave("w", 1000.0, 2000.0, ("a0", "b1")))
+    plan = plan_waves(fleet, 0.0, TIMING)
+    domains = {cover.pool: cover.worker_id for cover in plan.covers}
+    assert domains["a"] != "spare0"
+    assert domains["b"] != "spare1"
+
+
+def test_planner_hands_over_when_the_spare_has_a_wave_itself(fleet):
+    gone = Edit(assignments=tuple(_failed(f"spare{i}") for i in (0,)))
+    fleet = accept(fleet, gone)
+    long = Wave("w1", 1000.0, 9000.0, ("a0",))
+    early = Wave("w2", 2000.0, 3000.0, ("spare1",))
+    late = Wave("w3", 6000.0, 7000.0, ("spare2",))
+    plan = plan_waves(announce(fleet, long, early, late), 0.0, TIMING)
+    assert plan.shortfalls == ()
+    for at_s in range(995, 9005, 5):
+        serving = [c for c in plan.covers if c.start_s <= at_s < c.end_s]
+        assert len(serving) == 1
+        assert not (serving[0].worker_id == "spare1" and 1990 <= at_s < 3010)
+        assert not (serving[0].worker_id == "spare2" and 5990 <= at_s < 7010)
+
+
+def _failed(name):
+    return Assignment(name, "spare", WorkerState.FAILED, Cause.FAILURE)
+
+
+def test_planner_tells_a_shortfall_before_the_wave(fleet):
+    wave = Wave("w", 1000.0, 2000.0, ("a0", "a1", "spare0", "spare1"))
+    plan = plan_waves(announce(fleet, wave), 0.0, TIMING)
+    (shortfall,) = plan.shortfalls
+    assert (shortfall.wave_id, shortfall.pool, shortfall.missing) == ("w", "a", 1)
+    assert (shortfall.at_s, shortfall.until_s, shortfall.reachable) == (990, 2010, 2)
+    assert "add 1 to a spare pool outside fd-0, fd-1" in shortfall.mend
+    mended = dataclasses.replace(fleet.pools["a"], min_available=shortfall.reachable)
+    fleet = accept(fleet, Edit(pools=(mended,)))
+    assert plan_waves(announce(fleet, wave), 0.0, TIMING).shortfalls == ()
+
+
+def test_planner_covers_a_failure_and_changes_little(fleet):
+    waves = (Wave("w", 1000.0, 2000.0, ("a0",)), Wave("v", 5000.0, 6000.0, ("a0",)))
+    before = plan_waves(announce(fleet, *waves), 0.0, TIMING)
+    fleet = accept(announce(fleet, *waves), failure_edit(fleet, _LOST_B, 1.0, ""))
+    after = plan_waves(fleet, 1.0, TIMING, before)
+    assert moves_of(before) == [m for m in moves_of(after) if "a" in m[2:]]
+    assert [m[:1] + m[2:] for m in moves_of(after)][0] == (1.0, "spare", "b")
+    # Until the spare has joined, the pool lacks one, and the plan says so.
+    (shortfall,) = after.shortfalls
+    assert (shortfall.pool, shortfall.until_s) == ("b", 11.0)
+
+
+_LOST_B = {"b2": WorkerState.LOST}
+
+
+def test_planner_keeps_the_reserve_of_a_spare_pool(fleet):
+    kept = Edit(pools=(Pool("spare", 3, spare=True),))
+    fleet = announce(accept(fleet, kept), Wave("w", 1000.0, 2000.0, ("a0",)))
+    plan = plan_waves(fleet, 0.0, TIMING)
+    assert plan.moves == ()
+    assert [item.missing for item in plan.shortfalls] == [1]
+
+
+@given(st.data())
+@settings(max_examples=60)
+def test_planner_holds_every_budget_or_says_what_is_missing(data):
+    numbers = st.integers(0, 40)
+    workers = tuple(
+        Worker(f"{pool}{i}", f"fd-{i % 3}", f"r{i}", "127.0.0.1:1", pool)
+        for pool, size in (("a", 4), ("b", 4), ("c", 3), ("s", 5))
+        for i in range(size)
+    )
+    pools = (Pool("a", 3), Pool("b", 4), Pool("c", 2), Pool("s", 0, spare=True))
+    fleet = accept(Configuration(), Edit(pools=pools, workers=workers))
+    names = st.lists(st.sampled_from(sorted(fleet.workers)), min_size=1, max_size=5)
+    waves = []
+    for i in range(data.draw(st.integers(1, 5))):
+        start_s = 100.0 * data.draw(numbers)
+        end_s = start_s + 100.0 * data.draw(st.integers(1, 8))
+        waves.append(Wave(f"w{i}", start_s, end_s, tuple(data.draw(names))))
+    fleet = announce(fleet, *waves)
+    plan = plan_waves(fleet, 0.0, TIMING)
+    for at_s in range(0, 5000, 25):
+        check_moment(fleet, waves, plan, float(at_s))
+    assert_moves_lead_to_covers(plan)
+
+
+def check_moment(fleet, waves, plan, at_s):
+    away = {
+        name
+        for wave in waves
+        if wave.start_s - TIMING.lead_s <= at_s < wave.end_s + TIMING.return_s
+        for name in wave.workers
+    }
+    covers = [c for c in plan.covers if c.start_s <= at_s < c.end_s]
+    assert len({c.worker_id for c in covers}) == len(covers)
+    assert not away & {c.worker_id for c in covers}
+    for pool in ("a", "b", "c"):
+        there = sum(w.worker_id not in away for w in fleet.workers_of(pool))
+        there += sum(c.pool == pool for c in covers)
+        told = sum(
+            item.missing
+            for item in plan.shortfalls
+            if item.pool == pool and item.at_s <= at_s < item.until_s
+        )
+        assert there + told >= fleet.pools[pool].min_available
+
+
+def assert_moves_lead_to_covers(plan):
+    places = {}
+    steps = [(move.at_s, 0, move) for move in plan.moves]
+    steps += [(cover.start_s, 1, cover) for cover in plan.covers]
+    for _, kind, step in sorted(steps, key=lambda step: step[:2]):
+        if kind == 0:
+            assert places.get(step.worker_id, "s") == step.from_pool
+            places[step.worker_id] = step.to_pool
+        else:
+            assert places[step.worker_id] == step.pool
+    assert set(places.values()) <= {"s"}
+
+
+class Holder:
+    """A planner on one node, driven by a clock that the test sets."""
+
+    def __init__(self, confirm_s=4.0):
+        self.confirm_s = confirm_s
+        self.down = set()
+
+    def step(self, config, now_s, stale=None):
+        view = stale or config
+        plan = plan_waves(view, now_s, TIMING)
+        evidence = Evidence(
+            lambda item: now_s - item.since_s >= self.confirm_s,
+            lambda name: name not in self.down,
+        )
+        for edit in due_steps(view, plan, now_s, evidence).edits:
+            try:
+                config = accept(config, edit)
+            except HeatherhatchError:
+                continue
+        return config
+
+
+def run(config, holders, start_s, end_s, check):
+    for now_s in range(start_s, end_s):
+        config = holders[now_s % len(holders)].step(config, float(now_s))
+        check(now_s, config)
+    return config
+
+
+def holds_budgets(_now_s, config):
+    for pool in config.pools.values():
+        assert len(config.serving_workers(pool.name)) >= pool.min_available
+
+
+def test_steps_carry_out_a_wave_whoever_holds_the_plan(fleet):
+    fleet = announce(fleet, Wave("w", 1000.0, 1100.0, ("a0", "b1")))
+    seen = {}
+
+    def check(now_s, config):
+        holds_budgets(now_s, config)
+        seen[now_s] = (config.state_of("a0"), config.state_of("b1"))
+
+    # A new holder each second: each goes on from the configuration alone.
+    fleet = run(fleet, [Holder(), Holder(), Holder()], 950, 1150, check)
+    away = (WorkerState.MAINTENANCE, WorkerState.MAINTENANCE)
+    assert all(seen[now_s] == away for now_s in range(1002, 1100))
+    assert {fleet.state_of(name) for name in fleet.workers} == {WorkerState.SERVING}
+    assert [fleet.pool_of(f"spare{i}") for i in range(3)] == ["spare"] * 3
+
+
+def test_steps_hold_a_drain_back_and_say_that_the_release_is_late(fleet):
+    wave = Wave("w", 1000.0, 1100.0, ("a0", "spare0", "spare1", "spare2"))
+    fleet = run(announce(fleet, wave), [Holder()], 950, 1001, holds_budgets)
+    plan = plan_waves(fleet, 1001.0, TIMING)
+    evidence = Evidence(lambda _item: True, lambda _name: True)
+    steps = due_steps(fleet, plan, 1001.0, evidence)
+    assert steps.held_back == ("a0",)
+    assert "a0" in steps.late
+    assert [item.worker_id for item in plan.departures if item.late] == list(steps.late)
+
+
+def test_steps_of_a_stale_view_change_nothing(fleet):
+    fleet = announce(fleet, Wave("w", 1000.0, 1100.0, ("a0",)))
+    paused = run(fleet, [Holder()], 950, 996, holds_budgets)
+    now = run(paused, [Holder()], 996, 1050, holds_budgets)
+    assert now.state_of("a0") is WorkerState.MAINTENANCE
+    after = Holder().step(now, 1050.0, stale=paused)
+    assert after.assignments == now.assignments
+
+
+def test_steps_cancel_a_drain_whose_wave_is_withdrawn(fleet):
+    spare_pool = Edit(pools=(Pool("a", 2),))
+    wave = Wave("w", 1000.0, 1100.0, ("a0",))
+    fleet = announce(accept(fleet, spare_pool), wave)
+    fleet = run(fleet, [Holder(confirm_s=60.0)], 985, 995, holds_budgets)
+    assert fleet.state_of("a0") is WorkerState.DRAINING
+    fleet = dataclasses.replace(fleet, waves={})
+    fleet = run(fleet, [Holder()], 995, 997, holds_budgets)
+    assert fleet.state_of("a0") is WorkerState.SERVING
+
+
+def test_steps_bring_a_failed_worker_back(fleet):
+    holder = Holder()
+    holder.down.add("b2")
+    fleet = accept(fleet, failure_edit(fleet, _LOST_B, 0.0, "no answer"))
+    fleet = run(fleet, [holder], 0, 40, lambda *_: None)
+    assert len(fleet.serving_workers("b")) == 3
+    holder.down.clear()
+    fleet = run(fleet, [holder], 40, 60, holds_budgets)
+    assert fleet.state_of("b2") is WorkerState.SERVING
+    assert len(fleet.serving_workers("spare")) == 3
