--- a/bench/capacity/decisions.py
+++ b/bench/capacity/decisions.py
@@ -56,8 +56,9 @@
 
 
 def _over_workers(name: str, unit: str, measure: Callable) -> Slope:
-    values = tuple(measure(fleet(size, TARGET_POOLS, TARGET_TEAMS), size)
-                   for size in WORKER_SIZES)
+    values = tuple(
+        measure(fleet(size, TARGET_POOLS, TARGET_TEAMS), size) for size in WORKER_SIZES
+    )
     return Slope(name, "workers", unit, WORKER_SIZES, values, TARGET_WORKERS)
 
 
@@ -127,5 +128,3 @@
         call()
         best = min(best, time.perf_counter() - begun)
     return best
-
-
--- a/bench/capacity/fleets.py
+++ b/bench/capacity/fleets.py
@@ -8,8 +8,8 @@
     Team,
     TeamKey,
     Wave,
-    Worker,
     WorkClass,
+    Worker,
     WorkerState,
     WorkKind,
 )
