--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
@@ -52,8 +52,12 @@
         return max(LOWEST_LIMIT, self.limit * max(SLOW_START_FLOOR, 1.0 - cold))
 
     def load(self, now_s: float) -> float:
-        """Return the part of its room that one more request would fill."""
-        return (self.running + 1) / self.room(now_s)
+        """Return the part of its room that is filled.
+
+        Idle ones are equal whatever their room: one that got nothing because
+        its room is small would never show that it is sound again.
+        """
+        return self.running / self.room(now_s)
 
 
 class BackendChoice:
@@ -87,8 +91,8 @@
         """
         usable = [
             name
-            for name, state in self.backends.items()
-            if not state.ejected(now_s) and state.running + 1 <= state.room(now_s)
+            for name in self.serving(now_s)
+            if self.backends[name].running + 1 <= self.backends[name].room(now_s)
         ]
         fresh = [name for name in usable if name not in avoided] or usable
         if not fresh:
@@ -100,6 +104,17 @@
         pair = [fresh[first], fresh[min(second, len(fresh) - 1)]]
         return min(pair, key=lambda name: self.backends[name].load(now_s))
 
+    def serving(self, now_s: float) -> tuple[str, ...]:
+        """Return those that may get requests now; never none by mistake.
+
+        If members that leave the pool would take it below its floor, those that
+        were ejected are tried again.
+        """
+        sound = tuple(
+            name for name, state in self.backends.items() if not state.ejected(now_s)
+        )
+        return sound if len(sound) >= self._floor() else tuple(self.backends)
+
     def start(self, name: str) -> BackendState:
         """Note that a request is about to be sent, and return who gets it."""
         state = self.backends[name]
@@ -130,6 +145,9 @@
         if refused or state.failures >= FAILURES_TO_EJECT:
             self._eject(state, now_s)
 
+    def _floor(self) -> int:
+        return math.ceil(SERVING_FLOOR * len(self.backends))
+
     def _adapt(self, state: BackendState, filled: bool) -> None:
         gradient = min(1.0, LATENCY_TOLERANCE * state.base_s / state.latency_s)
         if gradient == 1.0 and not filled:
@@ -144,7 +162,7 @@
             for other in self.backends.values()
             if other is not state
         )
-        if others < math.ceil(SERVING_FLOOR * len(self.backends)):
+        if others < self._floor():
             return
         span_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**state.ejections)
         state.ejections += 1
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/exchange.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/exchange.py
@@ -112,10 +112,14 @@
         """Wait before the next attempt, or give the request up at once."""
         if unknown is not None and not work_class.idempotent:
             raise unknown
-        pause = pause_s(retry, self.random.random())
-        in_time = self.clock() + pause < deadline_s
-        if retry == ATTEMPTS - 1 or not in_time or not self.budget.withdraw():
+        if retry == ATTEMPTS - 1:
             raise unknown or _not_run(error)
+        if not error.sent:
+            # It has loaded no backend server, so that it costs no budget.
+            return
+        pause = pause_s(retry, self.random.random())
+        if self.clock() + pause >= deadline_s or not self.budget.withdraw():
+            raise unknown
         gevent.sleep(pause)
 
     def _pool(self, name: str) -> PoolBackends:
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,179 @@
+"""Attempts and retries against backend servers that misbehave."""
+
+import random
+import time
+from types import SimpleNamespace
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from heatherhatch_core.exceptions import ErrorKind, Execution, HeatherhatchError
+from heatherhatch_core.state.entities import WorkClass, Worker, WorkKind
+from heatherhatch_daemon.tasks.exchange import Exchange
+from heatherhatch_daemon.transport.http import HttpRequest
+
+STOCK = WorkClass("stock", "tills", WorkKind.REQUEST, 2.0, idempotent=True)
+SETTLE = WorkClass("settle", "tills", WorkKind.REQUEST, 2.0)
+REQUEST = HttpRequest("POST", "/", b"coins")
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"
+SILENT = b""
+
+
+class Pool:
+    """Backend servers of one pool and the configuration that names them."""
+
+    def __init__(self):
+        self.servers = []
+        self.addresses = []
+        self.received = []
+        self.standing = True
+
+    def add(self, *scripts):
+        """Add a server that answers its connection n with script n."""
+        connections = []
+
+        def handle(sock, _address):
+            connections.append(sock)
+            script = scripts[min(len(connections), len(scripts)) - 1]
+            while data := sock.recv(65_536):
+                self.received.append(data)
+                if script is SILENT:
+                    gevent.sleep(60)
+                sock.sendall(script)
+                if script is CUT:
+                    return
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        self.servers.append(server)
+        self.addresses.append(f"127.0.0.1:{server.server_port}")
+
+    def add_dead(self):
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            self.addresses.append(f"127.0.0.1:{closed.getsockname()[1]}")
+
+    def serving_workers(self, _pool):
+        return [
+            Worker(address, "fd", "r", address, "tills") for address in self.addresses
+        ]
+
+    def exchange(self, seed=1):
+        follower = SimpleNamespace(config=self, has_standing=lambda: self.standing)
+        return Exchange(follower, time.monotonic, random.Random(seed))
+
+
+@pytest.fixture
+def pool():
+    made = Pool()
+    yield made
+    for server in made.servers:
+        server.stop(timeout=0)
+
+
+def carry_out(exchange, work_class, seconds=2.0):
+    return exchange.carry_out(work_class, REQUEST, time.monotonic() + seconds)
+
+
+def error_of(exchange, work_class, seconds=2.0):
+    with pytest.raises(HeatherhatchError) as caught:
+        carry_out(exchange, work_class, seconds)
+    return caught.value
+
+
+@pytest.mark.parametrize("script", [SILENT, CUT])
+def test_exchange_sends_once_what_is_not_idempotent(pool, script):
+    for _ in range(3):
+        pool.add(script)
+    error = error_of(pool.exchange(), SETTLE, 0.2)
+    assert error.answer.execution is Execution.UNKNOWN
+    assert len(pool.received) == 1
+
+
+def test_exchange_goes_on_past_servers_that_take_no_connection(pool):
+    pool.add_dead()
+    pool.add_dead()
+    pool.add(WHOLE)
+    for seed in range(10):
+        pool.received.clear()
+        assert carry_out(pool.exchange(seed), SETTLE).body == b"body"
+        assert len(pool.received) == 1
+
+
+def test_exchange_says_not_run_when_no_server_took_a_connection(pool):
+    pool.add_dead()
+    pool.add_dead()
+    error = error_of(pool.exchange(), SETTLE)
+    assert (error.kind, error.answer.execution) == (
+        ErrorKind.NO_BACKEND,
+        Execution.NOT_RUN,
+    )
+
+
+@pytest.mark.parametrize("script", [SILENT, CUT])
+def test_exchange_repeats_idempotent_work_over_a_new_connection(pool, script):
+    pool.add(script, WHOLE)
+    assert carry_out(pool.exchange(), STOCK, 1.0).body == b"body"
+    assert len(pool.received) == 2
+
+
+def test_exchange_tells_the_server_how_long_it_waits(pool):
+    pool.add(WHOLE)
+    carry_out(pool.exchange(), SETTLE, 1.5)
+    head = pool.received[0].decode()
+    seconds = float(head.split("X-Request-Timeout: ")[1].split("\r\n")[0])
+    assert 1.0 < seconds <= 1.5
+
+
+def test_exchange_fails_at_once_when_the_retry_budget_is_spent(pool):
+    pool.add(CUT)
+    exchange = pool.exchange()
+    exchange.budget.tokens = 0.0
+    assert error_of(exchange, STOCK).kind is ErrorKind.PARTIAL_ANSWER
+    assert len(pool.received) == 1
+
+
+def test_exchange_stays_unknown_when_a_retry_is_refused(pool):
+    pool.add(CUT)
+    exchange = pool.exchange()
+
+    def lose_standing(data):
+        received.append(data)
+        pool.standing = False
+
+    received = []
+    pool.received = SimpleNamespace(append=lose_standing)
+    assert error_of(exchange, STOCK).kind is ErrorKind.PARTIAL_ANSWER
+    assert len(received) == 1
+
+
+def test_exchange_sends_nothing_without_standing_or_time(pool):
+    pool.add(WHOLE)
+    exchange = pool.exchange()
+    assert error_of(exchange, SETTLE, -0.1).kind is ErrorKind.DEADLINE_UNREACHABLE
+    pool.standing = False
+    assert error_of(exchange, SETTLE).kind is ErrorKind.NO_STANDING
+    assert pool.received == []
+
+
+def test_exchange_refuses_at_once_when_nobody_serves(pool):
+    error = error_of(pool.exchange(), SETTLE, 60.0)
+    assert error.kind is ErrorKind.NO_BACKEND
+
+
+def test_exchange_sends_nothing_to_a_server_that_left(pool):
+    pool.add(CUT)
+    pool.add(WHOLE)
+    exchange = pool.exchange()
+    carry_out(exchange, STOCK)
+    left = Pool()
+    left.addresses = pool.addresses[1:]
+    left.standing = True
+    exchange.follower.config = left
+    pool.received.clear()
+    for _ in range(20):
+        assert carry_out(exchange, SETTLE).body == b"body"
+    assert len(pool.received) == 20
