--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -20,20 +20,20 @@
 from .tasks.admission import Admission
 from .tasks.at_most_once import AtMostOnce
 from .tasks.claims import ClaimWriter
+from .tasks.dispatcher import DispatcherPorts, open_dispatcher
 from .tasks.exchange import Exchange
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
 from .tasks.handovers import HandoverSender
 from .tasks.heartbeats import Heartbeats
+from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
 from .transport.memory_store import MemoryStore
 from .transport.store import EtcdStore, Store
-from .transport.workers import HttpWorkerControl
 
-JOB_PERIOD_S = 0.5
 INCARNATION_BYTES = 8
 
 
@@ -104,15 +104,14 @@
             open_metrics(settings.platform.statsd),
             time.monotonic,
         )
+        records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
         self.runner = JobRunner(
-            store,
-            self.gateway,
-            HttpWorkerControl(),
-            JOB_PERIOD_S,
-            time.monotonic,
-            time.time,
+            records, GroupCommit(records, time.monotonic), self.gateway, time.time
+        )
+        self.dispatcher = open_dispatcher(
+            records, self.follower, settings.jobs, DispatcherPorts()
         )
-        self.tasks = (self.registrar, self.follower, self.heartbeats, self.runner)
+        self.tasks = (self.registrar, self.follower, self.heartbeats, self.dispatcher)
         self.callers, self.operators, self.peers = self._listeners()
 
     def start(self) -> None:
--- a/tests/test_coordination_backend_choice.py
+++ b/tests/test_coordination_backend_choice.py
@@ -62,6 +62,12 @@
     assert "a" in names_chosen(choice, 1.5)
 
 
+def test_choice_ejects_no_more_than_the_floor_allows(choice):
+    for name in ("a", "b", "c"):
+        fail(choice, name, 0.0, refused=True)
+    assert names_chosen(choice, 0.0) == {"c", "d"}
+
+
 def test_choice_ejects_after_failures_in_a_row_only(choice):
     for _ in range(FAILURES_TO_EJECT - 1):
         fail(choice, "a", 0.0)
