--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -194,6 +194,15 @@
     assert stopping.get()
 
 
+def test_listener_waits_for_the_first_request_of_a_new_connection(listening):
+    listener, sock = listening(plain_app)
+    stopping = gevent.spawn(listener.stop, 5.0)
+    gevent.sleep(0.1)
+    sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    assert read_all(sock).endswith(b"body")
+    assert stopping.get()
+
+
 def test_listener_says_when_a_request_was_cut(listening):
     def endless_app(_environ, start_response):
         start_response("200 OK", [])
