Run test files side by side, and draw the capacity page from slopes

make test took 120 s, nearly all of it waiting for real daemons; files run in four processes now, each file in one, which took 50 s on the same busy machine.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SOURCES := packages tests bench
 export PYTHONPATH := $(CURDIR)/packages/heatherhatch-core/src:$(CURDIR)/packages/heatherhatch-daemon/src:$(CURDIR)/packages/heatherhatch-cli/src:$(CURDIR)/packages/heatherhatch-standins/src:$(CURDIR)
 SEED ?= 1
+JOBS ?= 4
 
 .PHONY: help setup demo test format lint check-format unit pages bench capacity proof clean
 
@@ -29,7 +30,7 @@
 	$(BIN)/ruff check $(SOURCES)
 
 unit: setup  ## run the tests
-	$(BIN)/python -m pytest -m "not proof"
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile -m "not proof"
 
 proof: setup  ## run the long proofs: pairs of faults, larger bounds
 	$(BIN)/python -m pytest -m proof
@@ -44,5 +45,8 @@
 bench: setup  ## print measurements as lines of name, value, unit
 	$(BIN)/python -m bench
 
+capacity: setup  ## measure slopes and write docs/CAPACITY.md
+	$(BIN)/python -m bench.capacity
+
 clean:  ## remove what was built
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,19 @@
+"""Measures every slope, prints it and writes docs/CAPACITY.md."""
+
+from .decisions import decision_slopes
+from .nodes import node_slopes
+from .page import write_page
+
+
+def main() -> None:
+    """Run all measurements."""
+    slopes = (*decision_slopes(), *node_slopes())
+    for slope in slopes:
+        name = f"{slope.name} over {slope.axis}".replace(" ", "-")
+        print(f"capacity.{name} {slope.at_target:.3f} {slope.unit}")
+        print(f"capacity.{name}.residual {100 * slope.residual:.1f} %")
+    write_page(slopes)
+
+
+if __name__ == "__main__":
+    main()
