--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -31,7 +31,7 @@
 
 def _table(slopes: tuple[Slope, ...]) -> str:
     lines = [
-        "| what | axis | measured at | values | slope | at the target size | residual |",
+        "| what | axis | measured at | values | slope | at target size | residual |",
         "|---|---|---|---|---|---|---|",
     ]
     for slope in slopes:
