--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -7,6 +7,7 @@
 from gevent.event import Event as Signal
 
 from heatherhatch_core.coordination.standing import Standing
+from heatherhatch_core.state.demand import Demand
 
 from .events import Event, log
 from .metrics import open_metrics
@@ -18,6 +19,7 @@
 from .tasks.admission import Admission
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
+from .tasks.grants import GrantKeeper
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
@@ -27,6 +29,8 @@
 from .transport.workers import HttpWorkerControl
 
 JOB_PERIOD_S = 0.5
+# A peer that has not answered for this long counts as one without demand.
+REPORT_S = 2.0
 INCARNATION_BYTES = 8
 
 
@@ -66,7 +70,21 @@
             time.time,
         )
         self.registrar = Registrar(store, entry, timing.lease_s, time.monotonic)
-        self.admission = Admission(self.follower, self.registrar)
+        self.grants = GrantKeeper(
+            store,
+            self.follower,
+            self.registrar,
+            self._reports,
+            timing.standing_s,
+            time.monotonic,
+        )
+        self.admission = Admission(
+            self.follower,
+            self.registrar,
+            self.grants,
+            self._peer_reports,
+            time.monotonic,
+        )
         self.heartbeats = Heartbeats(
             self.registrar,
             self.follower,
@@ -90,7 +108,14 @@
             time.monotonic,
             time.time,
         )
-        self.tasks = (self.registrar, self.follower, self.heartbeats, self.runner)
+        self.tasks = (
+            self.registrar,
+            self.follower,
+            self.heartbeats,
+            self.grants,
+            self.admission,
+            self.runner,
+        )
         self.callers, self.operators, self.peers = self._listeners()
 
     def start(self) -> None:
@@ -124,6 +149,15 @@
         log(Event.STOPPED if whole else Event.STOP_FORCED)
         return whole
 
+    def _peer_reports(self) -> dict[str, tuple[Demand, ...]]:
+        oldest = time.monotonic() - REPORT_S
+        views = self.heartbeats.views.values()
+        return {view.entry.name: view.demand for view in views if view.asked_s > oldest}
+
+    def _reports(self) -> dict[str, tuple[Demand, ...]]:
+        own = self.settings.node.name
+        return {**self._peer_reports(), own: self.admission.demand()}
+
     def _listeners(self) -> tuple[Listener, Listener, Listener]:
         listen = self.settings.listen
         limits = self.settings.limits
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -35,6 +35,7 @@
     STANDING_BACK = EventInfo(1204, "The node is up to date again.")
     CHANGE_ACCEPTED = EventInfo(1301, "This node accepted a change.")
     CHANGE_APPLIED = EventInfo(1302, "A change is in force on this node.")
+    GRANT_RECLAIMED = EventInfo(2001, "The grant of a node that is gone came back.")
     TASK_FAILED = EventInfo(1901, "A task failed and is started again.")
     REQUEST_FAILED = EventInfo(1902, "A request ended in an internal error.")
 
