--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/absence.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/absence.py
@@ -10,9 +10,9 @@
     """How long each holder has been missing from the registry.
 
     A node that is gone, or paused, may have started work until its evidence of
-    standing ran out, at most one standing period after its lease was gone. That
+    standing ran out, at most one standing period after its entry was gone. That
     work ends within the bound that its part carries. Both spans count by this
-    node's own monotonic clock from the moment when it saw the lease gone.
+    node's own monotonic clock from the moment when it saw the entry gone.
 
     Attributes:
         standing_s: Seconds for which a node's evidence counts.
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/grant_ledger.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/grant_ledger.py
@@ -66,7 +66,3 @@
         because a refusal means that the record has moved on.
         """
         return dataclasses.replace(self, unsettled=SETTLED)
-
-    def unread(self) -> "GrantLedger":
-        """Return the ledger after a new registration: nothing is known."""
-        return dataclasses.replace(self, spendable=0)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/grants.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/grants.py
@@ -8,6 +8,8 @@
 # Parts move only by more than this share of what a node holds, so that the
 # noise of demand does not become writes to the store.
 DEADBAND = 0.04
+# What stays free in the record at rest, for the first node or long job to ask.
+FREE_AT_REST = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +150,11 @@
     return _even(held)
 
 
+def rest_room(room: int) -> int:
+    """Return the units that nodes hold at rest out of a room."""
+    return math.ceil(room * (1 - FREE_AT_REST))
+
+
 def _even(units: int) -> GrantWish:
     return GrantWish(units, units)
 
@@ -167,14 +174,15 @@
 def _at_rest(record: GrantRecord, need: GrantNeed, free: int, room: int) -> int:
     held = record.units_of(need.holder)
     names = tuple(demand.holder for demand in need.demands)
-    floor = even_grant(room, names, need.holder)
+    parted = rest_room(room)
+    floor = even_grant(parted, names, need.holder)
     if held < floor:
         return held + max(0, min(floor - held, free))
     keep = max(floor, need.recent, need.running)
-    starved = any(
-        record.units_of(name) < even_grant(room, names, name) for name in names
+    crowded = any(
+        record.units_of(name) < even_grant(parted, names, name) for name in names
     )
-    if starved and free == 0 and held - keep >= _deadband(held):
+    if crowded and free < room - parted and held - keep >= _deadband(held):
         return keep
     return held
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -9,25 +9,23 @@
     AuditPage,
     ChangeAnswer,
     ChangeRequest,
-    JobPage,
-    KeyAnswer,
-    KeyRequest,
+    InForce,
     NodeStatus,
     PlanAnswer,
     Status,
 )
-from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
-from heatherhatch_core.keys import new_key, secret_matches, split_token
-from heatherhatch_core.state.changes import Change, Edit, check_edit
-from heatherhatch_core.state.entities import OperatorKey, Role, TeamKey
+from heatherhatch_core.keys import secret_matches, split_token
+from heatherhatch_core.state.changes import check_edit
+from heatherhatch_core.state.entities import OperatorKey, Role
 
-from ..tasks.follower import CONFIG_PREFIX, Follower
+from ..tasks.follower import Follower
 from ..tasks.gateway import Gateway
 from ..tasks.heartbeats import Heartbeats
 from ..tasks.job_runner import JobRunner
 from .bodies import bearer_token, read_message, write_message
+from .jobs import OperatorJobsResource
 from .problems import new_app
 
 FIRST_OPERATOR = "first"
@@ -59,12 +57,15 @@
     """Return the application that operators talk to."""
     app = new_app()
     app.add_route("/v1/changes", ChangesResource(services))
-    app.add_route("/v1/team-keys", TeamKeysResource(services))
     app.add_route("/v1/config", ConfigResource(services))
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
+    app.add_route("/v1/in-force", InForceResource(services))
     app.add_route("/v1/plan", PlanResource(services))
-    app.add_route("/v1/jobs", JobsResource(services))
+    authorize = OperatorResource(services).operator
+    jobs = OperatorJobsResource(services.runner, authorize, services.body_bytes)
+    app.add_route("/v1/jobs", jobs)
+    app.add_route("/v1/jobs/cancel", jobs, suffix="cancel")
     return app
 
 
@@ -74,12 +75,23 @@
     def __init__(self, services: OperatorServices):
         self.services = services
 
-    def operator(self, request: falcon.Request, role: Role) -> str:
+    def operator(
+        self, request: falcon.Request, role: Role, with_standing: bool = True
+    ) -> str:
         """Return the name of the operator whose key came with a request.
 
+        Args:
+            request: Request of an operator.
+            role: Role that is needed.
+            with_standing: False if the answer may come from a node that does
+                not know whether the key was withdrawn meanwhile.
+
         Raises:
-            HeatherhatchError: ``UNAUTHENTICATED`` or ``FORBIDDEN``.
+            HeatherhatchError: ``NO_STANDING``, ``UNAUTHENTICATED`` or
+                ``FORBIDDEN``.
         """
+        if with_standing and not self.services.follower.has_standing():
+            raise HeatherhatchError(ErrorKind.NO_STANDING)
         key_id, secret = split_token(bearer_token(request))
         key = self._operator_key(key_id)
         if key is None or not secret_matches(secret, key.digest):
@@ -108,21 +120,25 @@
             check_edit(follower.config, wish.edit)
             write_message(response, ChangeAnswer(0))
             return
-        seq = follower.append(wish.change_id, actor, wish.reason, wish.edit)
+        seq = follower.append(
+            wish.change_id, actor, wish.reason, wish.edit, wish.base_seq
+        )
         write_message(response, ChangeAnswer(seq))
 
 
-class TeamKeysResource(OperatorResource):
-    """Makes keys for teams."""
+class InForceResource(OperatorResource):
+    """Tells how far a change has come."""
 
-    def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Make one key and show its token this once."""
-        actor = self.operator(request, Role.OPERATOR)
-        wish = read_message(request, KeyRequest, self.services.body_bytes)
-        key = new_key(wish.team)
-        edit = Edit(team_keys=(TeamKey(key.key_id, wish.team, key.digest),))
-        seq = self.services.follower.append(wish.change_id, actor, wish.reason, edit)
-        write_message(response, KeyAnswer(seq, key.key_id, key.token))
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Return the nodes that may still act on an earlier configuration."""
+        self.operator(request, Role.VIEWER)
+        seq = request.get_param_as_int("seq", required=True, min_value=0)
+        services = self.services
+        known = services.follower.in_force(seq)
+        missing = () if known.everywhere else known.missing
+        if not known.everywhere and not missing:
+            missing = (services.heartbeats.registrar.entry.name,)
+        write_message(response, InForce(seq, missing))
 
 
 class ConfigResource(OperatorResource):
@@ -151,7 +167,8 @@
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the status as this node sees it."""
-        self.operator(request, Role.VIEWER)
+        # Operators need this page most while the node is cut off.
+        self.operator(request, Role.VIEWER, with_standing=False)
         heartbeats = self.services.heartbeats
         follower = self.services.follower
         now = heartbeats.clock()
@@ -180,8 +197,7 @@
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the accepted changes in order."""
         self.operator(request, Role.VIEWER)
-        snapshot = self.services.follower.store.range(CONFIG_PREFIX)
-        changes = tuple(decode_json(item.value, Change) for item in snapshot.entries)
+        changes = self.services.follower.log_store.audit()
         write_message(response, AuditPage(changes))
 
 
@@ -193,12 +209,3 @@
         self.operator(request, Role.VIEWER)
         plan = plan_waves(self.services.follower.config, PLAN_LEAD_S)
         write_message(response, PlanAnswer(plan))
-
-
-class JobsResource(OperatorResource):
-    """Shows long jobs."""
-
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Return all jobs."""
-        self.operator(request, Role.VIEWER)
-        write_message(response, JobPage(self.services.runner.list_jobs()))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
@@ -229,7 +229,8 @@
     def _divide(self, pool, reports):
         config = self.follower.config
         own = self.registrar.entry.name
-        nodes = tuple(sorted({*self.registrar.nodes, own}))
+        members = self.registrar.membership.everyone
+        nodes = tuple(sorted(entry.name for entry in members))
         demands = tuple(
             TeamDemand(item.team, node, item.wanted)
             for node, items in reports.items()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/grants.py
@@ -10,6 +10,7 @@
     GrantNeed,
     GrantWish,
     NodeDemand,
+    rest_room,
     wish_of,
 )
 from heatherhatch_core.coordination.peaks import Peaks
@@ -25,12 +26,12 @@
     with_node,
     without_node,
 )
+from heatherhatch_core.state.nodes import NodeEntry
 
 from ..events import Event, log
-from ..protocol.messages import NodeEntry
 from ..transport.store import Expect, Put, Store, Transaction
 from .follower import Follower
-from .registrar import NODES_PREFIX, Registrar
+from .registrar import MEMBER_PREFIX, Registrar
 from .task import Task
 
 GRANT_PERIOD_S = 0.25
@@ -108,7 +109,6 @@
         follower: Source of the limits and of this node's standing.
         registrar: Source of the live nodes.
         demands: Returns the latest reports by node name, this node's included.
-        standing_s: Seconds for which a node's evidence of standing counts.
         clock: Returns monotonic seconds.
     """
 
@@ -118,7 +118,6 @@
         follower: Follower,
         registrar: Registrar,
         demands: Callable[[], Mapping[str, tuple[Demand, ...]]],
-        standing_s: float,
         clock: Callable[[], float],
     ):
         super().__init__("grant-keeper", GRANT_PERIOD_S, clock)
@@ -126,20 +125,17 @@
         self.follower = follower
         self.registrar = registrar
         self.demands = demands
-        self.standing_s = standing_s
         self.holder = ""
-        self.lease = 0
         self.read_s = float("-inf")
         self.refresh_s = GRANT_PERIOD_S
         self.starved: frozenset[str] = frozenset()
-        self.back_s = float("-inf")
         self.ledgers: dict[str, GrantLedger] = {}
         self.caps: dict[str, int] = {}
         self.limits: dict[str, LimitInForce] = {}
         self.pauses: dict[str, ReadPause] = {}
         self.quiet: dict[str, QuietTeam | None] = {}
         self.peaks = Peaks(PEAK_S)
-        self.absence = AbsenceWatch(standing_s)
+        self.absence = AbsenceWatch(follower.standing.margin_s)
 
     def allowance(self, team: str) -> int:
         """Return the units that a team may run from this node now.
@@ -164,20 +160,18 @@
 
     def may_spend(self) -> bool:
         """Tell whether this node may start work on its grants now."""
-        registered = self.registrar.lease != 0 and self.registrar.lease == self.lease
-        return registered and self.follower.has_standing()
+        return self._own_holder() == self.holder and self.follower.has_standing()
 
     def may_reclaim(self) -> bool:
         """Tell whether absence from the registry means anything now.
 
-        After an outage leases look lapsed although their nodes live, so one
-        standing period has to pass before anything counts.
+        After an outage one standing period has to pass before it does.
         """
-        return self.clock() - self.back_s >= self.standing_s
+        return self.follower.may_accept()
 
     def step(self) -> None:
         """Bring this node's parts in line with the demand."""
-        if not self.registrar.lease or not self.follower.has_standing():
+        if not self.follower.has_standing():
             return
         try:
             self._check_registration()
@@ -185,14 +179,13 @@
             self._settle_all()
             self._reclaim()
         except StoreError:
-            self.back_s = float("inf")
             self.absence = self.absence.interrupted()
             raise
-        if self.back_s == float("inf"):
-            self.back_s = self.clock()
 
     def finish(self) -> None:
         """Give every part back, so that nobody has to wait for this node."""
+        if not self.holder:
+            return
         reports = self.demands().get(self.registrar.entry.name, ())
         try:
             for team, ledger in list(self.ledgers.items()):
@@ -203,18 +196,20 @@
             # The others wait for the lease and the bound instead.
             return
 
-    def _check_registration(self):
+    def _own_holder(self):
         entry = self.registrar.entry
-        holder = holder_of(entry.name, entry.incarnation)
-        if holder != self.holder:
-            self.holder = holder
+        return holder_of(entry.name, entry.incarnation)
+
+    def _check_registration(self):
+        # Under a new incarnation nothing that was known before counts: the
+        # others take the old parts back.
+        if self.holder != self._own_holder():
+            self.holder = ""
             self.ledgers = {}
-        if self.registrar.lease != self.lease:
-            # What was known before this registration may have been reclaimed.
-            self.ledgers = {k: item.unread() for k, item in self.ledgers.items()}
-            lease = self.registrar.lease
-            self._read_all()
-            self.lease = lease
+            self.caps = {}
+            holder = self._own_holder()
+            self._read_all(holder)
+            self.holder = holder
 
     def _read_all_in_time(self):
         # A node without its even part looks often at first: another one may
@@ -224,23 +219,24 @@
             self.starved = starved
             self.refresh_s = GRANT_PERIOD_S if starved else REFRESH_S
         if self.clock() - self.read_s >= self.refresh_s:
-            self._read_all()
+            self._read_all(self.holder)
             self.refresh_s = min(2 * self.refresh_s, REFRESH_S)
 
     def _is_starved(self, team):
         record = self.ledgers[team].record
-        limit = self._limit(team).limit
-        if record.total < limit:
-            return False
-        room = limit - record.jobs
-        return record.units_of(self.holder) < room // max(1, len(self.registrar.nodes))
+        room = rest_room(self._limit(team).limit - record.jobs)
+        return record.units_of(self.holder) < room // max(
+            1, len(self.registrar.membership.everyone)
+        )
 
-    def _read_all(self):
+    def _read_all(self, holder):
         asked = self.clock()
         snapshot = self.store.range(GRANTS_PREFIX)
         for entry in snapshot.entries:
             record = decode_json(entry.value, GrantRecord)
-            ledger = self._ledger(record.team).seen(record, entry.revision)
+            known = self.ledgers.get(record.team)
+            ledger = known or GrantLedger(holder, GrantRecord(record.team))
+            ledger = ledger.seen(record, entry.revision)
             self.ledgers[record.team] = ledger
         self.read_s = asked
 
@@ -278,7 +274,7 @@
             self.quiet[team] = self._quiet(team) if resting else None
 
     def _quiet(self, team):
-        entries = self.registrar.nodes.values()
+        entries = self.registrar.membership.everyone
         return QuietTeam(
             self._ledger(team).revision,
             self.follower.config.seq,
@@ -300,9 +296,9 @@
         demands = []
         jobs = 0
         running = 0
-        for name, entry in self.registrar.nodes.items():
-            items = [report.demand for report in reports if report.node == name]
-            holder = holder_of(name, entry.incarnation)
+        for entry in self.registrar.membership.everyone:
+            items = [report.demand for report in reports if report.node == entry.name]
+            holder = holder_of(entry.name, entry.incarnation)
             wanted = sum(item.wanted for item in items)
             missing = sum(item.missing for item in items)
             demands.append(NodeDemand(holder, wanted, missing))
@@ -400,15 +396,15 @@
             for ledger in self.ledgers.values()
             for holder, part in ledger.record.nodes.items()
         }
-        nodes = self.registrar.nodes.values()
-        live = {holder_of(entry.name, entry.incarnation) for entry in nodes}
+        members = self.registrar.membership.everyone
+        live = {holder_of(entry.name, entry.incarnation) for entry in members}
         if not self.may_reclaim():
             self.absence = self.absence.interrupted()
             return
         now = self.clock()
-        self.absence = self.absence.observe(holders, live | {self.holder}, now)
+        self.absence = self.absence.observe(holders, live, now)
         # The nodes take turns, so that they don't all write the same.
-        turn_s = RECLAIM_STAGGER_S * sorted(live | {self.holder}).index(self.holder)
+        turn_s = RECLAIM_STAGGER_S * sorted(live).index(self.holder)
         for team, ledger in list(self.ledgers.items()):
             for holder, part in ledger.record.nodes.items():
                 if self.absence.over(holder, part.ends_by_s, now - turn_s):
@@ -416,13 +412,13 @@
 
     def _take_back(self, team, holder):
         name, _, _ = holder.partition("/")
-        entry = self.store.get(NODES_PREFIX + name)
+        entry = self.store.get(MEMBER_PREFIX + name)
         if entry is not None and _is_entry_of(entry.value, holder):
             return
         # If the node registers again at this moment, the condition on its
         # entry fails; if it does so later, it reads its part as gone.
         revision = entry.revision if entry is not None else 0
-        expect = Expect(NODES_PREFIX + name, revision)
+        expect = Expect(MEMBER_PREFIX + name, revision)
         ledger = self._ledger(team)
         record = without_node(ledger.record, holder)
         if self._commit(team, ledger, record, (expect,)):
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 import yaml
@@ -10,13 +11,13 @@
 from heatherhatch_core.api import (
     ChangeAnswer,
     ChangeRequest,
-    KeyAnswer,
-    KeyRequest,
     Status,
 )
 from heatherhatch_core.codec import from_builtins
 from heatherhatch_core.exceptions import HeatherhatchError
+from heatherhatch_core.keys import new_key
 from heatherhatch_core.state.changes import Edit
+from heatherhatch_core.state.entities import TeamKey
 
 from .ports import free_ports
 from .processes import FIRST_TOKEN, Trial, node_settings
@@ -32,6 +33,15 @@
     return from_builtins(yaml.safe_load(path.read_text(encoding="utf-8")), Edit)
 
 
+@dataclass(frozen=True, slots=True)
+class GrantedKey:
+    """A team's key and the change that granted it."""
+
+    seq: int
+    key_id: str
+    token: str
+
+
 class Deployment:
     """Seven nodes, or another number, with everything that is around them.
 
@@ -42,6 +52,7 @@
         nodes: Number of nodes.
         data_centres: Number of data centres that the nodes are spread over.
         work_s: Seconds that a backend server spends on a request.
+        slots: Requests that a backend server works on at once.
     """
 
     def __init__(
@@ -52,12 +63,14 @@
         nodes: int = 7,
         data_centres: int = 3,
         work_s: float = 0.002,
+        slots: int = 32,
     ):
         self.trial = trial
         self.name = name
         self.edit = edit
         self.data_centres = data_centres
         self.work_s = work_s
+        self.slots = slots
         self.node_names = tuple(f"{name}-node-{i + 1}" for i in range(nodes))
         self.ports: dict[str, tuple[int, int, int]] = {}
         self.store = ""
@@ -105,10 +118,11 @@
         request = ChangeRequest(new_change_id(), edit, "trial")
         return self.client(node).post("/v1/changes", request, ChangeAnswer).seq
 
-    def grant_key(self, team: str, node: str = "") -> KeyAnswer:
+    def grant_key(self, team: str, node: str = "") -> GrantedKey:
         """Make a key for a team."""
-        request = KeyRequest(new_change_id(), team, "trial")
-        return self.client(node).post("/v1/team-keys", request, KeyAnswer)
+        key = new_key(team)
+        edit = Edit(team_keys=(TeamKey(key.key_id, team, key.digest),))
+        return GrantedKey(self.change(edit, node), key.key_id, key.token)
 
     def wait_for_seq(self, seq: int) -> None:
         """Wait until a change is in force on every node."""
@@ -124,6 +138,8 @@
             count,
             "--work-s",
             str(self.work_s),
+            "--slots",
+            str(self.slots),
         )
         controls = self.trial.start_standin(
             f"{self.name}-workers", "worker", "--count", count
