--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
-from . import fairness, limits, requests
+from . import fairness, fleet, limits, requests
 
 
 def main() -> None:
@@ -16,6 +16,7 @@
     limits.run()
     fairness.run()
     requests.run()
+    fleet.run()
 
 
 if __name__ == "__main__":
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/admission_queue.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/admission_queue.py
@@ -127,8 +127,9 @@
 
     Each team has a queue of its own in each pool. A free unit goes to the team
     that used the least time per unit of its part, and there to the request whose
-    target is nearest. Parts below one unit are kept too, by taking turns. A request that can't meet its target is given up at once. A step
-    costs O(log n) in the number of teams and waiting requests.
+    target is nearest. Parts below one unit are kept too, by taking turns. A
+    request that can't meet its target is given up at once. A step costs O(log n)
+    in the number of teams and waiting requests.
 
     Args:
         allowance: Returns the units that a team may run on this node now.
--- a/tests/test_tasks_grants.py
+++ b/tests/test_tasks_grants.py
@@ -164,6 +164,7 @@
         back.registrar.step()
         back.follower.advance(Confirmed(fleet.clock()))
     start_all(back)
+    fleet.gone.append(back)
 
 
 def die_with_work(fleet):
@@ -314,6 +315,14 @@
     assert 5 <= sum(parts_of(fleet)) <= 7
 
 
+def test_tasks_grants_know_a_lowered_limit_before_the_next_round(fleet):
+    fleet.set_limit(7)
+    node = fleet.nodes["a"]
+    assert node.can_start()
+    node.follower.config = fleet.config
+    assert not node.can_start()
+
+
 def test_tasks_grants_use_a_raised_limit_soon(fleet):
     fleet.nodes["c"].waiting = 50
     keep_busy(fleet, "c", 2.0)
