Count idle cost, feed waiting long jobs into the division, show limits over daemons

Cause: the capacity of every pool was summed over all workers ten times a second, and long jobs found no free units because nodes held them at rest. Capacities are summed once per configuration, pools whose reports are unchanged aren't divided again, idle teams are skipped. Units of queued jobs come with the heartbeats of the node that dispatches, and nodes leave them free.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,76 @@
+"""What the limits cost a node that has nothing to do, at the size to come."""
+
+import time
+
+from heatherhatch_core.coordination.membership import Membership, Registry
+from heatherhatch_core.state.configuration import Configuration
+from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
+from heatherhatch_core.state.nodes import NodeEntry
+from heatherhatch_daemon.tasks.admission import ADMISSION_PERIOD_S, Admission
+from heatherhatch_daemon.tasks.grants import GRANT_PERIOD_S, GrantKeeper
+from heatherhatch_daemon.transport.memory_store import MemoryStore
+
+from . import report
+from .virtual_fleet import NODES, CalmFollower, CalmRegistrar, VirtualClock
+
+TEAMS = 50
+POOLS = 43
+WORKERS = 2_600
+SECONDS = 60
+
+
+def run() -> None:
+    """Print the figures."""
+    clock = VirtualClock()
+    store = MemoryStore(clock)
+    follower = CalmFollower(_configuration())
+    entries = tuple(NodeEntry(n, "1", "127.0.0.1:1", "dc-1") for n in NODES)
+    keepers = []
+    for entry in entries:
+        membership = Membership(entry, Registry(1, entries, NODES))
+        registrar = CalmRegistrar(entry, membership)
+        keepers.append(GrantKeeper(store, follower, registrar, dict, clock))
+    for _ in range(40):
+        for keeper in keepers:
+            keeper.step()
+        clock.now_s += GRANT_PERIOD_S
+    calls = store.calls
+    keeper = keepers[0]
+    admission = Admission(follower, keeper.registrar, keeper, dict, clock)
+    keeping = _time(keeper.step, clock, GRANT_PERIOD_S)
+    admitting = _time(admission.step, clock, ADMISSION_PERIOD_S)
+    report.figure("control.grants.core", keeping * 100, "percent")
+    report.figure("control.admission.core", admitting * 100, "percent")
+    report.at_most("control.limits.core", (keeping + admitting) * 100, "percent", 1.0)
+    calls = (store.calls - calls) / SECONDS
+    report.at_most("control.limits.store_calls", calls, "per_s", 2.0)
+    size = sum(len(entry.value) for entry in store.range("grants/").entries)
+    report.figure("control.limits.records", size / 1e3, "KB")
+
+
+def _time(step, clock, period_s) -> float:
+    """Return the part of a core that a step takes at its period."""
+    step()
+    begun = time.process_time()
+    for _ in range(round(SECONDS / period_s)):
+        step()
+        clock.now_s += period_s
+    return (time.process_time() - begun) / SECONDS
+
+
+def _configuration() -> Configuration:
+    pools = [f"pool-{index}" for index in range(POOLS)]
+    workers = (
+        Worker(f"w{index}", "fd", "r", "127.0.0.1:1", pools[index % POOLS])
+        for index in range(WORKERS)
+    )
+    return Configuration(
+        seq=1,
+        pools={name: Pool(name, 0) for name in pools},
+        teams={f"team-{i}": Team(f"team-{i}", 1.0, 500) for i in range(TEAMS)},
+        classes={
+            f"class-{name}": WorkClass(f"class-{name}", name, WorkKind.REQUEST, 2.0)
+            for name in pools
+        },
+        workers={worker.worker_id: worker for worker in workers},
+    )
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -1,6 +1,18 @@
 """Limits: never above, and used to the full wherever callers come."""
 
-from heatherhatch_core.state.entities import Team
+import time
+
+import gevent
+
+from heatherhatch_core.codec import decode_json
+from heatherhatch_core.state.changes import Edit
+from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
+from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
+from heatherhatch_standins.backend import TEAM_HEADER
+from heatherhatch_standins.deployment import Deployment
+from heatherhatch_standins.ledger import LedgerPage
+from heatherhatch_standins.processes import Trial
 
 from . import report
 from .virtual_fleet import NODES, SAMPLE_S, Load, Tally, VirtualFleet
@@ -14,6 +26,19 @@
 ONE_NODE = (0.0, 0.0, 1.0, 0.0, 0.0, 0.0, 0.0)
 SKEWED = (16.0, 8.0, 4.0, 2.0, 1.0, 1.0, 0.0)
 OVERLOAD = 3.0
+REAL_LIMIT = 28
+REAL_S = 10.0
+WORK_S = 0.1
+CALLERS = 56
+REFUSED_PAUSE_S = 0.1
+EDIT = Edit(
+    pools=(Pool("tills", 1),),
+    teams=(Team(TEAM, 1.0, REAL_LIMIT),),
+    classes=(WorkClass("stock", "tills", WorkKind.REQUEST, TARGET_S, idempotent=True),),
+    workers=tuple(
+        Worker(f"w{i}", "fd-1", "r1", "127.0.0.1:1", "tills") for i in range(3)
+    ),
+)
 
 
 def run() -> None:
@@ -28,6 +53,48 @@
         used = alone.units(TEAM, 2.0, SECONDS) / LIMIT
         report.figure(f"limits.{name}.baseline.used", used, "of_limit")
     _moving_callers()
+    _real_nodes()
+
+
+def _real_nodes() -> None:
+    """All callers of one team on one of seven real daemons."""
+    with Trial() as trial:
+        deployment = Deployment(trial, "limits", EDIT, work_s=WORK_S)
+        deployment.start()
+        key = deployment.grant_key(TEAM)
+        deployment.wait_for_seq(key.seq)
+        address = Address.parse(deployment.callers(deployment.node_names[2]))
+        client = HttpClient(address, CALLERS, TARGET_S)
+        headers = (("Authorization", f"Bearer {key.token}"), (TEAM_HEADER, TEAM))
+        request = HttpRequest("POST", "/run/stock/x", b"x", headers)
+        ends: list[float] = []
+        begun = time.monotonic()
+        callers = [
+            gevent.spawn(_keep_asking, client, request, begun + REAL_S, ends)
+            for _ in range(CALLERS)
+        ]
+        gevent.joinall(callers)
+        backend = Address.parse(deployment.backends["w1"])
+        answer = HttpClient(backend, 1, TARGET_S).exchange(
+            HttpRequest("GET", "/ledger"), TARGET_S
+        )
+        peak = decode_json(answer.body, LedgerPage).peaks[TEAM]
+    late = [end for end in ends if end >= begun + 2.0]
+    used = len(late) * WORK_S / (REAL_S - 2.0) / REAL_LIMIT
+    report.at_least("limits.daemons.used", used, "of_limit", 0.95)
+    report.at_most("limits.daemons.over", max(0, peak - REAL_LIMIT), "units", 0)
+
+
+def _keep_asking(client, request, until_s, ends) -> None:
+    while time.monotonic() < until_s:
+        try:
+            answer = client.exchange(request, TARGET_S)
+        except ExchangeError:
+            continue
+        if answer.status == 200:
+            ends.append(time.monotonic())
+        else:
+            gevent.sleep(REFUSED_PAUSE_S)
 
 
 def _ask(spread: tuple[float, ...], alone: bool) -> Tally:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/grants.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/grants.py
@@ -57,8 +57,8 @@
 
     @property
     def lacking(self) -> bool:
-        """True if some node or a long job waits for a larger part."""
-        return self.jobs > 0 or any(demand.missing for demand in self.demands)
+        """True if requests wait at some node for a larger part."""
+        return any(demand.missing for demand in self.demands)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import time
+from collections import Counter
 
 from gevent.event import Event as Signal
 
@@ -131,6 +132,7 @@
             settings.jobs,
             DispatcherPorts(pressure=self.admission.pressure),
         )
+        self.admission.job_demand = self._job_demand
         self.tasks = (
             self.registrar,
             self.follower,
@@ -186,6 +188,12 @@
             time.time,
         )
 
+    def _job_demand(self) -> tuple[Demand, ...]:
+        units: Counter[str] = Counter()
+        for (team, _), waiting in self.dispatcher.waiting().items():
+            units[team] += waiting
+        return tuple(Demand(t, "", 0, 0, jobs=n) for t, n in units.items() if t)
+
     def _peer_reports(self) -> dict[str, tuple[Demand, ...]]:
         oldest = time.monotonic() - REPORT_S
         views = self.heartbeats.views.values()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
@@ -22,7 +22,7 @@
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.demand import Demand
-from heatherhatch_core.state.entities import WorkClass
+from heatherhatch_core.state.entities import WorkClass, WorkerState
 
 from .follower import Follower
 from .grants import GrantKeeper
@@ -30,6 +30,8 @@
 from .task import Task
 
 ADMISSION_PERIOD_S = 0.1
+# How often the queue of long jobs is counted, in seconds.
+JOB_REPORT_S = 1.0
 OPEN_WEIGHT = 1.0
 
 KIND_OF_REFUSAL = {
@@ -62,9 +64,30 @@
         return self.ticket.pool
 
 
-def cpus_of_pool(config: Configuration, pool: str) -> int:
-    """Return the units that a pool carries at once: one per processor."""
-    return sum(worker.cpus for worker in config.serving_workers(pool))
+def cpus_by_pool(config: Configuration) -> dict[str, int]:
+    """Return the units that each pool carries at once: one per processor."""
+    capacities = dict.fromkeys(config.pools, 0)
+    for worker in config.workers.values():
+        if config.state_of(worker.worker_id) is WorkerState.SERVING:
+            capacities[config.pool_of(worker.worker_id)] += worker.cpus
+    return capacities
+
+
+@dataclass(frozen=True, slots=True)
+class PoolReports:
+    """What the division of a pool goes by.
+
+    Attributes:
+        seq: Log position of the shares.
+        capacity: Units that the pool carries at once.
+        nodes: Members by name.
+        demands: What the nodes report.
+    """
+
+    seq: int
+    capacity: int
+    nodes: tuple[str, ...]
+    demands: tuple[TeamDemand, ...]
 
 
 class Admission(Task):
@@ -76,7 +99,7 @@
         keeper: Source of the teams' allowances on this node.
         reports: Returns the latest reports of the other nodes by name.
         clock: Returns monotonic seconds.
-        capacity: Returns the units that a pool carries at once.
+        capacities_of: Returns the units that each pool carries at once.
     """
 
     def __init__(
@@ -86,19 +109,23 @@
         keeper: GrantKeeper,
         reports: Callable[[], Mapping[str, tuple[Demand, ...]]],
         clock: Callable[[], float],
-        capacity: Callable[[Configuration, str], int] = cpus_of_pool,
+        capacities_of: Callable[[Configuration], dict[str, int]] = cpus_by_pool,
     ):
         super().__init__("admission", ADMISSION_PERIOD_S, clock)
         self.follower = follower
         self.registrar = registrar
         self.keeper = keeper
         self.reports = reports
-        self.capacity = capacity
+        self.capacities_of = capacities_of
         self.capacities: dict[str, int] = {}
+        self.capacities_seq = -1
+        self.divided: dict[str, PoolReports] = {}
         self.queue = AdmissionQueue(keeper.allowance)
         self.numbers = itertools.count()
         self.waiters: dict[Ticket, AsyncResult] = {}
         self.job_demand: Callable[[], tuple[Demand, ...]] = tuple
+        self.job_reports: tuple[Demand, ...] = ()
+        self.job_reports_s = float("-inf")
 
     @property
     def running(self) -> Counter:
@@ -126,8 +153,8 @@
             work_class.name,
             work_class.on_time_share,
         )
-        if work_class.pool not in self.capacities:
-            self._divide(work_class.pool, self._all_reports())
+        if work_class.pool not in self.divided:
+            self._divide_all()
         verdicts = self.queue.offer(ticket, self.clock())
         if verdicts.started != [ticket]:
             waiter = self.waiters[ticket] = AsyncResult()
@@ -145,10 +172,10 @@
 
     def step(self) -> None:
         """Divide the pools anew and act on what has changed."""
-        reports = self._all_reports()
-        classes = self.follower.config.classes.values()
-        for pool in sorted({work_class.pool for work_class in classes}):
-            self._divide(pool, reports)
+        if self.clock() - self.job_reports_s >= JOB_REPORT_S:
+            self.job_reports = self.job_demand()
+            self.job_reports_s = self.clock()
+        self._divide_all()
         self._tell(self.queue.refresh(self.clock()))
 
     def demand(self) -> tuple[Demand, ...]:
@@ -162,7 +189,7 @@
                 if running or waiting:
                     missing = self.queue.missing(team, name)
                     reports.append(Demand(team, name, running, waiting, missing))
-        return (*reports, *self.job_demand())
+        return (*reports, *self.job_reports)
 
     def pressure(self, pool: str) -> float:
         """Return the units that requests lack in a pool, over all nodes.
@@ -180,7 +207,7 @@
             for item in items
             if item.pool == pool
         )
-        return waiting / max(1, self.capacity(self.follower.config, pool))
+        return waiting / max(1, self._capacities().get(pool, 0))
 
     def _check_bound(self, team, work_class):
         # A part in the record promises when work under it has ended; longer
@@ -226,24 +253,39 @@
     def _all_reports(self) -> dict[str, tuple[Demand, ...]]:
         return {**self.reports(), self.registrar.entry.name: self.demand()}
 
+    def _capacities(self) -> dict[str, int]:
+        config = self.follower.config
+        if config.seq != self.capacities_seq:
+            self.capacities = self.capacities_of(config)
+            self.capacities_seq = config.seq
+        return self.capacities
+
+    def _divide_all(self):
+        seq = self.follower.config.seq
+        capacities = self._capacities()
+        nodes = tuple(sorted(e.name for e in self.registrar.membership.everyone))
+        demands: dict[str, list[TeamDemand]] = {pool: [] for pool in capacities}
+        for node, items in self._all_reports().items():
+            for item in items:
+                if item.wanted and item.pool in demands:
+                    demand = TeamDemand(item.team, node, item.wanted)
+                    demands[item.pool].append(demand)
+        for pool, capacity in capacities.items():
+            reports = PoolReports(seq, capacity, nodes, tuple(demands[pool]))
+            if self.divided.get(pool) != reports:
+                self._divide(pool, reports)
+                self.divided[pool] = reports
+
     def _divide(self, pool, reports):
         config = self.follower.config
-        own = self.registrar.entry.name
-        members = self.registrar.membership.everyone
-        nodes = tuple(sorted(entry.name for entry in members))
-        demands = tuple(
-            TeamDemand(item.team, node, item.wanted)
-            for node, items in reports.items()
-            for item in items
-            if item.pool == pool and item.wanted
+        weights = {item.team: _weight_of(config, item.team) for item in reports.demands}
+        division: Division = divide_pool(
+            reports.capacity, reports.demands, weights, reports.nodes
         )
-        weights = {item.team: _weight_of(config, item.team) for item in demands}
-        capacity = self.capacity(config, pool)
-        division: Division = divide_pool(capacity, demands, weights, nodes)
-        self.capacities[pool] = capacity
+        own = self.registrar.entry.name
         # A node keeps one unit, so that a pool smaller than the number of
         # nodes can be reached from each of them.
-        budget = max(1, division.budgets[own]) if capacity else 0
+        budget = max(1, division.budgets[own]) if reports.capacity else 0
         self.queue.divide(pool, budget, division.parts[own])
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/grants.py
@@ -260,9 +260,11 @@
             for item in items:
                 by_team.setdefault(item.team, []).append(NodeReport(node, item))
         now = self.clock()
+        entries = self.registrar.membership.everyone
+        members = frozenset(entry.incarnation for entry in entries)
         for team in self.follower.config.teams:
             reports = by_team.get(team, [])
-            quiet = self._quiet(team)
+            quiet = self._quiet(team, members)
             if not reports and self.quiet.get(team) == quiet:
                 # Nothing has moved since the last look, which wrote nothing.
                 continue
@@ -271,15 +273,11 @@
                 self._read(team)
             self._settle(team, need)
             resting = need.recent == 0 and team not in self.pauses
-            self.quiet[team] = self._quiet(team) if resting else None
+            self.quiet[team] = self._quiet(team, members) if resting else None
 
-    def _quiet(self, team):
-        entries = self.registrar.membership.everyone
-        return QuietTeam(
-            self._ledger(team).revision,
-            self.follower.config.seq,
-            frozenset(entry.incarnation for entry in entries),
-        )
+    def _quiet(self, team, members):
+        revision = self._ledger(team).revision
+        return QuietTeam(revision, self.follower.config.seq, members)
 
     def _settle(self, team, need):
         for _ in range(ATTEMPTS):
--- /dev/null
+++ b/tests/test_limits_path.py
@@ -0,0 +1,41 @@
+"""A team's limit over real processes."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from callers import call
+from heatherhatch_core.codec import decode_json
+from heatherhatch_standins.ledger import LedgerPage
+
+LIMIT = 14
+CALLERS = 24
+PATIENCE_S = 12.0
+HEADERS = {"X-Trial-Team": "red", "X-Work-Seconds": "0.3"}
+
+
+def test_limits_path_one_node_reaches_the_whole_limit_and_no_more(seven_nodes):
+    key = seven_nodes.grant_key("red")
+    seven_nodes.wait_for_seq(key.seq)
+    address = seven_nodes.callers(seven_nodes.node_names[3])
+    backend = seven_nodes.backends["w1"]
+    deadline = time.monotonic() + PATIENCE_S
+
+    def peak():
+        page = decode_json(call(backend, "GET", "/ledger").body, LedgerPage)
+        return page.peaks.get("red", 0)
+
+    def keep_asking():
+        statuses = set()
+        while time.monotonic() < deadline and peak() < LIMIT:
+            for _ in range(5):
+                reply = call(address, "POST", "/run/stock/x", key.token, b"x", HEADERS)
+                statuses.add(reply.status)
+        return statuses
+
+    with ThreadPoolExecutor(CALLERS) as callers:
+        asked = [callers.submit(keep_asking) for _ in range(CALLERS)]
+        statuses = set().union(*(future.result() for future in asked))
+
+    assert peak() == LIMIT
+    # What found no room in time was refused as not run.
+    assert statuses <= {200, 429, 503}
