--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -41,6 +41,7 @@
     WORKER_QUARANTINED = EventInfo(1511, "Jobs of several teams fail on a worker.")
     WORKER_TRUSTED = EventInfo(1512, "A trial ended a worker's quarantine.")
     JOBS_RELIEVED = EventInfo(1521, "Long jobs of a pool make way, or get it back.")
+    GRANT_RECLAIMED = EventInfo(2001, "The grant of a node that is gone came back.")
     TASK_FAILED = EventInfo(1901, "A task failed and is started again.")
     REQUEST_FAILED = EventInfo(1902, "A request ended in an internal error.")
 
