Step dispatching nodes call by call through faults, and mend what that found

A state machine runs two nodes, three workers and the store over a virtual clock and stops at every single call: lost answers, delayed messages, kills, pauses, cuts, outages, reboots, cancellations. It found, and this mends: a new holder that had not read the grant records could never record the end of a running job; a gang was stuck for good once it had failed on most workers; a worker that does not answer was chosen again and again, since it looked the emptiest; a pool that makes way for urgent work was given its jobs back at once.

Single faults have their own tests, with the broken variants beside them: a worker that counts the lease from the arrival of the order, and a new holder that waits for the claim only, both double a job. Of the others' modules, the standing gains store_gone, which says that no member reaches the store.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/attempts.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/attempts.py
@@ -7,6 +7,7 @@
 
 CLOCK_DRIFT = 0.05
 FAILED_WORKERS_MAX = 3
+FAILURES_MAX = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +92,8 @@
 ) -> Job:
     """Return a job after its task failed on a worker.
 
-    A job that failed on several different workers is itself at fault.
+    A job that failed on several different workers, or many times where there
+    are no others, is itself at fault.
 
     Args:
         job: Running job.
@@ -100,11 +102,12 @@
         now_s: Seconds since the epoch.
         suspects: Workers that may be at fault themselves; they don't count.
     """
-    failed_on = tuple(sorted({*job.failed_on, worker_id}))
+    failed_on = (*job.failed_on, worker_id)
     after = dataclasses.replace(job, failed_on=failed_on)
     trusted = [item for item in failed_on if item not in suspects]
-    if len(trusted) >= FAILED_WORKERS_MAX:
-        names = ", ".join(trusted)
+    different = sorted(set(trusted))
+    if len(different) >= FAILED_WORKERS_MAX or len(trusted) >= FAILURES_MAX:
+        names = ", ".join(different)
         return end(after, JobState.FAILED, f"failed on {names}: {detail}", now_s)
     return requeue(after, f"failed on {worker_id}: {detail}")
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/dispatch.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/dispatch.py
@@ -13,6 +13,7 @@
 
 UsableUnits = Callable[[str], int]
 STARTS_PER_ROUND = 256
+SILENT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,15 @@
 
     Args:
         now_s: Monotonic seconds.
+
+    Attributes:
+        live, running: Live and running jobs by id.
+        queue: Jobs that wait.
+        shares: What each team was served.
+        estimator: Learned sizes.
+        quarantine: Workers that fail what they start.
+        silent_until: When a worker that did not answer is tried again.
+        held_pools: Pools that make way for urgent work; nothing starts there.
     """
 
     def __init__(self, now_s: float):
@@ -60,6 +70,18 @@
         self.shares = TeamShares(now_s)
         self.estimator = Estimator()
         self.quarantine = Quarantine()
+        self.silent_until: dict[str, float] = {}
+        self.held_pools: frozenset[str] = frozenset()
+
+    def note_silent(self, worker_id: str, now_s: float) -> None:
+        """Note that a worker does not answer; nothing starts there for a while."""
+        self.silent_until[worker_id] = now_s + SILENT_S
+
+    def admits(self, worker_id: str, now_s: float) -> bool:
+        """Tell whether a job may start on a worker."""
+        if now_s < self.silent_until.get(worker_id, now_s):
+            return False
+        return self.quarantine.admits(worker_id, now_s)
 
     def put(self, job: Job, revision: int) -> None:
         """Note a record of a live job."""
@@ -234,7 +256,7 @@
 
     def _place(self, job: Job) -> tuple[str, ...]:
         work_class = self.config.classes.get(job.spec.work_class)
-        if work_class is None:
+        if work_class is None or work_class.pool in self.dispatch.held_pools:
             return ()
         pool = self.rooms.get(work_class.pool, {})
         need = clamp(self.dispatch.need_of(job), pool.values())
@@ -242,12 +264,7 @@
             _at_least(need, job, other) for other in self.full.get(work_class.pool, ())
         ):
             return ()
-        quarantine = self.dispatch.quarantine
-        able = [
-            room
-            for key, room in pool.items()
-            if key not in job.failed_on and quarantine.admits(key, self.now_s)
-        ]
+        able = self._able(job, pool)
         run = self.dispatch.need_of(job, work_class.on_time_share)
         workers = place(
             Usage(need.cpus, need.memory_mb, need.accelerators, run.run_s),
@@ -261,10 +278,17 @@
             return ()
         for worker_id in workers:
             pool[worker_id].take(need)
-            quarantine.began(worker_id, job.job_id)
+            self.dispatch.quarantine.began(worker_id, job.job_id)
         self.dispatch.shares.use(job.team, self._part(need, job))
         return workers
 
+    def _able(self, job: Job, pool: dict[str, Room]) -> list[Room]:
+        # A job keeps away from workers on which it failed while there are others.
+        fresh = pool.keys() - set(job.failed_on)
+        names = fresh if len(fresh) >= job.spec.gang else pool.keys()
+        admits = self.dispatch.admits
+        return [pool[name] for name in names if admits(name, self.now_s)]
+
     def _part(self, need: Usage, job: Job) -> float:
         return job.spec.gang * max(
             need.cpus / self.totals.cpus,
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/standing.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/standing.py
@@ -73,6 +73,19 @@
             return True
         return self._all_lost(now_s, seq)
 
+    def store_gone(self, now_s: float, seq: int) -> bool:
+        """Tell whether no member reaches the store, this node included.
+
+        Until a period after the store is back, nobody can then have taken
+        anything that lapsed, see ``settled``.
+
+        Args:
+            now_s: Monotonic seconds, read right before.
+            seq: Log position that is in force here.
+        """
+        known = self.view is not None and self.lost(now_s)
+        return known and self._all_lost(now_s, seq)
+
     def lost(self, now_s: float) -> bool:
         """Tell whether this node says that it does not reach the store.
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/jobs.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/jobs.py
@@ -78,7 +78,7 @@
         workers: Workers of the current attempt.
         detail: Why it is in this state.
         progress: Part of the work that is saved, 0 to 1.
-        failed_on: Workers on which attempts failed.
+        failed_on: Worker of each failure, in order.
         cancel: True if it is to be cancelled.
         started_s: Start of the current attempt, seconds since the epoch.
         ended_s: End, seconds since the epoch, 0 if it has not ended.
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -96,11 +96,14 @@
             random.Random(),
         )
         records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
-        self.runner = JobRunner(
-            records, GroupCommit(records, time.monotonic), self.gateway, time.time
-        )
+        self.runner = JobRunner(records, GroupCommit(records), self.gateway, time.time)
         self.dispatcher = open_dispatcher(
-            records, self.follower, settings.jobs, DispatcherPorts()
+            records,
+            self.follower,
+            settings.jobs,
+            DispatcherPorts(
+                store_gone=self.follower.store_gone, grace_s=timing.standing_s
+            ),
         )
         self.tasks = (self.registrar, self.follower, self.heartbeats, self.dispatcher)
         self.callers, self.operators, self.peers = self._listeners()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claim.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claim.py
@@ -25,7 +25,9 @@
         store: The platform's store.
         ttl_s: Life of the claim without renewal, whole seconds.
         look_s: Seconds between two looks of a node that does not hold it.
-        may_take: Tells whether this node may take the claim at present.
+        settle_s: Seconds for which ``may_take`` must have held without a break,
+            so that a former holder that goes on without the store has seen it.
+        may_take: Tells whether this node may reclaim what lapsed.
         clock: Returns monotonic seconds.
     """
 
@@ -34,12 +36,14 @@
         store: Store,
         ttl_s: int,
         look_s: float,
+        settle_s: float,
         may_take: Callable[[], bool],
         clock: Callable[[], float],
     ):
         self.store = store
         self.ttl_s = ttl_s
         self.look_s = look_s
+        self.settle_s = settle_s
         self.may_take = may_take
         self.clock = clock
         self.token = secrets.token_hex(TOKEN_BYTES).encode()
@@ -48,6 +52,7 @@
         self.claimed_s = float("-inf")
         self.valid_until_s = float("-inf")
         self.next_s = float("-inf")
+        self.allowed_since_s = float("inf")
 
     @property
     def expect(self) -> Expect:
@@ -64,6 +69,7 @@
         Raises:
             StoreError: If the store gives no answer.
         """
+        self._note_allowed()
         if self.clock() >= self.next_s:
             if self.revision:
                 self._renew()
@@ -77,6 +83,12 @@
             self.store.revoke_lease(self.lease)
         self._forget()
 
+    def _note_allowed(self) -> None:
+        if not self.may_take():
+            self.allowed_since_s = float("inf")
+        elif self.allowed_since_s == float("inf"):
+            self.allowed_since_s = self.clock()
+
     def _renew(self) -> None:
         asked = self.clock()
         if not self.store.keep_lease(self.lease):
@@ -86,6 +98,8 @@
         self._extend(asked)
 
     def _take(self) -> None:
+        if self.clock() - self.allowed_since_s < self.settle_s:
+            return
         asked = self.clock()
         self.next_s = asked + self.look_s
         entry = self.store.get(CLAIM_KEY)
@@ -94,8 +108,6 @@
             if entry.value == self.token and entry.lease == self.lease:
                 self._taken(entry.revision, asked)
             return
-        if not self.may_take():
-            return
         asked = self.clock()
         self.lease = self.store.grant_lease(self.ttl_s)
         put = Put(CLAIM_KEY, self.token, self.lease)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/dispatcher.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/dispatcher.py
@@ -176,6 +176,7 @@
         ended = self.records.store.range(ENDED_PREFIX, "", LEARN_JOBS).entries
         for entry in ended:
             self._learn(job_of(entry))
+        self.ledger.refresh(force=True)
         self.term = self.claim.revision
 
     def _read(self) -> None:
@@ -333,12 +334,15 @@
 
     def _relieve(self) -> None:
         now = self.clock()
-        for pool in {self._pool_of(r.job) for r in self.dispatch.running.values()}:
+        for pool in self.config.pools:
             before = self.relief.get(pool, PoolRelief())
             after = before.step(self.ports.pressure(pool), now)
             self.relief[pool] = after
             if after.level is not before.level:
                 log(Event.JOBS_RELIEVED, pool=pool, level=after.level.value)
+        self.dispatch.held_pools = frozenset(
+            pool for pool, item in self.relief.items() if item.level is not Level.NONE
+        )
         for live in list(self.dispatch.running.values()):
             self._throttle(live.job)
 
@@ -403,6 +407,7 @@
             if known and self.clock() - known.answered_s < self.tasks.lease_s:
                 continue
             if not self.tasks.sync(worker_id, controls[worker_id], []):
+                self.dispatch.note_silent(worker_id, self.clock())
                 return False
         return True
 
@@ -415,6 +420,7 @@
         controls = self._controls(job.workers)
         for worker_id in job.workers:
             if not self.tasks.start(job, worker_id, controls[worker_id]):
+                self.dispatch.note_silent(worker_id, self.clock())
                 # The round that follows ends the attempt everywhere.
                 report = TaskReport(job.job_id, job.attempt, TaskState.UNKNOWN)
                 attempt.note(worker_id, report)
@@ -452,10 +458,10 @@
             transaction = self.records.transaction(updates, expects, puts)
             if self._transact(transaction, updates, puts):
                 return updates
-        if len(updates) == 1:
-            return []
         # One stale record is enough to fail all, so halves are tried apart.
         self.ledger.refresh(force=True)
+        if len(updates) == 1:
+            return []
         half = len(updates) // 2
         first = self._commit(team, updates[:half])
         return first + self._commit(team, updates[half:])
@@ -482,7 +488,12 @@
     """Return the dispatcher of a node, with all that belongs to it."""
     store, clock = records.store, records.clock
     claim = Claim(
-        store, settings.claim_s, settings.look_s, follower.has_standing, clock
+        store,
+        settings.claim_s,
+        settings.look_s,
+        ports.grace_s,
+        follower.may_accept,
+        clock,
     )
     tasks = TaskFollower(HttpWorkerControl(), settings.lease_s, clock, run_side_by_side)
     return Dispatcher(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -138,6 +138,10 @@
         """Tell whether this node may act on its configuration, as of now."""
         return self.standing.holds(self.clock(), self.log.seq)
 
+    def store_gone(self) -> bool:
+        """Tell whether no member reaches the store, as of now."""
+        return self.standing.store_gone(self.clock(), self.log.seq)
+
     def may_accept(self) -> bool:
         """Tell whether this node may accept changes and reclaim what lapsed."""
         if self.registration is None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_records.py
@@ -173,12 +173,14 @@
 
     Args:
         records: Where jobs are written.
-        clock: Returns monotonic seconds.
+        pause: Waits for some seconds.
     """
 
-    def __init__(self, records: JobRecords, clock: Callable[[], float]):
+    def __init__(
+        self, records: JobRecords, pause: Callable[[float], None] = gevent.sleep
+    ):
         self.records = records
-        self.clock = clock
+        self.pause = pause
         self.pending: Queue = Queue()
         self.greenlet: gevent.Greenlet | None = None
 
@@ -200,7 +202,7 @@
         unknown = False
         for attempt in range(COMMIT_ATTEMPTS):
             if attempt:
-                gevent.sleep(COMMIT_PAUSE_S)
+                self.pause(COMMIT_PAUSE_S)
             try:
                 return self._try(jobs)
             except StoreError as error:
@@ -230,7 +232,7 @@
     def _run(self) -> None:
         while True:
             batch = [self.pending.get()]
-            gevent.sleep(WINDOW_S)
+            self.pause(WINDOW_S)
             while len(batch) < BATCH_JOBS:
                 try:
                     batch.append(self.pending.get_nowait())
