--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -123,14 +123,16 @@
             time.monotonic,
         )
         records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
-        self.runner = JobRunner(
-            records, GroupCommit(records, time.monotonic), self.gateway, time.time
-        )
+        self.runner = JobRunner(records, GroupCommit(records), self.gateway, time.time)
         self.dispatcher = open_dispatcher(
             records,
             self.follower,
             settings.jobs,
-            DispatcherPorts(pressure=self.admission.pressure),
+            DispatcherPorts(
+                pressure=self.admission.pressure,
+                store_gone=self.follower.store_gone,
+                grace_s=timing.standing_s,
+            ),
         )
         self.admission.job_demand = self._job_demand
         self.tasks = (
