--- a/packages/heatherhatch-standins/src/heatherhatch_standins/balancer.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/balancer.py
@@ -43,8 +43,11 @@
         upstream.close()
 
     def _connect(self) -> socket.socket | None:
-        for _ in self.targets:
-            target = self.targets[next(self.turn) % len(self.targets)]
+        # The turn is drawn once: others draw while this connection is tried, and
+        # a draw for each try could give the same dead target each time.
+        first = next(self.turn)
+        for i in range(len(self.targets)):
+            target = self.targets[(first + i) % len(self.targets)]
             host, _, port = target.rpartition(":")
             try:
                 return socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
