--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
@@ -15,6 +15,7 @@
 FAILURES_TO_EJECT = 5
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 30.0
+MOST_DOUBLINGS = 5
 SERVING_FLOOR = 0.5
 
 
@@ -157,6 +158,9 @@
         state.limit = min(HIGHEST_LIMIT, max(LOWEST_LIMIT, limit))
 
     def _eject(self, state: BackendState, now_s: float) -> None:
+        if state.ejected(now_s):
+            # Requests that were under way fail for the same cause.
+            return
         others = sum(
             not other.ejected(now_s)
             for other in self.backends.values()
@@ -164,7 +168,8 @@
         )
         if others < self._floor():
             return
-        span_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**state.ejections)
+        doublings = min(state.ejections, MOST_DOUBLINGS)
+        span_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
         state.ejections += 1
         state.failures = 0
         state.ejected_until_s = now_s + span_s
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
@@ -4,12 +4,14 @@
 from typing import TypeVar
 
 import falcon
+import gevent
 
 from heatherhatch_core.codec import MEDIA, decode_json, encode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 Message = TypeVar("Message")
 TIMEOUT_HEADER = "X-Request-Timeout"
+BODY_S = 10.0
 BEARER = "Bearer "
 
 
@@ -25,7 +27,11 @@
         raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
     # Only the raw stream of the server knows the end of a chunked body.
     stream = request.bounded_stream if length is not None else request.stream
-    body = stream.read(limit_bytes + 1)
+    try:
+        with gevent.Timeout(BODY_S, OSError("the body came too slowly")):
+            body = stream.read(limit_bytes + 1)
+    except OSError as error:
+        raise HeatherhatchError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
     if len(body) > limit_bytes:
         raise HeatherhatchError(ErrorKind.TOO_LARGE, f"above {limit_bytes} bytes")
     if length is not None and len(body) != length:
--- a/tests/test_coordination_backend_choice.py
+++ b/tests/test_coordination_backend_choice.py
@@ -10,6 +10,7 @@
 from heatherhatch_core.coordination.backend_choice import (
     FAILURES_TO_EJECT,
     HIGHEST_LIMIT,
+    LONGEST_EJECTION_S,
     LOWEST_LIMIT,
     SERVING_FLOOR,
     SLOW_START_S,
@@ -62,6 +63,20 @@
     assert "a" in names_chosen(choice, 1.5)
 
 
+def test_choice_counts_failures_of_one_moment_as_one_ejection(choice):
+    for _ in range(2_000):
+        fail(choice, "a", 0.0, refused=True)
+    assert "a" in names_chosen(choice, 1.5)
+
+
+def test_choice_ejects_for_a_bounded_time_however_often(choice):
+    now = 0.0
+    for _ in range(2_000):
+        fail(choice, "a", now, refused=True)
+        now = choice.backends["a"].ejected_until_s
+    assert now <= 2_000 * LONGEST_EJECTION_S
+
+
 def test_choice_ejects_no_more_than_the_floor_allows(choice):
     for name in ("a", "b", "c"):
         fail(choice, name, 0.0, refused=True)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -8,6 +8,8 @@
 from gevent.server import StreamServer
 
 from heatherhatch_core.exceptions import ErrorKind
+from heatherhatch_daemon.protocol.bodies import read_body
+from heatherhatch_daemon.protocol.problems import new_app
 from heatherhatch_daemon.settings import Address, LimitSettings
 from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
 from heatherhatch_daemon.transport.listener import Listener
@@ -165,6 +167,47 @@
     dripping.kill()
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"Content-Length: 9\r\n\r\nhalf",
+        b"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+        b"Transfer-Encoding: chunked\r\n\r\nnonsense\r\n",
+    ],
+)
+def test_listener_says_not_run_to_a_body_that_does_not_end(listening, body):
+    executed = []
+
+    class Resource:
+        def on_post(self, request, _response):
+            executed.append(read_body(request, 100))
+
+    app = new_app()
+    app.add_route("/", Resource())
+    _, sock = listening(app)
+    sock.sendall(b"POST / HTTP/1.1\r\n" + body)
+    answer = read_all(sock)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"not run" in answer
+    assert executed == []
+
+
+def test_listener_passes_chunked_bodies_on_whole(listening):
+    executed = []
+
+    class Resource:
+        def on_post(self, request, _response):
+            executed.append(read_body(request, 100))
+
+    app = new_app()
+    app.add_route("/", Resource())
+    _, sock = listening(app)
+    head = b"POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    sock.sendall(head + b"4\r\nhalf\r\n4\r\nmore\r\n0\r\n\r\n")
+    read_all(sock)
+    assert executed == [b"halfmore"]
+
+
 def test_listener_stop_waits_until_a_slow_body_is_written(listening):
     def slow_app(_environ, start_response):
         start_response("200 OK", [("Content-Length", "8")])
