--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/membership.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/membership.py
@@ -1,8 +1,10 @@
 """Membership: who belongs to the system, and when a newcomer may accept changes."""
 
 import dataclasses
+import zlib
 from dataclasses import dataclass, field
 
+from ..codec import encode_msgpack
 from ..state.nodes import NodeEntry
 
 FORGET_S = 60.0
@@ -22,6 +24,10 @@
     members: tuple[NodeEntry, ...] = ()
     live: tuple[str, ...] = ()
 
+    def digest(self) -> int:
+        """Return a checksum of the content, the same for any order of reads."""
+        return zlib.crc32(encode_msgpack((self.members, self.live)))
+
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
@@ -49,6 +55,7 @@
     Attributes:
         own: This node's registration.
         registry: Latest registry known.
+        digest: Its checksum.
         newcomers: Nodes that were heard before the registry showed them, with
             the store revision of their registration.
         lapsed_s: Since when the lease of a member is known to have lapsed.
@@ -59,6 +66,7 @@
 
     own: NodeEntry
     registry: Registry = Registry()
+    digest: int = 0
     newcomers: dict[str, tuple[NodeEntry, int]] = field(default_factory=dict)
     lapsed_s: dict[str, float] = field(default_factory=dict)
     acks: dict[str, Acknowledgement] = field(default_factory=dict)
@@ -99,7 +107,11 @@
         gone = {item.name for item in registry.members} - set(registry.live)
         lapsed = {name: self.lapsed_s.get(name, now_s) for name in gone}
         after = dataclasses.replace(
-            self, registry=registry, newcomers=newcomers, lapsed_s=lapsed
+            self,
+            registry=registry,
+            digest=registry.digest(),
+            newcomers=newcomers,
+            lapsed_s=lapsed,
         )
         return after._admit(now_s)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
@@ -18,7 +18,7 @@
         name: Who asks.
         incarnation: Its registration.
         seq: Log position that is in force at the sender.
-        revision: Store revision of the registry that the sender knows.
+        digest: Checksum of the registry that the sender knows.
         entry: The sender's registration, until the receiver has shown that it
             knows it.
         registered: Store revision of that registration.
@@ -29,7 +29,7 @@
     name: str
     incarnation: str
     seq: int
-    revision: int
+    digest: int
     entry: NodeEntry | None = None
     registered: int = 0
     lease: int = 0
@@ -50,7 +50,7 @@
         accepts: True if the responder may accept changes.
         knows: True if the asker is in the responder's view.
         changes: Entries of the log that the asker lacks, in order.
-        registry: The registry, if the responder's is newer.
+        registry: The registry, if the asker knows another one.
         demand: Work that the responder sees.
     """
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -19,7 +19,7 @@
 
 from ..events import Event, log
 from ..transport.store import Expect, Store
-from .log_store import COMPACT_ABOVE, CONFIG_PREFIX, LogBase, LogStore
+from .log_store import COMPACT_ABOVE, CONFIG_PREFIX, LogBase, LogStore, LogTail
 from .task import Task
 
 __all__ = ["CONFIG_PREFIX", "Follower"]
@@ -51,6 +51,8 @@
         registration: Condition that this node is registered, None if it is not.
         admitted_s: When every member had this node in its view.
         rank: Position of this node in the order of names.
+        on_read: Called with each read and the time of its question, before the
+            read counts as evidence.
         on_accept: Called after this node accepted a change.
     """
 
@@ -75,6 +77,7 @@
         self.store_up = True
         self.had_standing = False
         self.appending = RLock()
+        self.on_read: Callable[[LogTail, float], None] = lambda _tail, _asked_s: None
         self.on_accept: Callable[[], None] = lambda: None
 
     @property
@@ -112,6 +115,8 @@
         self.base = tail.base
         for change in tail.changes:
             self.apply(change)
+        # A node that was forgotten must see so before it counts the evidence.
+        self.on_read(tail, asked)
         self.advance(Confirmed(asked))
 
     def apply(self, change: Change) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
@@ -114,7 +114,7 @@
         # The age is read before the position, so that it can't be too young.
         now = self.clock()
         membership = self.registrar.membership
-        newer = membership.registry.revision > heartbeat.revision
+        differs = membership.digest != heartbeat.digest
         return HeartbeatAnswer(
             name=membership.own.name,
             incarnation=membership.own.incarnation,
@@ -124,7 +124,7 @@
             accepts=follower.admitted and follower.may_accept(),
             knows=self._knows(heartbeat),
             changes=follower.log.after(heartbeat.seq),
-            registry=membership.registry if newer else None,
+            registry=membership.registry if differs else None,
             demand=self.demand_source(),
         )
 
@@ -175,7 +175,7 @@
             name=own.name,
             incarnation=own.incarnation,
             seq=self.follower.log.seq,
-            revision=registrar.membership.registry.revision,
+            digest=registrar.membership.digest,
             entry=own if introduce else None,
             registered=registrar.revision if introduce else 0,
             lease=registrar.lease if registrar.renewal_failed else 0,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/log_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/log_store.py
@@ -20,8 +20,11 @@
 from ..transport.store import Entry, Expect, Put, Store, Transaction
 
 CONFIG_PREFIX = "config/"
-# The base sorts after all positions, so that one range read sees both.
+# These sort after all positions: one range read sees the head of the log and
+# who is a member, as of the same moment.
 BASE_KEY = "config/~base"
+LIVE_PREFIX = "config/~live/"
+MEMBER_PREFIX = "config/~member/"
 SNAPSHOT_KEY = "config-snapshot"
 AUDIT_PREFIX = "audit/"
 COMPACT_CHANGES = 100
@@ -57,12 +60,18 @@
     """What a read of the log saw.
 
     Attributes:
+        revision: Store revision of the read.
         base: Where the log begins.
         changes: Changes after the position that was asked for.
+        members: Member keys of the registry.
+        live: Live keys of the registry.
     """
 
+    revision: int
     base: LogBase
     changes: tuple[Change, ...]
+    members: tuple[Entry, ...]
+    live: tuple[Entry, ...]
 
 
 class LogStore:
@@ -78,14 +87,15 @@
     def read_after(self, seq: int) -> LogTail:
         """Return the changes after a position and the base, as of one moment."""
         found = self.store.range(CONFIG_PREFIX, config_key(seq + 1))
-        base = LogBase()
-        changes = []
-        for entry in found.entries:
-            if entry.key == BASE_KEY:
-                base = _base_of(entry)
-            else:
-                changes.append(decode_json(entry.value, Change))
-        return LogTail(base, tuple(changes))
+        entries = found.entries
+        base = next((_base_of(item) for item in entries if item.key == BASE_KEY), None)
+        return LogTail(
+            found.revision,
+            base or LogBase(),
+            tuple(decode_json(item.value, Change) for item in _positions(entries)),
+            tuple(item for item in entries if item.key.startswith(MEMBER_PREFIX)),
+            tuple(item for item in entries if item.key.startswith(LIVE_PREFIX)),
+        )
 
     def read_snapshot(self) -> ChangeLog:
         """Return the fold that stands for the compacted part."""
@@ -119,8 +129,7 @@
             base: Base of the latest read.
         """
         found = self.store.range(CONFIG_PREFIX, config_key(base.seq + 1))
-        entries = [item for item in found.entries if item.key != BASE_KEY]
-        entries = entries[:COMPACT_CHANGES]
+        entries = _positions(found.entries)[:COMPACT_CHANGES]
         changes = tuple(decode_json(item.value, Change) for item in entries)
         data = pack_changes(changes)
         while len(data) > VALUE_BYTES and len(changes) > 1:
@@ -153,5 +162,9 @@
         return tuple(found[seq] for seq in sorted(found))
 
 
+def _positions(entries: tuple[Entry, ...]) -> list[Entry]:
+    return [item for item in entries if item.key < BASE_KEY]
+
+
 def _base_of(entry: Entry) -> LogBase:
     return LogBase(decode_msgpack(entry.value, int), entry.revision)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
@@ -18,18 +18,16 @@
 from ..events import Event, log
 from ..transport.store import Entry, Expect, Put, Store, Transaction
 from .follower import Follower
+from .log_store import LIVE_PREFIX, MEMBER_PREFIX, LogTail
 from .task import Task
 
-NODES_PREFIX = "nodes/"
-LIVE_PREFIX = "nodes/live/"
-MEMBER_PREFIX = "nodes/member/"
 STEPS_PER_LEASE = 3
 FAST_STEPS_PER_LEASE = 12
 INCARNATION_BYTES = 8
 
 
 class Registrar(Task):
-    """Keeps the node registered and reads the registry.
+    """Keeps the node registered and knows the registry.
 
     A node has two keys. The live one dies with its lease and fences its writes;
     the member one says that it may act, and stays until the node leaves or is
@@ -48,6 +46,7 @@
         membership: What is known of the members.
         revision: Store revision of this node's registration, 0 if it has none.
         member_revisions: Store revisions of the member keys by name.
+        replaced: True while a later start lives under this node's name.
         renewal_failed: True if the lease could not be renewed directly.
     """
 
@@ -69,8 +68,10 @@
         self.revision = 0
         self.member_revisions: dict[str, int] = {}
         self.renewal_failed = False
+        self.replaced = False
         self.renewed_s: dict[int, float] = {}
         self.membership = Membership(entry)
+        follower.on_read = self.take_read
 
     @property
     def entry(self) -> NodeEntry:
@@ -85,10 +86,11 @@
         return {item.name: item for item in members if item.name in live}
 
     def step(self) -> None:
-        """Renew the entry, then read the registry."""
+        """Renew the entry, and read the registry if it is not known yet."""
         try:
             self._renew()
-            self._read()
+            if not self.membership.registered or self.follower.registration is None:
+                self.follower.refresh()
         except StoreError:
             self.renewal_failed = True
             self.period_s = self.lease_s / FAST_STEPS_PER_LEASE
@@ -119,6 +121,23 @@
         names = sorted(item.name for item in membership.everyone)
         self.follower.rank = names.index(membership.own.name)
 
+    def take_read(self, tail: LogTail, asked_s: float) -> None:
+        """Take over the registry that came with a read of the log.
+
+        Args:
+            tail: What the read saw.
+            asked_s: When it was sent, monotonic seconds.
+        """
+        members = tuple(decode_json(item.value, NodeEntry) for item in tail.members)
+        names = tuple(item.key.removeprefix(LIVE_PREFIX) for item in tail.live)
+        if tail.revision >= self.membership.registry.revision:
+            self.member_revisions = {
+                item.key.removeprefix(MEMBER_PREFIX): item.revision
+                for item in tail.members
+            }
+            self._fence(tail.live)
+        self.learn(Registry(tail.revision, members, names), asked_s)
+
     def learn(self, registry: Registry, asked_s: float = float("-inf")) -> None:
         """Take over a registry that was read here or passed on by a peer.
 
@@ -159,6 +178,11 @@
         return self.membership.everyone
 
     def _renew(self):
+        if self.replaced:
+            # A later start has this name; two must not take it in turns.
+            self.follower.refresh()
+            self.replaced = self.entry.name in self.membership.registry.live
+            return
         if self.lease and not self.store.keep_lease(self.lease):
             log(Event.REGISTRATION_LOST)
             self._drop_lease()
@@ -184,22 +208,7 @@
         self.lease = lease
         log(Event.REGISTERED, lease=lease, incarnation=self.entry.incarnation)
 
-    def _read(self):
-        asked = self.clock()
-        found = self.store.range(NODES_PREFIX)
-        members, live = [], []
-        self.member_revisions = {}
-        for item in found.entries:
-            if item.key.startswith(MEMBER_PREFIX):
-                members.append(decode_json(item.value, NodeEntry))
-                self.member_revisions[members[-1].name] = item.revision
-            else:
-                live.append(item)
-        self._fence(live)
-        names = tuple(item.key.removeprefix(LIVE_PREFIX) for item in live)
-        self.learn(Registry(found.revision, tuple(members), names), asked)
-
-    def _fence(self, live: list[Entry]) -> None:
+    def _fence(self, live: tuple[Entry, ...]) -> None:
         key = LIVE_PREFIX + self.entry.name
         own = next((item for item in live if item.key == key), None)
         if own is None or not self.lease or own.lease != self.lease:
@@ -212,10 +221,8 @@
             return
         # Forgotten, or replaced by a later start under the same name.
         log(Event.REGISTRATION_LOST)
-        replaced = any(item.name == self.entry.name for item in registry.members)
+        self.replaced = self.entry.name in registry.live
         self._start_anew()
-        if replaced:
-            self.stopping.wait(self.lease_s)
 
     def _drop_lease(self):
         self.lease = 0
@@ -235,6 +242,8 @@
         silent = self.membership.forgettable(
             self.clock(), settle_s, accepts, self.listed()
         )
+        if silent:
+            self.follower.refresh()
         for item in silent:
             live = LIVE_PREFIX + item.name
             member = MEMBER_PREFIX + item.name
