--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -6,6 +6,7 @@
 
 from gevent.event import Event as Signal
 
+from heatherhatch_core.coordination.outcomes import OutcomeBook
 from heatherhatch_core.coordination.standing import Standing
 
 from .events import Event, log
@@ -13,22 +14,26 @@
 from .protocol.caller import caller_app
 from .protocol.messages import NodeEntry
 from .protocol.operator import OperatorServices, operator_app
-from .protocol.peer import peer_app
+from .protocol.peer import PeerSigners, peer_app
 from .protocol.signing import Signer
 from .settings import Settings, StoreSettings
 from .tasks.admission import Admission
+from .tasks.at_most_once import AtMostOnce
+from .tasks.claims import ClaimWriter
+from .tasks.dispatcher import DispatcherPorts, open_dispatcher
+from .tasks.exchange import Exchange
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
+from .tasks.handovers import HandoverSender
 from .tasks.heartbeats import Heartbeats
+from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
 from .transport.memory_store import MemoryStore
 from .transport.store import EtcdStore, Store
-from .transport.workers import HttpWorkerControl
 
-JOB_PERIOD_S = 0.5
 INCARNATION_BYTES = 8
 
 
@@ -78,6 +83,9 @@
         self.signer = Signer(
             settings.security.peer_secret, lambda: self.registrar.entry.incarnation
         )
+        self.memory_signer = Signer(
+            settings.security.peer_secret, lambda: entry.incarnation
+        )
         self.admission = Admission(self.follower, self.registrar)
         self.heartbeats = Heartbeats(
             self.registrar,
@@ -91,19 +99,19 @@
         self.gateway = Gateway(
             self.follower,
             self.admission,
+            Exchange(self.follower, time.monotonic, random.Random()),
+            self._open_at_most_once(store, entry),
             open_metrics(settings.platform.statsd),
             time.monotonic,
-            random.Random(),
         )
+        records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
         self.runner = JobRunner(
-            store,
-            self.gateway,
-            HttpWorkerControl(),
-            JOB_PERIOD_S,
-            time.monotonic,
-            time.time,
+            records, GroupCommit(records, time.monotonic), self.gateway, time.time
+        )
+        self.dispatcher = open_dispatcher(
+            records, self.follower, settings.jobs, DispatcherPorts()
         )
-        self.tasks = (self.registrar, self.follower, self.heartbeats, self.runner)
+        self.tasks = (self.registrar, self.follower, self.heartbeats, self.dispatcher)
         self.callers, self.operators, self.peers = self._listeners()
 
     def start(self) -> None:
@@ -137,6 +145,20 @@
         log(Event.STOPPED if whole else Event.STOP_FORCED)
         return whole
 
+    def _open_at_most_once(self, store: Store, entry: NodeEntry) -> AtMostOnce:
+        secret = self.settings.security.peer_secret
+        outcome_s = self.settings.timing.outcome_s
+        return AtMostOnce(
+            entry,
+            OutcomeBook(self.settings.limits.outcome_bytes),
+            ClaimWriter(store, outcome_s, time.monotonic),
+            HandoverSender(self.memory_signer, time.monotonic),
+            secret,
+            outcome_s,
+            time.monotonic,
+            time.time,
+        )
+
     def _listeners(self) -> tuple[Listener, Listener, Listener]:
         listen = self.settings.listen
         limits = self.settings.limits
@@ -148,7 +170,8 @@
             self.settings.security.first_operator_digest,
             limits.body_bytes,
         )
-        peers = peer_app(self.heartbeats, self.signer, limits.body_bytes)
+        signers = PeerSigners(self.signer, self.memory_signer)
+        peers = peer_app(self.heartbeats, self.gateway, signers, limits.body_bytes)
         callers = caller_app(self.gateway, self.runner, limits.body_bytes)
         return (
             Listener(listen.callers, callers, limits),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -10,7 +10,6 @@
     ChangeAnswer,
     ChangeRequest,
     InForce,
-    JobPage,
     NodeStatus,
     PlanAnswer,
     Status,
@@ -26,6 +25,7 @@
 from ..tasks.heartbeats import Heartbeats
 from ..tasks.job_runner import JobRunner
 from .bodies import bearer_token, read_message, write_message
+from .jobs import OperatorJobsResource
 from .problems import new_app
 
 FIRST_OPERATOR = "first"
@@ -62,7 +62,10 @@
     app.add_route("/v1/audit", AuditResource(services))
     app.add_route("/v1/in-force", InForceResource(services))
     app.add_route("/v1/plan", PlanResource(services))
-    app.add_route("/v1/jobs", JobsResource(services))
+    authorize = OperatorResource(services).operator
+    jobs = OperatorJobsResource(services.runner, authorize, services.body_bytes)
+    app.add_route("/v1/jobs", jobs)
+    app.add_route("/v1/jobs/cancel", jobs, suffix="cancel")
     return app
 
 
@@ -72,12 +75,23 @@
     def __init__(self, services: OperatorServices):
         self.services = services
 
-    def operator(self, request: falcon.Request, role: Role) -> str:
+    def operator(
+        self, request: falcon.Request, role: Role, with_standing: bool = True
+    ) -> str:
         """Return the name of the operator whose key came with a request.
 
+        Args:
+            request: Request of an operator.
+            role: Role that is needed.
+            with_standing: False if the answer may come from a node that does
+                not know whether the key was withdrawn meanwhile.
+
         Raises:
-            HeatherhatchError: ``UNAUTHENTICATED`` or ``FORBIDDEN``.
+            HeatherhatchError: ``NO_STANDING``, ``UNAUTHENTICATED`` or
+                ``FORBIDDEN``.
         """
+        if with_standing and not self.services.follower.has_standing():
+            raise HeatherhatchError(ErrorKind.NO_STANDING)
         key_id, secret = split_token(bearer_token(request))
         key = self._operator_key(key_id)
         if key is None or not secret_matches(secret, key.digest):
@@ -153,7 +167,8 @@
 
     def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
         """Return the status as this node sees it."""
-        self.operator(request, Role.VIEWER)
+        # Operators need this page most while the node is cut off.
+        self.operator(request, Role.VIEWER, with_standing=False)
         heartbeats = self.services.heartbeats
         follower = self.services.follower
         now = heartbeats.clock()
@@ -194,12 +209,3 @@
         self.operator(request, Role.VIEWER)
         plan = plan_waves(self.services.follower.config, PLAN_LEAD_S)
         write_message(response, PlanAnswer(plan))
-
-
-class JobsResource(OperatorResource):
-    """Shows long jobs."""
-
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Return all jobs."""
-        self.operator(request, Role.VIEWER)
-        write_message(response, JobPage(self.services.runner.list_jobs()))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/problems.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/problems.py
@@ -53,7 +53,7 @@
 
 def retry_after_of(error: HeatherhatchError) -> str | None:
     """Return the value of Retry-After in whole seconds, if there is one."""
-    if error.answer.retry is not Retry.LATER:
+    if error.answer.retry is not Retry.LATER and error.retry_after_s is None:
         return None
     return str(math.ceil(error.retry_after_s or DEFAULT_RETRY_AFTER_S))
 
