--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
-from . import fleet, requests
+from . import control, fleet, requests
 
 
 def main() -> None:
@@ -14,6 +14,7 @@
     plan_waves(Configuration(), 0.0)
     print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
     requests.run()
+    control.run()
     fleet.run()
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -29,6 +29,7 @@
 from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
 from .tasks.registrar import Registrar
+from .tasks.reporter import Reporter
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
 from .transport.memory_store import MemoryStore
@@ -65,6 +66,7 @@
             data_centre=settings.node.data_centre,
         )
         store = open_store(settings.store)
+        metrics = open_metrics(settings.platform.statsd)
         self.follower = Follower(
             store,
             Standing(timing.standing_s),
@@ -101,9 +103,10 @@
             self.admission,
             Exchange(self.follower, time.monotonic, random.Random()),
             self._open_at_most_once(store, entry),
-            open_metrics(settings.platform.statsd),
+            metrics,
             time.monotonic,
         )
+        reporter = Reporter(store, self.heartbeats, metrics, time.monotonic)
         records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
         self.runner = JobRunner(
             records, GroupCommit(records, time.monotonic), self.gateway, time.time
@@ -111,7 +114,13 @@
         self.dispatcher = open_dispatcher(
             records, self.follower, settings.jobs, DispatcherPorts()
         )
-        self.tasks = (self.registrar, self.follower, self.heartbeats, self.dispatcher)
+        self.tasks = (
+            self.registrar,
+            self.follower,
+            self.heartbeats,
+            reporter,
+            self.dispatcher,
+        )
         self.callers, self.operators, self.peers = self._listeners()
 
     def start(self) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -15,7 +15,8 @@
     REQUEST_MS = "time from accepting to answering a request, milliseconds"
     RUNNING = "requests running on this node, gauge"
     STORE_CALLS = "calls to the store, count"
-    PEER_BYTES = "bytes sent to and received from peers, count"
+    STORE_BYTES = "bytes sent to and received from the store, count"
+    PEER_BYTES = "bytes of questions to peers and their answers, count"
 
 
 class Metrics(Protocol):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/signing.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/signing.py
@@ -13,6 +13,7 @@
 SEPARATOR = ":"
 WINDOW_CALLS = 1_024
 SENDERS = 256
+PROOF_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +103,7 @@
         parts = (kind.encode(), call.encode().encode(), path, body)
         # Lengths keep the borders of the parts apart.
         data = b"".join(len(part).to_bytes(8, "big") + part for part in parts)
-        return hmac.digest(self.secret, data, hashlib.sha256).hex()
+        return hmac.digest(self.secret, data, hashlib.sha256)[:PROOF_BYTES].hex()
 
     def _window(self, sender):
         if sender not in self.windows:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -130,7 +130,7 @@
         outcome_s: How long the outcome of a keyed request is remembered.
     """
 
-    heartbeat_s: float = 0.5
+    heartbeat_s: float = 1.0
     standing_s: float = 2.0
     lease_s: float = 6.0
     grace_s: float = 30.0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -25,7 +25,9 @@
 __all__ = ["CONFIG_PREFIX", "Follower"]
 
 APPEND_ATTEMPTS = 20
-ACCEPT_WAIT_PERIODS = 2.5
+ACCEPT_WAIT_PERIODS = 1.5
+READ_ATTEMPTS = 5
+READ_PAUSE_S = 0.05
 ACCEPT_POLL_S = 0.05
 # Parts of the standing period after which a node asks the store itself; the
 # nodes differ, so that most hear it from the one that asked first.
@@ -246,7 +248,7 @@
         follower = self.follower
         for _ in range(APPEND_ATTEMPTS):
             follower.await_acceptance()
-            follower.refresh()
+            self._refresh()
             seq = follower.log.accepted(self.change_id, self.edit)
             if seq:
                 return seq
@@ -264,6 +266,15 @@
                 return seq
         raise HeatherhatchError(ErrorKind.CONFLICT, "other changes always came first")
 
+    def _refresh(self):
+        # A read whose answer was lost may be sent again.
+        for _ in range(READ_ATTEMPTS - 1):
+            try:
+                return self.follower.refresh()
+            except StoreError:
+                self.follower.stopping.wait(READ_PAUSE_S)
+        return self.follower.refresh()
+
     def _write(self, seq):
         follower = self.follower
         registration = follower.registration
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
@@ -21,6 +21,7 @@
 from ..protocol.signing import SIGNATURE_HEADER, Signer
 from ..settings import Address
 from ..transport.http import HttpAnswer, HttpClient, HttpRequest
+from ..transport.store import exchange_bytes
 from .follower import Follower
 from .registrar import Registrar
 from .task import Task
@@ -63,7 +64,9 @@
 
     Attributes:
         views: Last answers by name.
-        due: When each peer is asked next, by name, monotonic seconds.
+        asked_s: When each peer was asked last, by name, monotonic seconds.
+        silent: Names of the peers whose last question had no answer.
+        bytes: Bytes of all questions and their answers.
         asking: Names of the peers with an open question.
     """
 
@@ -84,8 +87,10 @@
         self.ask_s = period_s
         self.clients: dict[str, HttpClient] = {}
         self.views: dict[str, PeerView] = {}
-        self.due: dict[str, float] = {}
+        self.asked_s: dict[str, float] = {}
+        self.silent: set[str] = set()
         self.asking: set[str] = set()
+        self.bytes = 0
         self.known_to: dict[str, str] = {}
 
     def step(self) -> None:
@@ -93,8 +98,13 @@
         peers = self.registrar.membership.others
         self._drop_others({peer.name for peer in peers})
         now = self.clock()
+        # An outage is short of time: all peers have to say that they lost the
+        # store before the last confirmation is too old.
+        lost = self.follower.standing.lost(now) or not self.follower.admitted
         for peer in peers:
-            if self.due.get(peer.name, now) <= now:
+            fast = lost or peer.name in self.silent
+            pause_s = self.ask_s / FAST_FACTOR if fast else self.ask_s
+            if now - self.asked_s.get(peer.name, float("-inf")) >= pause_s:
                 self._start_asking(peer)
 
     def hurry(self) -> None:
@@ -142,6 +152,7 @@
         if peer.name in self.asking:
             return
         self.asking.add(peer.name)
+        self.asked_s[peer.name] = self.clock()
         gevent.spawn(self._ask, peer)
 
     def _ask_soon(self, name):
@@ -151,20 +162,19 @@
 
     def _ask(self, peer: NodeEntry) -> None:
         asked = self.clock()
-        heard = False
+        self.silent.add(peer.name)
         try:
             reply = self._call(
                 peer, HEARTBEAT_PATH, encode_msgpack(self._ask_for(peer))
             )
             answer = decode_msgpack(reply.body, HeartbeatAnswer)
-            heard = answer.name == peer.name
-            if heard:
+            if answer.name == peer.name:
                 self._take(peer, answer, asked)
+                self.silent.discard(peer.name)
         except HeatherhatchError:
             self.known_to.pop(peer.name, None)
         finally:
             self.asking.discard(peer.name)
-            self.due[peer.name] = asked + self._pause_s(heard)
 
     def _ask_for(self, peer):
         registrar = self.registrar
@@ -216,20 +226,17 @@
         request = HttpRequest("POST", path, body, headers)
         timeout_s = self.ask_s * ANSWER_PERIODS
         reply = self._client(peer).exchange(request, timeout_s)
+        self.bytes += exchange_bytes(request, reply)
         if reply.status != 200:
             raise HeatherhatchError(ErrorKind.INTERNAL, f"peer said {reply.status}")
         proof = dict(reply.headers).get(SIGNATURE_HEADER.lower(), "")
         self.signer.check_answer(call, proof, reply.body)
         return reply
 
-    def _pause_s(self, heard):
-        lost = self.follower.standing.lost(self.clock())
-        calm = heard and not lost and self.follower.admitted
-        return self.ask_s if calm else self.ask_s / FAST_FACTOR
-
     def _drop_others(self, known):
         self.views = {k: v for k, v in self.views.items() if k in known}
-        self.due = {k: v for k, v in self.due.items() if k in known}
+        self.asked_s = {k: v for k, v in self.asked_s.items() if k in known}
+        self.silent &= known
 
     def _renew(self, lease):
         # If it fails, the peer asks again, here or elsewhere.
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/reporter.py
@@ -0,0 +1,45 @@
+"""Reports what control costs."""
+
+from collections.abc import Callable
+
+from ..metrics import Metric, Metrics
+from ..transport.store import Store
+from .heartbeats import Heartbeats
+from .task import Task
+
+REPORT_S = 5.0
+
+
+class Reporter(Task):
+    """Sends the growth of the control counters as metrics.
+
+    Args:
+        store: Counts its calls and bytes.
+        heartbeats: Counts the bytes to and from peers.
+        metrics: Where figures go.
+        clock: Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        heartbeats: Heartbeats,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ):
+        super().__init__("reporter", REPORT_S, clock)
+        self.store = store
+        self.heartbeats = heartbeats
+        self.metrics = metrics
+        self.reported: dict[Metric, int] = {}
+
+    def step(self) -> None:
+        """Send what was added since the last step."""
+        self._count(Metric.STORE_CALLS, self.store.calls)
+        self._count(Metric.STORE_BYTES, self.store.bytes)
+        self._count(Metric.PEER_BYTES, self.heartbeats.bytes)
+
+    def _count(self, metric, total):
+        grown = total - self.reported.get(metric, 0)
+        self.reported[metric] = total
+        self.metrics.count(metric, grown)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -1,13 +1,18 @@
 """A store in memory, for a trial of one node and for tests; it keeps nothing."""
 
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from gevent.queue import Queue
 from sortedcontainers import SortedDict
 
+from heatherhatch_core.exceptions import StoreError
+
 from .store import Entry, Outcome, Snapshot, Transaction, WatchEvent, prefix_end
 
+HISTORY_EVENTS = 10_000
+
 
 @dataclass(slots=True)
 class _Lease:
@@ -33,11 +38,12 @@
         self.clock = clock
         self.revision = 0
         self.entries: SortedDict = SortedDict()
-        self.history: list[WatchEvent] = []
+        self.history: deque[WatchEvent] = deque(maxlen=HISTORY_EVENTS)
         self.leases: dict[int, _Lease] = {}
         self.watchers: set[_Watcher] = set()
         self.next_lease = 1
         self.calls = 0
+        self.bytes = 0
 
     def get(self, key: str) -> Entry | None:
         """Return one entry, or None."""
@@ -93,8 +99,15 @@
         self._end_lease(lease)
 
     def watch(self, prefix: str, revision: int) -> Iterator[WatchEvent]:
-        """Yield changes under a prefix from a revision on."""
+        """Yield changes under a prefix from a revision on.
+
+        Raises:
+            StoreError: If the changes from there on are no longer kept.
+        """
         self._begin()
+        kept = self.history[0].entry.revision if self.history else revision
+        if len(self.history) == HISTORY_EVENTS and revision < kept:
+            raise StoreError(f"revision {revision} is compacted")
         watcher = _Watcher(prefix, Queue())
         for event in self.history:
             if event.entry.revision >= revision:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -10,9 +10,11 @@
 from heatherhatch_core.exceptions import HeatherhatchError, StoreError
 
 from ..settings import Address
-from .http import ExchangeError, HttpClient, HttpRequest
+from .http import ExchangeError, HttpAnswer, HttpClient, HttpRequest
 
 STORE_CONNECTIONS = 8
+NO_HOST = "0.0.0.0:00000"
+STATUS_LINE_BYTES = 19
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +225,7 @@
         self.client = HttpClient(address, STORE_CONNECTIONS, timeout_s)
         self.timeout_s = timeout_s
         self.calls = 0
+        self.bytes = 0
 
     def get(self, key: str) -> Entry | None:
         """Return one entry, or None."""
@@ -306,6 +309,7 @@
             answer = self.client.exchange(request, self.timeout_s)
         except ExchangeError as error:
             raise StoreError(f"{path}: {error}", writes and error.sent) from error
+        self.bytes += exchange_bytes(request, answer)
         if answer.status != 200:
             raise StoreError(f"{path}: status {answer.status}", writes)
         try:
@@ -314,6 +318,13 @@
             raise StoreError(f"{path}: {error}", writes) from error
 
 
+def exchange_bytes(request: HttpRequest, answer: HttpAnswer) -> int:
+    """Return the bytes of a request and its answer, heads included."""
+    sent = len(request.encode(NO_HOST))
+    head = sum(len(name) + len(value) + 4 for name, value in answer.headers)
+    return sent + STATUS_LINE_BYTES + head + len(answer.body)
+
+
 def _put_operation(put: Put) -> dict:
     operation = {"key": _b64(put.key), "value": _b64(put.value)}
     if put.lease:
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -53,6 +53,8 @@
         data_centres: Number of data centres that the nodes are spread over.
         work_s: Seconds that a backend server spends on a request.
         slots: Requests that a backend server works on at once.
+        doors: True to give each node an address of the store with faults of
+            its own.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         data_centres: int = 3,
         work_s: float = 0.002,
         slots: int = 32,
+        doors: bool = False,
     ):
         self.trial = trial
         self.name = name
@@ -71,16 +74,19 @@
         self.data_centres = data_centres
         self.work_s = work_s
         self.slots = slots
+        self.doors = doors
         self.node_names = tuple(f"{name}-node-{i + 1}" for i in range(nodes))
         self.ports: dict[str, tuple[int, int, int]] = {}
         self.store = ""
+        self.stores: dict[str, str] = {}
+        self.sections: dict[str, dict] = {}
         self.balancer = ""
         self.backends: dict[str, str] = {}
         self.workers: dict[str, str] = {}
 
     def start(self) -> None:
         """Start everything and apply the first configuration."""
-        self.store = self.trial.start_standin(f"{self.name}-store", "store")
+        self._start_store()
         self._start_workers()
         ports = free_ports(PORTS_PER_NODE * len(self.node_names))
         for i, node in enumerate(self.node_names):
@@ -96,10 +102,9 @@
     def start_node(self, node: str) -> None:
         """Start one node, or start it again."""
         data_centre = self.node_names.index(node) % self.data_centres + 1
-        settings = node_settings(
-            node, self.ports[node], self.store, f"dc-{data_centre}"
-        )
-        self.trial.start_daemon(node, settings)
+        store = self.stores.get(node, self.store)
+        settings = node_settings(node, self.ports[node], store, f"dc-{data_centre}")
+        self.trial.start_daemon(node, {**settings, **self.sections})
 
     def callers(self, node: str) -> str:
         """Return the ``host:port`` where a node takes work."""
@@ -129,6 +134,15 @@
         for node in self.node_names:
             self._wait(node, lambda status: status.seq >= seq)
 
+    def _start_store(self) -> None:
+        count = len(self.node_names) if self.doors else 1
+        name = f"{self.name}-store"
+        printed = self.trial.start_standin(name, "store", "--doors", str(count))
+        addresses = printed.split()
+        self.store = addresses[0]
+        if self.doors:
+            self.stores = dict(zip(self.node_names, addresses, strict=True))
+
     def _start_workers(self) -> None:
         count = str(len(self.edit.workers))
         backends = self.trial.start_standin(
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
@@ -143,21 +143,22 @@
     return base64.b64decode(data).decode()
 
 
-def _expire_leases(store, box):
+def _expire_leases(store, boxes):
     while True:
         gevent.sleep(0.1)
-        if not box.faults.down:
+        if not all(box.faults.down for box in boxes):
             store.expire_leases()
 
 
 @click.command()
 @click.option("--port", default=0)
-def main(port: int) -> None:
+@click.option("--doors", default=1, help="Addresses with faults of their own.")
+def main(port: int, doors: int) -> None:
     """Run a store stand-in."""
     store = MemoryStore(time.monotonic)
-    box = FaultBox()
-    gevent.spawn(_expire_leases, store, box)
-    serve((store_app(store, box),), port)
+    boxes = [FaultBox(seed) for seed in range(doors)]
+    gevent.spawn(_expire_leases, store, boxes)
+    serve(tuple(store_app(store, box) for box in boxes), port)
 
 
 if __name__ == "__main__":
--- a/tests/virtual_cluster.py
+++ b/tests/virtual_cluster.py
@@ -24,7 +24,7 @@
 
 TICK_S = 0.125
 PERIOD_S = 2.0
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = 1.0
 LEASE_S = 6.0
 
 
@@ -71,7 +71,8 @@
 
     def _start_asking(self, peer):
         asked = self.clock()
-        self.due[peer.name] = asked + self._pause_s(True)
+        self.asked_s[peer.name] = asked
+        self.silent.add(peer.name)
         message = encode_msgpack(self._ask_for(peer))
         try:
             target = self.node.cluster.reach(self.node, peer)
@@ -79,8 +80,8 @@
             data = encode_msgpack(answer)
         except HeatherhatchError:
             self.known_to.pop(peer.name, None)
-            self.due[peer.name] = asked + self._pause_s(False)
             return
+        self.silent.discard(peer.name)
         self.node.inbox.append((peer, data, asked))
 
     def take(self, peer, data, asked):
