--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -1,5 +1,8 @@
 """HTTP listeners with bounds on what a client can cost."""
 
+import contextlib
+import socket as blocking
+import time
 from collections.abc import Callable
 
 import gevent
@@ -8,9 +11,12 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from ..settings import Address, LimitSettings
+from .syn_filter import drop_new_connections
 
 POLL_S = 0.01
 CLOSE_S = 0.1
+HANDSHAKE_S = 0.1
+FIRST_REQUEST_S = 1.0
 BAD_HEAD = (
     b"HTTP/1.1 400 Bad Request\r\n"
     b"Connection: close\r\n"
@@ -50,7 +56,13 @@
 
 
 class BoundedHandler(WSGIHandler):
-    """Serves one connection within the bounds of its listener."""
+    """Serves one connection within the bounds of its listener.
+
+    Attributes:
+        fresh: True until its first request has begun.
+    """
+
+    fresh = True
 
     def MessageClass(self, stream, seekable):  # noqa: N802
         """Return the headers, read within the limit."""
@@ -60,11 +72,13 @@
     def read_requestline(self):
         """Return the request line, or an empty text if none comes in time."""
         listener = self.server.listener
-        listener.idle.add(self)
+        waiting = listener.fresh if self.fresh else listener.idle
+        waiting.add(self)
         try:
             return super().read_requestline()
         finally:
-            listener.idle.discard(self)
+            self.fresh = False
+            waiting.discard(self)
 
     def read_request(self, raw_requestline):
         """Read the head as one whole with one time limit.
@@ -149,6 +163,7 @@
         self.open_requests = 0
         self.ending = False
         self.idle: set[BoundedHandler] = set()
+        self.fresh: set[BoundedHandler] = set()
         self.pool = Pool(limits.connections)
         self.server = BoundedServer(self, address, self.pool)
 
@@ -182,11 +197,36 @@
         return whole
 
     def _close_door(self):
-        # Connections that the kernel has accepted would be reset by the close.
-        while accepted := self.server.do_read():
-            self.server.do_handle(*accepted)
+        drop_new_connections(self.server.socket)
+        gevent.sleep(HANDSHAKE_S)
+        self.server.stop_accepting()
+        for client, address in _take_all(self.server.socket.detach()):
+            sock = socket.socket(fileno=client.detach())
+            self.server.do_handle(sock, address)
         self.server.close()
 
     def _wait_until_done(self):
-        while self.open_requests or len(self.pool) > len(self.idle):
+        # A new connection brings a request that is on its way, most likely.
+        patient_until_s = time.monotonic() + FIRST_REQUEST_S
+        while self._busy() or (self.fresh and time.monotonic() < patient_until_s):
             gevent.sleep(POLL_S)
+
+    def _busy(self):
+        waiting = len(self.idle) + len(self.fresh)
+        return self.open_requests > 0 or len(self.pool) > waiting
+
+
+def _take_all(descriptor: int) -> list[tuple[blocking.socket, tuple]]:
+    """Close a listening socket and return the connections that waited there.
+
+    The kernel resets what it has accepted and nobody has taken. The library
+    would close the socket only in its next loop, and others would come until
+    then; so this is done by the system's own calls, one after the other.
+    """
+    taken = []
+    with blocking.socket(fileno=descriptor) as listening:
+        listening.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                taken.append(listening.accept())
+    return taken
