--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/membership.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/membership.py
@@ -141,6 +141,17 @@
         after = dataclasses.replace(self, acks={**self.acks, entry.name: ack})
         return after._admit(now_s)
 
+    def meet(self, entry: NodeEntry, now_s: float) -> "Membership":
+        """Return the membership after a member asked this registration.
+
+        Args:
+            entry: The member.
+            now_s: Monotonic seconds.
+        """
+        ack = self.acks.get(entry.name)
+        known = ack is not None and ack.incarnation == entry.incarnation
+        return self.acknowledge(entry, known and ack.accepts, now_s)
+
     def renamed(self, own: NodeEntry) -> "Membership":
         """Return an empty membership under a new registration."""
         return Membership(own)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/standing.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/standing.py
@@ -51,6 +51,7 @@
         viewed_s: When the question was sent that the store answered with the
             view, monotonic seconds.
         peers: Last answers by name.
+        left: Farewells by name: these registrations accept no change any more.
     """
 
     period_s: float
@@ -59,6 +60,7 @@
     view: dict[str, str] | None = None
     viewed_s: float = float("-inf")
     peers: dict[str, PeerEvidence] = field(default_factory=dict)
+    left: dict[str, PeerEvidence] = field(default_factory=dict)
 
     def holds(self, now_s: float, seq: int) -> bool:
         """Tell whether the node may act now on a log position.
@@ -100,15 +102,23 @@
         return now_s - self.confirmed_s
 
     def _all_lost(self, now_s, seq):
-        for name, incarnation in self.view.items():
-            peer = self.peers.get(name)
-            if peer is None or peer.incarnation != incarnation:
-                return False
-            if not peer.lost or peer.seq > seq:
-                return False
-            if now_s - peer.asked_s >= self.period_s:
-                return False
-        return True
+        return all(
+            self._lost_at(name, incarnation, now_s, seq)
+            for name, incarnation in self.view.items()
+        )
+
+    def _lost_at(self, name, incarnation, now_s, seq):
+        left = self.left.get(name)
+        if left is not None and left.incarnation == incarnation and left.seq <= seq:
+            return True
+        peer = self.peers.get(name)
+        return (
+            peer is not None
+            and peer.incarnation == incarnation
+            and peer.lost
+            and peer.seq <= seq
+            and now_s - peer.asked_s < self.period_s
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +146,19 @@
     evidence: PeerEvidence
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLeft:
+    """A peer said that it ends and accepts no change any more.
+
+    Attributes:
+        name: Name of the peer.
+        evidence: What it said last.
+    """
+
+    name: str
+    evidence: PeerEvidence
+
+
 @dataclass(frozen=True, slots=True)
 class ViewRead:
     """The registry was read, directly or through a peer.
@@ -192,13 +215,23 @@
     return dataclasses.replace(state, peers=peers)
 
 
+@advance.register
+def _(event: PeerLeft, state: Standing, now_s: float) -> Standing:
+    left = {**state.left, event.name: event.evidence}
+    return dataclasses.replace(state, left=left)
+
+
 @advance.register
 def _(event: ViewRead, state: Standing, now_s: float) -> Standing:
     view = {item.name: item.incarnation for item in event.members}
     view.pop(event.own, None)
-    peers = {name: item for name, item in state.peers.items() if name in view}
-    viewed = max(state.viewed_s, event.asked_s)
-    after = dataclasses.replace(state, view=view, viewed_s=viewed, peers=peers)
+    after = dataclasses.replace(
+        state,
+        view=view,
+        viewed_s=max(state.viewed_s, event.asked_s),
+        peers={name: item for name, item in state.peers.items() if name in view},
+        left={name: item for name, item in state.left.items() if name in view},
+    )
     if state.view is None:
         # Register, then read: what was read before the registration may be
         # older than a change that did not have to wait for this node.
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/messages.py
@@ -24,6 +24,7 @@
         registered: Store revision of that registration.
         lease: Lease that the sender can't renew itself, 0 if none.
         demand: Work that the sender sees.
+        leaving: True if the sender ends and accepts no change any more.
     """
 
     name: str
@@ -34,6 +35,7 @@
     registered: int = 0
     lease: int = 0
     demand: tuple[Demand, ...] = ()
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -31,10 +31,10 @@
 ACCEPT_POLL_S = 0.05
 # Parts of the standing period after which a node asks the store itself; the
 # nodes differ, so that most hear it from the one that asked first.
-ASK_PART = 0.25
-ASK_RANK_PART = 0.025
+ASK_PART = 0.3
+ASK_RANK_PART = 0.02
 ASK_RANKS = 8
-LOOKS_PER_PERIOD = 16
+LOOKS_PER_PERIOD = 10
 SEEN_POSITIONS = 256
 
 
@@ -52,6 +52,7 @@
         standing: Evidence that it is the latest.
         registration: Condition that this node is registered, None if it is not.
         admitted_s: When every member had this node in its view.
+        leaving: True once the node ends and accepts no change any more.
         rank: Position of this node in the order of names.
         on_read: Called with each read and the time of its question, before the
             read counts as evidence.
@@ -75,6 +76,7 @@
         self.seen: deque[tuple[int, float]] = deque(maxlen=SEEN_POSITIONS)
         self.registration: Expect | None = None
         self.admitted_s = float("inf")
+        self.leaving = False
         self.rank = 0
         self.store_up = True
         self.had_standing = False
@@ -147,7 +149,7 @@
 
     def may_accept(self) -> bool:
         """Tell whether this node may accept changes and reclaim what lapsed."""
-        if self.registration is None:
+        if self.registration is None or self.leaving:
             return False
         # Before the first change there is nothing to be out of date with.
         if self.log.seq == 0:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
@@ -10,6 +10,7 @@
 from heatherhatch_core.coordination.standing import (
     PeerAnswered,
     PeerEvidence,
+    PeerLeft,
     through_peer,
 )
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
@@ -32,6 +33,10 @@
 # While something is wrong, peers are asked more often by this factor.
 FAST_FACTOR = 4
 ANSWER_PERIODS = 0.5
+# Parts of the period after which the node that answered last, and the one that
+# asked last, asks next.
+ANSWERED_PART = 0.9
+ASKED_PART = 1.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +46,8 @@
     Attributes:
         entry: Its registration.
         seq: Log position in force there.
-        asked_s: When the last answered question was sent, monotonic seconds.
+        asked_s: When the last answered question was sent, or the peer's own last
+            question came, monotonic seconds.
         demand: Work that it sees.
     """
 
@@ -65,6 +71,7 @@
     Attributes:
         views: Last answers by name.
         asked_s: When each peer was asked last, by name, monotonic seconds.
+        met_s: When each peer was asked last or asked itself, likewise.
         silent: Names of the peers whose last question had no answer.
         bytes: Bytes of all questions and their answers.
         asking: Names of the peers with an open question.
@@ -88,6 +95,7 @@
         self.clients: dict[str, HttpClient] = {}
         self.views: dict[str, PeerView] = {}
         self.asked_s: dict[str, float] = {}
+        self.met_s: dict[str, float] = {}
         self.silent: set[str] = set()
         self.asking: set[str] = set()
         self.bytes = 0
@@ -102,11 +110,20 @@
         # store before the last confirmation is too old.
         lost = self.follower.standing.lost(now) or not self.follower.admitted
         for peer in peers:
-            fast = lost or peer.name in self.silent
-            pause_s = self.ask_s / FAST_FACTOR if fast else self.ask_s
-            if now - self.asked_s.get(peer.name, float("-inf")) >= pause_s:
+            if self._is_due(peer.name, now, lost):
                 self._start_asking(peer)
 
+    def finish(self) -> None:
+        """Tell the peers that this node accepts no change any more.
+
+        In an outage the registry can't tell them, and they would wait for a
+        word from this node before they act.
+        """
+        self.follower.leaving = True
+        peers = self.registrar.membership.others
+        asks = [gevent.spawn(self._ask, peer) for peer in peers]
+        gevent.joinall(asks, timeout=self.ask_s)
+
     def hurry(self) -> None:
         """Ask every peer at once, to spread what is new."""
         for peer in self.registrar.membership.others:
@@ -116,11 +133,14 @@
         """Return the answer to a peer's question."""
         if heartbeat.entry is not None:
             self.registrar.hear(heartbeat.entry, heartbeat.registered)
+        knows = self._meet(heartbeat)
         if heartbeat.lease and not self.registrar.renewal_failed:
             gevent.spawn(self._renew, heartbeat.lease)
         if heartbeat.seq > self.follower.log.seq:
             self._ask_soon(heartbeat.name)
         follower = self.follower
+        if heartbeat.leaving:
+            follower.advance(_farewell(heartbeat, self.clock()))
         # The age is read before the position, so that it can't be too young.
         now = self.clock()
         membership = self.registrar.membership
@@ -132,7 +152,7 @@
             lost=follower.standing.lost(now),
             age_s=follower.standing.age_s(now),
             accepts=follower.admitted and follower.may_accept(),
-            knows=self._knows(heartbeat),
+            knows=knows,
             changes=follower.log.after(heartbeat.seq),
             registry=membership.registry if differs else None,
             demand=self.demand_source(),
@@ -142,11 +162,30 @@
         """Return the log for a peer that lacks more than heartbeats carry."""
         return pack_log(self.follower.log)
 
-    def _knows(self, heartbeat):
-        return any(
-            item.name == heartbeat.name and item.incarnation == heartbeat.incarnation
-            for item in self.registrar.membership.others
-        )
+    def _is_due(self, name, now, lost):
+        if lost or name in self.silent:
+            asked = self.asked_s.get(name, float("-inf"))
+            return now - asked >= self.ask_s / FAST_FACTOR
+        # Two nodes ask each other in turns: the one that answered goes first.
+        asked = self.asked_s.get(name, float("-inf"))
+        met = self.met_s.get(name, float("-inf"))
+        turn = ANSWERED_PART if met > asked else ASKED_PART
+        return now - max(asked, met) >= self.ask_s * turn
+
+    def _meet(self, heartbeat):
+        for item in self.registrar.membership.others:
+            if item.name != heartbeat.name:
+                continue
+            if item.incarnation == heartbeat.incarnation:
+                now = self.clock()
+                self.met_s[item.name] = now
+                view = PeerView(item, heartbeat.seq, now, heartbeat.demand)
+                self.views[item.name] = view
+                # Whoever asks this registration has it in its view.
+                met = self.registrar.membership.meet(item, now)
+                self.registrar.update(met)
+                return True
+        return False
 
     def _start_asking(self, peer):
         if peer.name in self.asking:
@@ -190,6 +229,7 @@
             registered=registrar.revision if introduce else 0,
             lease=registrar.lease if registrar.renewal_failed else 0,
             demand=self.demand_source(),
+            leaving=self.follower.leaving,
         )
 
     def _take(self, peer, answer, asked):
@@ -236,6 +276,7 @@
     def _drop_others(self, known):
         self.views = {k: v for k, v in self.views.items() if k in known}
         self.asked_s = {k: v for k, v in self.asked_s.items() if k in known}
+        self.met_s = {k: v for k, v in self.met_s.items() if k in known}
         self.silent &= known
 
     def _renew(self, lease):
@@ -249,3 +290,8 @@
             client = HttpClient(address, PEER_CONNECTIONS, self.ask_s)
             self.clients[peer.peers] = client
         return self.clients[peer.peers]
+
+
+def _farewell(heartbeat: Heartbeat, now_s: float) -> PeerLeft:
+    evidence = PeerEvidence(heartbeat.incarnation, now_s, True, heartbeat.seq)
+    return PeerLeft(heartbeat.name, evidence)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
@@ -118,8 +118,8 @@
         """Take over a membership and tell the follower."""
         self.membership = membership
         self.follower.admitted_s = membership.admitted_s
-        names = sorted(item.name for item in membership.everyone)
-        self.follower.rank = names.index(membership.own.name)
+        own = membership.own.name
+        self.follower.rank = sum(item.name < own for item in membership.others)
 
     def take_read(self, tail: LogTail, asked_s: float) -> None:
         """Take over the registry that came with a read of the log.
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -60,6 +60,16 @@
     assert acting(cluster) == list(NAMES)
 
 
+def test_cluster_acts_on_after_a_graceful_end_in_an_outage(cluster):
+    cut_store(cluster, *NAMES)
+    cluster.run(4 * PERIOD_S)
+    cluster.nodes["c"].leave()
+    del cluster.nodes["c"]
+    for _ in range(20):
+        cluster.run(1.0)
+        assert acting(cluster) == ["a", "b"]
+
+
 def test_cluster_carries_a_node_that_lost_the_store_alone(cluster):
     cut_store(cluster, "b")
     cluster.run(30.0)
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -6,6 +6,7 @@
     Confirmed,
     PeerAnswered,
     PeerEvidence,
+    PeerLeft,
     Standing,
     ViewDropped,
     ViewRead,
@@ -64,6 +65,17 @@
     assert not state.holds(10.7, 5)
 
 
+def test_standing_needs_no_word_from_a_peer_that_left(registered):
+    state = advance(answer("b", 10.0), registered, 10.1)
+    farewell = PeerEvidence("c1", 5.0, True, 5)
+    after = advance(PeerLeft("c", farewell), state, 10.1)
+    assert after.holds(10.2, 5)
+    assert not after.holds(10.2, 4), "it knew a later position"
+    back = NodeEntry("c", "c2", "127.0.0.1:1", "dc-1")
+    after = advance(ViewRead("a", (OWN, PEERS[0], back)), after, 10.2)
+    assert not after.holds(10.3, 5), "it is back under another incarnation"
+
+
 def test_standing_ignores_an_answer_that_was_overtaken(registered):
     state = advance(answer("b", 10.0, lost=False), registered, 10.1)
     state = advance(answer("b", 9.0, lost=True), state, 10.2)
--- a/tests/virtual_cluster.py
+++ b/tests/virtual_cluster.py
@@ -127,6 +127,11 @@
         if not self.follower.may_accept():
             raise HeatherhatchError(ErrorKind.STORE_UNAVAILABLE)
 
+    def leave(self):
+        """End gracefully, as far as the peers see it."""
+        self.follower.leaving = True
+        self.heartbeats.hurry()
+
     def tick(self):
         """Do what is due."""
         if self.paused:
