--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
-from . import control, fleet, requests
+from . import control, fleet, log, requests, withdrawal
 
 
 def main() -> None:
@@ -15,6 +15,8 @@
     print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
     requests.run()
     control.run()
+    log.run()
+    withdrawal.run()
     fleet.run()
 
 
