--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
-from . import control, fleet, log, requests, withdrawal
+from . import control, fairness, fleet, idle, limits, log, requests, withdrawal
 
 
 def main() -> None:
@@ -13,8 +13,11 @@
     begun = time.perf_counter()
     plan_waves(Configuration(), 0.0)
     print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
-    requests.run()
+    limits.run()
     control.run()
+    fairness.run()
+    requests.run()
+    idle.run()
     log.run()
     withdrawal.run()
     fleet.run()
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,115 +1,76 @@
-"""Idle cost of control: processor, memory, bytes and store calls of each node."""
+"""What the limits cost a node that has nothing to do, at the size to come."""
 
-import socket
-import statistics
 import time
-from collections import Counter
-from dataclasses import dataclass
 
-import psutil
+from heatherhatch_core.coordination.membership import Membership, Registry
+from heatherhatch_core.state.configuration import Configuration
+from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
+from heatherhatch_core.state.nodes import NodeEntry
+from heatherhatch_daemon.tasks.admission import ADMISSION_PERIOD_S, Admission
+from heatherhatch_daemon.tasks.grants import GRANT_PERIOD_S, GrantKeeper
+from heatherhatch_daemon.transport.memory_store import MemoryStore
 
-from heatherhatch_core.state.changes import Edit
-from heatherhatch_core.state.entities import Pool
-from heatherhatch_standins.deployment import Deployment
-from heatherhatch_standins.processes import Trial
-from heatherhatch_standins.serving import LOOPBACK
+from . import report
+from .virtual_fleet import NODES, CalmFollower, CalmRegistrar, VirtualClock
 
-SIZES = (3, 5, 7)
-SETTLE_S = 3.0
-WATCH_S = 10.0
-DATAGRAM_BYTES = 4_096
-CPU_TARGET = 1.0
-MEMORY_TARGET_MB = 32.0
-BYTES_TARGET = 9_000.0
-CALLS_TARGET = 2.0
-MEBIBYTE = 1_048_576
-
-
-@dataclass(frozen=True, slots=True)
-class Cost:
-    """Mean cost of one idle node.
-
-    Attributes:
-        cpu: Percent of a core, the whole process.
-        memory_mb: Resident memory, the whole process, mebibytes.
-        bytes_s: Bytes a second that it sends and receives: its questions to
-            peers and store with their answers, and those of its peers to it.
-        calls_s: Store calls a second.
-    """
-
-    cpu: float
-    memory_mb: float
-    bytes_s: float
-    calls_s: float
+TEAMS = 50
+POOLS = 43
+WORKERS = 2_600
+SECONDS = 60
 
 
 def run() -> None:
-    """Print the idle cost for some numbers of nodes, and its slope."""
-    costs = {size: measure(size) for size in SIZES}
-    for size, cost in costs.items():
-        show(size, "cpu", cost.cpu, "% of a core", CPU_TARGET)
-        show(size, "memory", cost.memory_mb, "MiB", MEMORY_TARGET_MB)
-        show(size, "bytes", cost.bytes_s, "B/s", BYTES_TARGET)
-        show(size, "store_calls", cost.calls_s, "1/s", CALLS_TARGET)
-    for name in ("cpu", "memory_mb", "bytes_s", "calls_s"):
-        values = [getattr(costs[size], name) for size in SIZES]
-        slope = statistics.linear_regression(SIZES, values).slope
-        print(f"control.slope.{name} {slope:.3f} per node")
-
-
-def show(size: int, name: str, value: float, unit: str, target: float) -> None:
-    """Print one figure and, where it is missed, its target."""
-    verdict = f" MISSED target {target:g}" if value > target else ""
-    print(f"control.{size}_nodes.{name} {value:.3f} {unit}{verdict}")
-
-
-def measure(size: int) -> Cost:
-    """Return the mean cost of one of some idle nodes."""
-    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    receiver.bind((LOOPBACK, 0))
-    receiver.setblocking(False)
-    with receiver, Trial() as trial:
-        deployment = Deployment(trial, "control", Edit((Pool("tills", 0),)), size)
-        address = f"{LOOPBACK}:{receiver.getsockname()[1]}"
-        deployment.sections = {"platform": {"statsd": address}}
-        deployment.start()
-        processes = [
-            psutil.Process(trial.processes[node].pid) for node in deployment.node_names
-        ]
-        time.sleep(SETTLE_S)
-        read_counters(receiver)
-        before = [cpu_s(process) for process in processes]
-        begun = time.monotonic()
-        time.sleep(WATCH_S)
-        passed = time.monotonic() - begun
-        spent = sum(cpu_s(process) for process in processes) - sum(before)
-        counters = read_counters(receiver)
-        memory = statistics.mean(process.memory_info().rss for process in processes)
-    # Each exchange between nodes is seen by both.
-    exchanged = 2 * counters["peer_bytes"] + counters["store_bytes"]
-    return Cost(
-        100 * spent / passed / size,
-        memory / MEBIBYTE,
-        exchanged / passed / size,
-        counters["store_calls"] / passed / size,
+    """Print the figures."""
+    clock = VirtualClock()
+    store = MemoryStore(clock)
+    follower = CalmFollower(_configuration())
+    entries = tuple(NodeEntry(n, "1", "127.0.0.1:1", "dc-1") for n in NODES)
+    keepers = []
+    for entry in entries:
+        membership = Membership(entry, Registry(1, entries, NODES))
+        registrar = CalmRegistrar(entry, membership)
+        keepers.append(GrantKeeper(store, follower, registrar, dict, clock))
+    for _ in range(40):
+        for keeper in keepers:
+            keeper.step()
+        clock.now_s += GRANT_PERIOD_S
+    calls = store.calls
+    keeper = keepers[0]
+    admission = Admission(follower, keeper.registrar, keeper, dict, clock)
+    keeping = _time(keeper.step, clock, GRANT_PERIOD_S)
+    admitting = _time(admission.step, clock, ADMISSION_PERIOD_S)
+    report.figure("control.grants.core", keeping * 100, "percent")
+    report.figure("control.admission.core", admitting * 100, "percent")
+    report.at_most("control.limits.core", (keeping + admitting) * 100, "percent", 1.0)
+    calls = (store.calls - calls) / SECONDS
+    report.at_most("control.limits.store_calls", calls, "per_s", 2.0)
+    size = sum(len(entry.value) for entry in store.range("grants/").entries)
+    report.figure("control.limits.records", size / 1e3, "KB")
+
+
+def _time(step, clock, period_s) -> float:
+    """Return the part of a core that a step takes at its period."""
+    step()
+    begun = time.process_time()
+    for _ in range(round(SECONDS / period_s)):
+        step()
+        clock.now_s += period_s
+    return (time.process_time() - begun) / SECONDS
+
+
+def _configuration() -> Configuration:
+    pools = [f"pool-{index}" for index in range(POOLS)]
+    workers = (
+        Worker(f"w{index}", "fd", "r", "127.0.0.1:1", pools[index % POOLS])
+        for index in range(WORKERS)
+    )
+    return Configuration(
+        seq=1,
+        pools={name: Pool(name, 0) for name in pools},
+        teams={f"team-{i}": Team(f"team-{i}", 1.0, 500) for i in range(TEAMS)},
+        classes={
+            f"class-{name}": WorkClass(f"class-{name}", name, WorkKind.REQUEST, 2.0)
+            for name in pools
+        },
+        workers={worker.worker_id: worker for worker in workers},
     )
-
-
-def cpu_s(process: psutil.Process) -> float:
-    """Return the processor seconds that a process has used."""
-    times = process.cpu_times()
-    return times.user + times.system
-
-
-def read_counters(receiver: socket.socket) -> Counter:
-    """Return the sums of the counters that nodes have sent."""
-    found: Counter = Counter()
-    while True:
-        try:
-            data = receiver.recv(DATAGRAM_BYTES).decode()
-        except BlockingIOError:
-            return found
-        name, _, rest = data.partition(":")
-        value, _, kind = rest.partition("|")
-        if kind == "c":
-            found[name.rpartition(".")[2]] += float(value)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -3,11 +3,13 @@
 import random
 import secrets
 import time
+from collections import Counter
 
 from gevent.event import Event as Signal
 
 from heatherhatch_core.coordination.outcomes import OutcomeBook
 from heatherhatch_core.coordination.standing import Standing
+from heatherhatch_core.state.demand import Demand
 
 from .events import Event, log
 from .metrics import open_metrics
@@ -24,6 +26,7 @@
 from .tasks.exchange import Exchange
 from .tasks.follower import Follower
 from .tasks.gateway import Gateway
+from .tasks.grants import GrantKeeper
 from .tasks.handovers import HandoverSender
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_records import GroupCommit, JobRecords
@@ -35,6 +38,8 @@
 from .transport.memory_store import MemoryStore
 from .transport.store import EtcdStore, Store
 
+# A peer that has not answered for this long counts as one without demand.
+REPORT_S = 2.0
 INCARNATION_BYTES = 8
 
 
@@ -88,7 +93,20 @@
         self.memory_signer = Signer(
             settings.security.peer_secret, lambda: entry.incarnation
         )
-        self.admission = Admission(self.follower, self.registrar)
+        self.grants = GrantKeeper(
+            store,
+            self.follower,
+            self.registrar,
+            self._reports,
+            time.monotonic,
+        )
+        self.admission = Admission(
+            self.follower,
+            self.registrar,
+            self.grants,
+            self._peer_reports,
+            time.monotonic,
+        )
         self.heartbeats = Heartbeats(
             self.registrar,
             self.follower,
@@ -108,16 +126,24 @@
         )
         reporter = Reporter(store, self.heartbeats, metrics, time.monotonic)
         records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
-        self.runner = JobRunner(
-            records, GroupCommit(records, time.monotonic), self.gateway, time.time
-        )
+        self.runner = JobRunner(records, GroupCommit(records), self.gateway, time.time)
         self.dispatcher = open_dispatcher(
-            records, self.follower, settings.jobs, DispatcherPorts()
+            records,
+            self.follower,
+            settings.jobs,
+            DispatcherPorts(
+                pressure=self.admission.pressure,
+                store_gone=self.follower.store_gone,
+                grace_s=timing.standing_s,
+            ),
         )
+        self.admission.job_demand = self._job_demand
         self.tasks = (
             self.registrar,
             self.follower,
             self.heartbeats,
+            self.grants,
+            self.admission,
             reporter,
             self.dispatcher,
         )
@@ -168,6 +194,21 @@
             time.time,
         )
 
+    def _job_demand(self) -> tuple[Demand, ...]:
+        units: Counter[str] = Counter()
+        for (team, _), waiting in self.dispatcher.waiting().items():
+            units[team] += waiting
+        return tuple(Demand(t, "", 0, 0, jobs=n) for t, n in units.items() if t)
+
+    def _peer_reports(self) -> dict[str, tuple[Demand, ...]]:
+        oldest = time.monotonic() - REPORT_S
+        views = self.heartbeats.views.values()
+        return {view.entry.name: view.demand for view in views if view.asked_s > oldest}
+
+    def _reports(self) -> dict[str, tuple[Demand, ...]]:
+        own = self.settings.node.name
+        return {**self._peer_reports(), own: self.admission.demand()}
+
     def _listeners(self) -> tuple[Listener, Listener, Listener]:
         listen = self.settings.listen
         limits = self.settings.limits
