--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,28 @@
 """Prints measurements as lines of name, value and unit."""
 
-from . import backend_choice, control, fairness, faults, fleet, limits, requests
+from . import (
+    backend_choice,
+    fairness,
+    faults,
+    fleet,
+    idle,
+    limits,
+    log,
+    requests,
+    withdrawal,
+)
 
-AREAS = (limits, control, fairness, requests, backend_choice, faults, fleet)
+AREAS = (
+    limits,
+    idle,
+    log,
+    withdrawal,
+    fairness,
+    requests,
+    backend_choice,
+    faults,
+    fleet,
+)
 
 
 def main() -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -19,20 +19,22 @@
 
 from ..events import Event, log
 from ..transport.store import Expect, Store
-from .log_store import COMPACT_ABOVE, CONFIG_PREFIX, LogBase, LogStore
+from .log_store import COMPACT_ABOVE, CONFIG_PREFIX, LogBase, LogStore, LogTail
 from .task import Task
 
 __all__ = ["CONFIG_PREFIX", "Follower"]
 
 APPEND_ATTEMPTS = 20
-ACCEPT_WAIT_PERIODS = 2.5
+ACCEPT_WAIT_PERIODS = 1.5
+READ_ATTEMPTS = 5
+READ_PAUSE_S = 0.05
 ACCEPT_POLL_S = 0.05
 # Parts of the standing period after which a node asks the store itself; the
 # nodes differ, so that most hear it from the one that asked first.
-ASK_PART = 0.25
-ASK_RANK_PART = 0.025
+ASK_PART = 0.3
+ASK_RANK_PART = 0.02
 ASK_RANKS = 8
-LOOKS_PER_PERIOD = 16
+LOOKS_PER_PERIOD = 10
 SEEN_POSITIONS = 256
 
 
@@ -50,7 +52,10 @@
         standing: Evidence that it is the latest.
         registration: Condition that this node is registered, None if it is not.
         admitted_s: When every member had this node in its view.
+        leaving: True once the node ends and accepts no change any more.
         rank: Position of this node in the order of names.
+        on_read: Called with each read and the time of its question, before the
+            read counts as evidence.
         on_accept: Called after this node accepted a change.
     """
 
@@ -71,10 +76,12 @@
         self.seen: deque[tuple[int, float]] = deque(maxlen=SEEN_POSITIONS)
         self.registration: Expect | None = None
         self.admitted_s = float("inf")
+        self.leaving = False
         self.rank = 0
         self.store_up = True
         self.had_standing = False
         self.appending = RLock()
+        self.on_read: Callable[[LogTail, float], None] = lambda _tail, _asked_s: None
         self.on_accept: Callable[[], None] = lambda: None
 
     @property
@@ -112,6 +119,8 @@
         self.base = tail.base
         for change in tail.changes:
             self.apply(change)
+        # A node that was forgotten must see so before it counts the evidence.
+        self.on_read(tail, asked)
         self.advance(Confirmed(asked))
 
     def apply(self, change: Change) -> None:
@@ -144,7 +153,7 @@
 
     def may_accept(self) -> bool:
         """Tell whether this node may accept changes and reclaim what lapsed."""
-        if self.registration is None:
+        if self.registration is None or self.leaving:
             return False
         # Before the first change there is nothing to be out of date with.
         if self.log.seq == 0:
@@ -245,7 +254,7 @@
         follower = self.follower
         for _ in range(APPEND_ATTEMPTS):
             follower.await_acceptance()
-            follower.refresh()
+            self._refresh()
             seq = follower.log.accepted(self.change_id, self.edit)
             if seq:
                 return seq
@@ -263,6 +272,15 @@
                 return seq
         raise HeatherhatchError(ErrorKind.CONFLICT, "other changes always came first")
 
+    def _refresh(self):
+        # A read whose answer was lost may be sent again.
+        for _ in range(READ_ATTEMPTS - 1):
+            try:
+                return self.follower.refresh()
+            except StoreError:
+                self.follower.stopping.wait(READ_PAUSE_S)
+        return self.follower.refresh()
+
     def _write(self, seq):
         follower = self.follower
         registration = follower.registration
