--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,6 +2,7 @@
 
 from . import (
     backend_choice,
+    control,
     fairness,
     faults,
     fleet,
@@ -20,6 +21,7 @@
     fairness,
     requests,
     backend_choice,
+    control,
     faults,
     fleet,
 )
