--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/admission_queue.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/admission_queue.py
@@ -44,6 +44,7 @@
     LIMIT = "the team's limit leaves no room in time"
     POOL = "the pool has no room in time"
     FULL = "too many requests wait"
+    STANDING = "this node may be out of date"
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,10 +241,11 @@
                 self.blocked.setdefault(team, set()).add(name)
                 continue
             ticket = pool.waiting[team][0]
-            self._take(pool, ticket)
             if now_s + self._service_s(ticket) > ticket.deadline_s:
-                verdicts.refused.append(self._refusal(pool, ticket, 0.0))
+                verdicts.refused.append(self._refusal(ticket, 0.0))
+                self._take(pool, ticket)
                 continue
+            self._take(pool, ticket)
             self._count_running(pool, team, 1)
             pool.begun_s = max(pool.begun_s, pool.virtual_s[team])
             self.charged[ticket] = self._likely_s(ticket)
@@ -261,8 +263,8 @@
             late_s = now_s + wait_s + self._service_s(last) - last.deadline_s
             if late_s <= 0:
                 return
+            verdicts.refused.append(self._refusal(last, late_s))
             self._take(pool, last)
-            verdicts.refused.append(self._refusal(pool, last, late_s))
 
     def _wait_s(self, pool, ticket, place):
         """Return when the request at a place of its queue is likely to start."""
@@ -284,7 +286,7 @@
         times = self.times.get(ticket.work_class)
         return times.mean_s if times is not None else FIRST_CHARGE_S
 
-    def _refusal(self, pool, ticket, late_s):
+    def _refusal(self, ticket, late_s):
         blocked = ticket.pool in self.blocked.get(ticket.team, ())
         why = Why.LIMIT if blocked else Why.POOL
         return Refusal(ticket, why, max(late_s, self._service_s(ticket)))
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/grant_ledger.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/grant_ledger.py
@@ -58,11 +58,3 @@
         """Return the ledger to go by while a write is under way."""
         units = min(self.spendable, record.units_of(self.holder))
         return dataclasses.replace(self, spendable=units, unsettled=self.revision)
-
-    def refused(self) -> "GrantLedger":
-        """Return the ledger after a write was refused; the record is read next.
-
-        What an earlier write of unknown outcome did is told by that reading,
-        because a refusal means that the record has moved on.
-        """
-        return dataclasses.replace(self, unsettled=SETTLED)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
@@ -32,12 +32,15 @@
 ADMISSION_PERIOD_S = 0.1
 # How often the queue of long jobs is counted, in seconds.
 JOB_REPORT_S = 1.0
+# After which a caller may ask again when this node lost its standing, in seconds.
+STANDING_RETRY_S = 1.0
 OPEN_WEIGHT = 1.0
 
 KIND_OF_REFUSAL = {
     Why.LIMIT: ErrorKind.LIMIT_REACHED,
     Why.POOL: ErrorKind.DEADLINE_UNREACHABLE,
     Why.FULL: ErrorKind.DEADLINE_UNREACHABLE,
+    Why.STANDING: ErrorKind.NO_STANDING,
 }
 
 
@@ -176,6 +179,8 @@
             self.job_reports = self.job_demand()
             self.job_reports_s = self.clock()
         self._divide_all()
+        if not self.keeper.may_spend():
+            self._refuse_teams()
         self._tell(self.queue.refresh(self.clock()))
 
     def demand(self) -> tuple[Demand, ...]:
@@ -232,6 +237,14 @@
             kind = KIND_OF_REFUSAL[refusal.why]
             raise HeatherhatchError(kind, refusal.why.value, refusal.retry_after_s)
 
+    def _refuse_teams(self):
+        # Without standing no team's work can start; waiting would not help.
+        for ticket, waiter in list(self.waiters.items()):
+            if ticket.team:
+                self.queue.withdraw(ticket)
+                del self.waiters[ticket]
+                waiter.set(Refusal(ticket, Why.STANDING, STANDING_RETRY_S))
+
     def _abandon(self, ticket, waiter):
         self.waiters.pop(ticket, None)
         if waiter.ready() and waiter.value is None:
--- /dev/null
+++ b/tests/test_tasks_admission.py
@@ -0,0 +1,174 @@
+"""Admission as the gateway uses it."""
+
+import gevent
+import pytest
+
+from grant_fleet import Clock
+from heatherhatch_core.coordination.membership import Membership, Registry
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_core.state.configuration import Configuration
+from heatherhatch_core.state.demand import Demand
+from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
+from heatherhatch_core.state.nodes import NodeEntry
+from heatherhatch_daemon.tasks.admission import Admission
+
+STOCK = WorkClass("stock", "tills", WorkKind.REQUEST, 2.0)
+NAMES = ("a", "b")
+
+
+class FakeFollower:
+    def __init__(self):
+        self.config = Configuration(
+            seq=1,
+            pools={"tills": Pool("tills", 0)},
+            teams={"red": Team("red", 1.0, 10), "blue": Team("blue", 3.0, 10)},
+            classes={"stock": STOCK},
+            workers={"w": Worker("w", "fd", "r", "127.0.0.1:1", "tills", cpus=4)},
+        )
+
+
+class FakeRegistrar:
+    def __init__(self):
+        entries = tuple(NodeEntry(n, "1", "127.0.0.1:1", "dc-1") for n in NAMES)
+        self.entry = entries[0]
+        self.membership = Membership(entries[0], Registry(1, entries, NAMES))
+
+
+class FakeKeeper:
+    def __init__(self):
+        self.units = 10
+        self.standing = True
+        self.bound_s = 2.0
+
+    def allowance(self, team):
+        return self.units if self.standing else 0
+
+    def may_spend(self):
+        return self.standing
+
+    def ends_by_s(self, team):
+        return self.bound_s
+
+
+@pytest.fixture
+def reports():
+    return {}
+
+
+@pytest.fixture
+def admission(reports):
+    keeper = FakeKeeper()
+    clock = Clock()
+    return Admission(FakeFollower(), FakeRegistrar(), keeper, lambda: reports, clock)
+
+
+def acquire(admission, team="red"):
+    return admission.acquire(team, STOCK, admission.clock() + 2.0)
+
+
+def wait_for(admission, team="red"):
+    """Return a greenlet that waits for a permit."""
+    waiter = gevent.spawn(acquire, admission, team)
+    gevent.sleep(0)
+    assert not waiter.ready()
+    return waiter
+
+
+def fill(admission, count=2):
+    return [acquire(admission) for _ in range(count)]
+
+
+def kind_of(waiter):
+    gevent.joinall([waiter])
+    assert isinstance(waiter.exception, HeatherhatchError)
+    return waiter.exception.kind
+
+
+def test_tasks_admission_gives_a_released_unit_to_who_waits(admission):
+    first, _ = fill(admission)
+    waiter = wait_for(admission)
+    admission.release(first)
+    assert waiter.get(timeout=1.0).team == "red"
+    assert admission.running.total() == 2
+
+
+def test_tasks_admission_refuses_by_what_is_missing(admission):
+    admission.keeper.units = 0
+    limited = wait_for(admission)
+    fill_open = [acquire(admission, "") for _ in range(2)]
+    crowded = wait_for(admission, "")
+    admission.clock.now_s += 1.0
+    admission.release(fill_open[0])
+    assert crowded.get(timeout=1.0).team == ""
+    late = wait_for(admission, "")
+    admission.clock.now_s += 1.5
+    admission.step()
+    assert kind_of(limited) is ErrorKind.LIMIT_REACHED
+    assert kind_of(late) is ErrorKind.DEADLINE_UNREACHABLE
+
+
+def test_tasks_admission_refuses_at_once_when_standing_is_lost(admission):
+    fill(admission)
+    waiter = wait_for(admission)
+    admission.keeper.standing = False
+    admission.step()
+    assert kind_of(waiter) is ErrorKind.NO_STANDING
+    assert admission.queue.waiting_total == 0
+
+
+def test_tasks_admission_reads_standing_again_after_waiting(admission):
+    first, _ = fill(admission)
+    waiter = wait_for(admission)
+    admission.release(first)
+    admission.keeper.standing = False
+    assert kind_of(waiter) is ErrorKind.NO_STANDING
+    assert admission.running.total() == 1
+
+
+def test_tasks_admission_forgets_a_caller_that_went(admission):
+    first, _ = fill(admission)
+    gone, stays = wait_for(admission), wait_for(admission)
+    gone.kill()
+    admission.release(first)
+    assert stays.get(timeout=1.0).team == "red"
+
+
+def test_tasks_admission_takes_back_a_unit_of_a_caller_that_went(admission):
+    first, _ = fill(admission)
+    gone = wait_for(admission)
+    gone.kill(block=False)
+    admission.release(first)
+    gevent.joinall([gone])
+    assert admission.running.total() == 1
+    assert acquire(admission).team == "red"
+
+
+def test_tasks_admission_refuses_work_longer_than_its_grant(admission):
+    admission.keeper.bound_s = 1.0
+    with pytest.raises(HeatherhatchError) as caught:
+        acquire(admission)
+    assert caught.value.kind is ErrorKind.LIMIT_REACHED
+
+
+def test_tasks_admission_reports_demand_and_pressure(admission, reports):
+    fill(admission)
+    wait_for(admission)
+    reports["b"] = (Demand("blue", "tills", 0, 5, missing=2),)
+    assert admission.demand() == (Demand("red", "tills", 2, 1),)
+    assert admission.pressure("tills") == (1 + 3) / 4
+
+
+def test_tasks_admission_divides_by_the_reports_of_all(admission, reports):
+    fill(admission)
+    wait_for(admission)
+    reports["b"] = (Demand("blue", "tills", 0, 50),)
+    admission.step()
+    pool = admission.queue.pool("tills")
+    assert pool.parts == {"red": pytest.approx(1.0)}
+    assert pool.budget == 1
+
+
+def test_tasks_admission_spares_idle_rounds(admission, monkeypatch):
+    admission.step()
+    monkeypatch.setattr(admission, "_divide", None)
+    admission.step()
