--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
-from . import backend_choice, faults, fleet, requests
+from . import backend_choice, control, fairness, faults, fleet, limits, requests
 
 
 def main() -> None:
@@ -13,6 +13,9 @@
     begun = time.perf_counter()
     plan_waves(Configuration(), 0.0)
     print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
+    limits.run()
+    control.run()
+    fairness.run()
     requests.run()
     backend_choice.run()
     faults.run()
