--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
@@ -132,6 +132,10 @@
         state.base_s = _smooth(state.base_s, latency_s, BASE_SMOOTHING)
         self._adapt(state, filled)
 
+    def abandon(self, state: BackendState) -> None:
+        """Note an attempt that was given up too early to say anything."""
+        state.running -= 1
+
     def fail(self, state: BackendState, now_s: float, refused: bool) -> None:
         """Note an attempt without a whole answer.
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/outcomes.py
@@ -9,6 +9,8 @@
 
 RECORD_BYTES = 500
 RECHECK_S = 5.0
+STALE_FACTOR = 2
+STALE_ROOM = 1_000
 
 
 class RequestKey(NamedTuple):
@@ -148,6 +150,7 @@
         """Forget a running request that provably has not run."""
         del self.records[key]
         self.used_bytes -= RECORD_BYTES
+        self._drop_stale_expiries()
 
     def knows(self, key: RequestKey) -> bool:
         """Tell whether there is a record of a key."""
@@ -180,5 +183,14 @@
         heapq.heappush(self.expiries, (expires_s, key))
         return Step.RUN
 
+    def _drop_stale_expiries(self) -> None:
+        # Requests that were refused leave their expiry behind; a flood of them
+        # must not fill the memory that the records are counted in.
+        if len(self.expiries) > STALE_FACTOR * len(self.records) + STALE_ROOM:
+            self.expiries = [
+                (record.expires_s, key) for key, record in self.records.items()
+            ]
+            heapq.heapify(self.expiries)
+
     def _seconds_to_room(self, now_s: float) -> float:
         return self.expiries[0][0] - now_s if self.expiries else 1.0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/backends.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/backends.py
@@ -16,6 +16,7 @@
 BACKEND_CONNECTIONS = 256
 CONNECT_TIMEOUT_S = 1.0
 PATIENCE = 4.0
+SHORTEST_EVIDENCE_S = 0.1
 SERVER_ERROR = 500
 
 
@@ -59,11 +60,14 @@
         try:
             answer = self.client.exchange(request, timeout_s)
         except ExchangeError as error:
-            self.pool.failed(self.state, not error.sent)
+            if self._hurried(error, timeout_s):
+                self.pool.abandoned(self.state)
+            else:
+                self.pool.failed(self.state, not error.sent)
             raise
         except BaseException:
-            # The greenlet was ended: nothing is learnt, but the place is free.
-            self.pool.failed(self.state, False)
+            # The greenlet was ended.
+            self.pool.abandoned(self.state)
             raise
         if answer.status >= SERVER_ERROR:
             self.pool.failed(self.state, False)
@@ -71,6 +75,14 @@
             self.pool.succeeded(self.state, self.pool.clock() - begun)
         return answer
 
+    def _hurried(self, error: ExchangeError, timeout_s: float) -> bool:
+        """Tell whether the caller's own short deadline ended the attempt.
+
+        Otherwise callers in a hurry could have sound backend servers ejected.
+        """
+        usual_s = max(SHORTEST_EVIDENCE_S, PATIENCE * self.state.latency_s)
+        return error.kind is ErrorKind.BACKEND_TIMEOUT and timeout_s < usual_s
+
 
 class PoolBackends:
     """The backend servers of one pool as this node sees them.
@@ -132,6 +144,11 @@
         self.choice.fail(state, self.clock(), refused)
         self.freed.set()
 
+    def abandoned(self, state: BackendState) -> None:
+        """Note an attempt that says nothing."""
+        self.choice.abandon(state)
+        self.freed.set()
+
     def succeeded(self, state: BackendState, latency_s: float) -> None:
         """Note a good attempt."""
         self.choice.succeed(state, latency_s)
--- a/tests/test_coordination_outcomes.py
+++ b/tests/test_coordination_outcomes.py
@@ -109,6 +109,19 @@
     assert (book.records, book.used_bytes) == ({}, 0)
 
 
+def test_outcomes_of_refused_requests_take_no_memory():
+    book = OutcomeBook(10 * RECORD_BYTES)
+    book.begin(KEY, b"f", 10.0, 0.0)
+    for i in range(5_000):
+        key = RequestKey("red", str(i))
+        book.begin(key, b"f", 600.0, 0.0)
+        book.withdraw(key)
+    assert len(book.expiries) < 1_100
+    book.finish(KEY, Outcome(200))
+    book.expire(10.0)
+    assert (book.records, book.used_bytes) == ({}, 0)
+
+
 class OutcomeMachine(RuleBasedStateMachine):
     """Resends of any age at any moment, against the list of executions."""
 
