--- a/bench/idle.py
+++ b/bench/idle.py
@@ -23,6 +23,7 @@
 BYTES_TARGET = 9_000.0
 CALLS_TARGET = 2.0
 MEBIBYTE = 1_048_576
+SMALL_EDIT = Edit(pools=(Pool("tills", 0),))
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,13 +64,18 @@
     print(f"idle.{size}_nodes.{name} {value:.3f} {unit}{verdict}")
 
 
-def measure(size: int) -> Cost:
-    """Return the mean cost of one of some idle nodes."""
+def measure(size: int, edit: Edit = SMALL_EDIT) -> Cost:
+    """Return the mean cost of one of some idle nodes.
+
+    Args:
+        size: Number of nodes.
+        edit: First configuration.
+    """
     receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     receiver.bind((LOOPBACK, 0))
     receiver.setblocking(False)
     with receiver, Trial() as trial:
-        deployment = Deployment(trial, "control", Edit((Pool("tills", 0),)), size)
+        deployment = Deployment(trial, "control", edit, size)
         address = f"{LOOPBACK}:{receiver.getsockname()[1]}"
         deployment.sections = {"platform": {"statsd": address}}
         deployment.start()
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -13,23 +13,19 @@
     ChangeRequest,
     Status,
 )
-from heatherhatch_core.codec import decode_json, from_builtins
+from heatherhatch_core.codec import from_builtins
 from heatherhatch_core.exceptions import HeatherhatchError
 from heatherhatch_core.keys import new_key
 from heatherhatch_core.state.changes import Edit
 from heatherhatch_core.state.entities import TeamKey
-from heatherhatch_daemon.settings import Address
-from heatherhatch_daemon.transport.http import HttpClient, HttpRequest
 
 from .ports import free_ports
 from .processes import FIRST_TOKEN, Trial, node_settings
 from .serving import LOOPBACK
-from .store import CALLS_PATH
 
 PORTS_PER_NODE = 3
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
-CALL_TIMEOUT_S = 5.0
 
 
 def read_edit(path: Path) -> Edit:
@@ -147,12 +143,6 @@
         if self.doors:
             self.stores = dict(zip(self.node_names, addresses, strict=True))
 
-    def store_calls(self) -> int:
-        """Return how many calls the store has had."""
-        client = HttpClient(Address.parse(self.store), 1, CALL_TIMEOUT_S)
-        request = HttpRequest("GET", CALLS_PATH)
-        return decode_json(client.exchange(request, CALL_TIMEOUT_S).body, int)
-
     def _start_workers(self) -> None:
         count = str(len(self.edit.workers))
         backends = self.trial.start_standin(
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
@@ -51,9 +51,13 @@
     execution: str = ""
 
 
-def new_uuid7() -> str:
-    """Return a UUID of version 7, which carries its time (RFC 9562)."""
-    milliseconds = time.time_ns() // 1_000_000
+def new_uuid7(time_s: float | None = None) -> str:
+    """Return a UUID of version 7, which carries its time (RFC 9562).
+
+    Args:
+        time_s: Seconds since the epoch, now by default.
+    """
+    milliseconds = round((time.time() if time_s is None else time_s) * 1e3)
     high = milliseconds << 80 | UUID_VERSION << 76 | secrets.randbits(12) << 64
     return str(uuid.UUID(int=high | 0b10 << 62 | secrets.randbits(62)))
 
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/store.py
@@ -13,8 +13,6 @@
 from .faults import FAULTS_PATH, FaultBox, FaultsResource, SilencingApp
 from .serving import ConnectionDroppedError, new_app, serve
 
-CALLS_PATH = "/calls"
-
 
 def store_app(store: MemoryStore, box: FaultBox) -> SilencingApp:
     """Return the application of a store stand-in."""
@@ -29,7 +27,6 @@
     ):
         app.add_route(path, CallResource(store, box, handler))
     app.add_route("/v3/watch", WatchResource(store, box))
-    app.add_route(CALLS_PATH, CallsResource(store))
     return SilencingApp(app, box)
 
 
@@ -54,17 +51,6 @@
         response.data = msgspec.json.encode(answer)
 
 
-class CallsResource:
-    """Shows how many calls were made, a watch counting as one."""
-
-    def __init__(self, store):
-        self.store = store
-
-    def on_get(self, _request, response):
-        """Return the number of calls."""
-        response.data = msgspec.json.encode(self.store.calls)
-
-
 class WatchResource:
     """Streams changes."""
 
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -1,9 +1,6 @@
 """A caller for tests: one request over one connection."""
 
 import json
-import secrets
-import time
-import uuid
 from dataclasses import dataclass
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
@@ -30,11 +27,3 @@
             return Reply(answer.status, dict(answer.headers), answer.read())
     except HTTPError as error:
         return Reply(error.code, dict(error.headers), error.read())
-
-
-def caller_key(time_s=None):
-    """Return a fresh UUIDv7 (RFC 9562) with a time, now by default."""
-    milliseconds = round((time.time() if time_s is None else time_s) * 1000)
-    number = milliseconds << 80 | secrets.randbits(80)
-    number = number & ~(0xF << 76) | 7 << 76
-    return str(uuid.UUID(int=number & ~(0x3 << 62) | 0x2 << 62))
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -5,10 +5,11 @@
 import gevent
 import pytest
 
-from callers import call, caller_key
+from callers import call
 from heatherhatch_core.codec import encode_json
 from heatherhatch_standins.deployment import Deployment
 from heatherhatch_standins.faults import Faults
+from heatherhatch_standins.load import new_uuid7
 
 pytestmark = pytest.mark.usefixtures("nodes")
 
@@ -49,7 +50,7 @@
 
 
 def key_of(kind, nodes, token, node):
-    return ticket_from(nodes, node, token) if kind == "ticket" else caller_key()
+    return ticket_from(nodes, node, token) if kind == "ticket" else new_uuid7()
 
 
 @pytest.fixture(params=["ticket", "caller"])
@@ -101,7 +102,7 @@
     ticket = ticket_from(nodes, first, token)
     call(nodes.store, "PUT", "/faults", body=encode_json(Faults(down=True)))
     reply = settle(nodes, second, token, ticket, "outage")
-    refusal = settle(nodes, second, token, caller_key(), "refused")
+    refusal = settle(nodes, second, token, new_uuid7(), "refused")
     call(nodes.store, "PUT", "/faults", body=encode_json(Faults()))
     assert reply.status == 200
     # This node can't know of attempts through others, so it must not say more.
--- a/tests/test_coordination_outcomes.py
+++ b/tests/test_coordination_outcomes.py
@@ -12,7 +12,6 @@
     rule,
 )
 
-from callers import caller_key
 from heatherhatch_core.coordination.caller_keys import (
     CLOCK_SKEW_S,
     claim_lease_s,
@@ -28,6 +27,7 @@
 )
 from heatherhatch_core.coordination.tickets import Ticket, read_ticket, write_ticket
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_standins.load import new_uuid7
 
 TICKET = Ticket("n1", "i1", "127.0.0.1:1", "red", "nonce", 12.5)
 KEY = RequestKey("red", "k")
@@ -69,7 +69,7 @@
 
 
 def test_caller_key_carries_its_time():
-    key = caller_key(1000.25)
+    key = new_uuid7(1000.25)
     assert key_time_s(key) == 1000.25
     assert seconds_left(key, 1010.25, 60.0) == 50.0
 
@@ -80,7 +80,7 @@
 
 
 def test_caller_key_is_refused_when_old_or_from_the_future():
-    key = caller_key(1000.0)
+    key = new_uuid7(1000.0)
     assert kind_of(seconds_left, key, 1060.0, 60.0) is ErrorKind.KEY_EXPIRED
     early = 1000.0 - CLOCK_SKEW_S - 1
     assert kind_of(seconds_left, key, early, 60.0) is ErrorKind.BAD_REQUEST
