--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,26 +1,36 @@
 """Prints measurements as lines of name, value and unit."""
 
-import time
+from . import (
+    backend_choice,
+    control,
+    fairness,
+    faults,
+    fleet,
+    idle,
+    limits,
+    log,
+    requests,
+    withdrawal,
+)
 
-from heatherhatch_core.coordination.planner import plan_waves
-from heatherhatch_core.state.configuration import Configuration
-
-from . import control, fairness, fleet, idle, limits, log, requests, withdrawal
+AREAS = (
+    limits,
+    idle,
+    log,
+    withdrawal,
+    fairness,
+    requests,
+    backend_choice,
+    control,
+    faults,
+    fleet,
+)
 
 
 def main() -> None:
     """Run every measurement."""
-    begun = time.perf_counter()
-    plan_waves(Configuration(), 0.0)
-    print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
-    limits.run()
-    control.run()
-    fairness.run()
-    requests.run()
-    idle.run()
-    log.run()
-    withdrawal.run()
-    fleet.run()
+    for area in AREAS:
+        area.run()
 
 
 if __name__ == "__main__":
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/backend_choice.py
@@ -15,6 +15,7 @@
 FAILURES_TO_EJECT = 5
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 30.0
+MOST_DOUBLINGS = 5
 SERVING_FLOOR = 0.5
 
 
@@ -131,6 +132,10 @@
         state.base_s = _smooth(state.base_s, latency_s, BASE_SMOOTHING)
         self._adapt(state, filled)
 
+    def abandon(self, state: BackendState) -> None:
+        """Note an attempt that was given up too early to say anything."""
+        state.running -= 1
+
     def fail(self, state: BackendState, now_s: float, refused: bool) -> None:
         """Note an attempt without a whole answer.
 
@@ -157,6 +162,9 @@
         state.limit = min(HIGHEST_LIMIT, max(LOWEST_LIMIT, limit))
 
     def _eject(self, state: BackendState, now_s: float) -> None:
+        if state.ejected(now_s):
+            # Requests that were under way fail for the same cause.
+            return
         others = sum(
             not other.ejected(now_s)
             for other in self.backends.values()
@@ -164,7 +172,8 @@
         )
         if others < self._floor():
             return
-        span_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**state.ejections)
+        doublings = min(state.ejections, MOST_DOUBLINGS)
+        span_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
         state.ejections += 1
         state.failures = 0
         state.ejected_until_s = now_s + span_s
