Keep workers free for the team whose turn it is, charge jobs by their true size

Sizes that become known late charge the whole time of a job anew. Ruled out: the wrong estimates alone, which were charged right before and left the gap.

A round over 10,000 waiting jobs and 2,600 workers ranked the whole pool for every worker that filled; now once for each need in a round.

Of the others' modules: the trial deployment takes further settings.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.state.configuration import Configuration
 
-from . import fleet, requests
+from . import fleet, jobs, requests
 
 
 def main() -> None:
@@ -15,6 +15,7 @@
     print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
     requests.run()
     fleet.run()
+    jobs.run()
 
 
 if __name__ == "__main__":
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/dispatch.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/dispatch.py
@@ -1,13 +1,14 @@
 """The dispatcher's view of all live jobs, and what it decides to start."""
 
+import dataclasses
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..state.configuration import Configuration
 from ..state.jobs import Job, JobState, Usage
-from .job_queue import JobQueue, Lane, TeamShares
-from .placement import LeavingAt, Room, clamp, lacking, place, rooms_of
+from .job_queue import BACKFILL_DEPTH, JobQueue, Lane, TeamShares
+from .placement import LEAVE_MARGIN_S, LeavingAt, Room, clamp, lacking, place, rooms_of
 from .quarantine import Quarantine
 from .sizes import Estimator
 
@@ -37,11 +38,16 @@
         job: The job as recorded.
         revision: Store revision of the record.
         seen: Usage reported lately, None before the first report.
+        begun_s: Round in which it started to run, monotonic seconds; None
+            before it was counted.
+        charged: What its team was charged for it so far.
     """
 
     job: Job
     revision: int
     seen: Usage | None = None
+    begun_s: float | None = None
+    charged: float = 0.0
 
 
 class Dispatch:
@@ -67,7 +73,9 @@
         self.live: dict[str, Live] = {}
         self.running: dict[str, Live] = {}
         self.queue = JobQueue()
-        self.shares = TeamShares(now_s)
+        self.shares = TeamShares()
+        self.round_s = now_s
+        self.left: list[Live] = []
         self.estimator = Estimator()
         self.quarantine = Quarantine()
         self.silent_until: dict[str, float] = {}
@@ -88,10 +96,13 @@
         known = self.live.get(job.job_id)
         if known is not None and known.revision >= revision:
             return
-        same = known is not None and known.job.attempt == job.attempt
-        live = Live(job, revision, known.seen if same else None)
+        live = Live(job, revision)
+        still = known is not None and known.job.attempt == job.attempt
+        if still and job.state is known.job.state:
+            live = dataclasses.replace(known, job=job, revision=revision)
+        else:
+            self._leave(job.job_id)
         self.live[job.job_id] = live
-        self.running.pop(job.job_id, None)
         self.queue.remove(job.job_id)
         if job.state is JobState.QUEUED:
             self.queue.add(job)
@@ -100,10 +111,16 @@
 
     def drop(self, job_id: str) -> None:
         """Forget a job that is not live any more."""
+        self._leave(job_id)
         self.live.pop(job_id, None)
-        self.running.pop(job_id, None)
         self.queue.remove(job_id)
 
+    def _leave(self, job_id: str) -> None:
+        # What ran since the last round is charged in the next one.
+        live = self.running.pop(job_id, None)
+        if live is not None:
+            self.left.append(live)
+
     def units(self) -> Counter:
         """Return the running units of each team."""
         counts: Counter = Counter()
@@ -163,10 +180,10 @@
             now_s: Monotonic seconds.
             wall_s: Seconds since the epoch.
         """
-        self.shares.advance(now_s)
         rooms = rooms_of(config, leaving_at)
         rounds = _Round(self, config, rooms, now_s, wall_s)
         rounds.count_running()
+        self.round_s = now_s
         return rounds.decide(usable)
 
 
@@ -181,6 +198,10 @@
         self.wall_s: float = wall_s
         self.totals = _totals(rooms)
         self.full: dict[str, list[Usage]] = {}
+        self.heads: dict[Lane, list[Job]] = {}
+        self.held: set[str] = set()
+        self.held_for: set[str] = set()
+        self.ranked: dict[tuple[str, Usage], list[Room]] = {}
 
     def count_running(self) -> None:
         """Take what runs out of the rooms and put it on the teams' accounts."""
@@ -196,8 +217,11 @@
         by_worker = {
             key: room for pool in self.rooms.values() for key, room in pool.items()
         }
+        for live in dispatch.left:
+            self._charge(live)
+        dispatch.left.clear()
         for live in dispatch.running.values():
-            need = live.seen or dispatch.need_of(live.job)
+            need = self._charge(live)
             shares.use(live.job.team, self._part(need, live.job))
             for worker_id in live.job.workers:
                 if worker_id in by_worker:
@@ -206,51 +230,86 @@
     def decide(self, usable: UsableUnits) -> list[Start]:
         """Return the starts of this round."""
         found: list[Start] = []
-        lanes = {team: self._lanes(team) for team in self.dispatch.queue.teams()}
+        lanes = {
+            team: self.dispatch.queue.lanes_of(team)
+            for team in self.dispatch.queue.teams()
+        }
         left = {team: usable(team) for team in lanes}
-        taken: set[str] = set()
         while lanes and len(found) < STARTS_PER_ROUND:
             team = min(lanes, key=lambda item: (self.dispatch.shares.turn(item), item))
-            start = self._next(lanes[team], left[team], taken)
+            start = self._next(list(lanes[team]), left[team])
             if start is None:
-                del lanes[team]
+                self._hold_for(lanes.pop(team), left[team])
                 continue
             found.append(start)
-            taken.add(start.job.job_id)
             left[team] -= start.job.spec.gang
         return found
 
-    def _lanes(self, team: str) -> list[Lane]:
-        return self.dispatch.queue.lanes_of(team)
-
-    def _next(self, lanes: list[Lane], units: int, taken: set[str]) -> Start | None:
+    def _charge(self, live: Live) -> Usage:
+        # The whole time is charged anew with what is known now, so that a wrong
+        # estimate does no lasting harm.
+        need = live.seen or self.dispatch.need_of(live.job)
+        if live.begun_s is None:
+            live.begun_s = self.dispatch.round_s
+        whole = self._part(need, live.job) * (self.now_s - live.begun_s)
+        self.dispatch.shares.charge(live.job.team, whole - live.charged)
+        live.charged = whole
+        return need
+
+    def _next(self, lanes: list[Lane], units: int) -> Start | None:
         while lanes:
-            candidates = [(self._order(lane, taken), lane) for lane in lanes]
-            _, lane = min(candidates, key=lambda item: item[0])
-            start = self._start_in(lane, units, taken)
+            lane = min(lanes, key=self._order)
+            start = self._start_in(lane, units)
             if start is not None:
                 return start
             lanes.remove(lane)
         return None
 
-    def _order(self, lane: Lane, taken: set[str]) -> tuple[bool, float]:
+    def _hold_for(self, lanes: list[Lane], units: int) -> None:
+        # The team whose turn it is found no room. Workers are kept free for its
+        # next job, or small jobs of others would fill every hole for ever.
+        lane = min(lanes, key=self._order)
+        work_class = self.config.classes.get(lane[1])
+        waiting = self._waiting(lane)
+        if not waiting or work_class is None or work_class.pool in self.held_for:
+            return
+        job = waiting[0]
+        if job.spec.gang > units or work_class.pool in self.dispatch.held_pools:
+            return
+        self.held_for.add(work_class.pool)
+        pool = self.rooms.get(work_class.pool, {})
+        need = clamp(self.dispatch.need_of(job), pool.values())
+        able = sorted(
+            self._able(job, pool),
+            key=lambda room: (room.shortage(need), room.worker.worker_id),
+        )
+        self.held.update(room.worker.worker_id for room in able[: job.spec.gang])
+
+    def _waiting(self, lane: Lane) -> list[Job]:
+        if lane not in self.heads:
+            first = self.dispatch.queue.first(lane, STARTS_PER_ROUND + BACKFILL_DEPTH)
+            self.heads[lane] = list(first)
+        return self.heads[lane]
+
+    def _order(self, lane: Lane) -> tuple[bool, float]:
         # Jobs that can't meet their target any more don't hold up those that can.
         work_class = self.config.classes.get(lane[1])
-        for job in self.dispatch.queue.first(lane, len(taken) + 1):
-            if job.job_id in taken or work_class is None:
-                continue
-            part = work_class.on_time_share
-            run_s = self.dispatch.remaining_s(job, self.wall_s, part)
-            latest = job.submitted_s + work_class.target_s - run_s
-            return latest < self.wall_s, latest
-        return True, float("inf")
-
-    def _start_in(self, lane: Lane, units: int, taken: set[str]) -> Start | None:
-        for job in self.dispatch.queue.first(lane, len(taken) + 8):
-            if job.job_id in taken or job.cancel or job.spec.gang > units:
+        waiting = self._waiting(lane)
+        if not waiting or work_class is None:
+            return True, float("inf")
+        job = waiting[0]
+        run_s = self.dispatch.remaining_s(job, self.wall_s, work_class.on_time_share)
+        latest = job.submitted_s + work_class.target_s - run_s
+        return latest < self.wall_s, latest
+
+    def _start_in(self, lane: Lane, units: int) -> Start | None:
+        waiting = self._waiting(lane)
+        for job in waiting[:BACKFILL_DEPTH]:
+            if job.cancel or job.spec.gang > units:
                 continue
             workers = self._place(job)
             if workers:
+                waiting.remove(job)
                 return Start(job, workers)
         return None
 
@@ -264,7 +323,7 @@
             _at_least(need, job, other) for other in self.full.get(work_class.pool, ())
         ):
             return ()
-        able = self._able(job, pool)
+        able = self._candidates(job, work_class.pool, need)
         run = self.dispatch.need_of(job, work_class.on_time_share)
         workers = place(
             Usage(need.cpus, need.memory_mb, need.accelerators, run.run_s),
@@ -282,12 +341,40 @@
         self.dispatch.shares.use(job.team, self._part(need, job))
         return workers
 
+    def _candidates(self, job: Job, pool: str, need: Usage) -> list[Room]:
+        # Jobs of one need are many: their workers are ranked once in a round and
+        # taken in that order, each until it is full.
+        if job.spec.gang > 1 or job.failed_on or not job.spec.checkpoints:
+            return self._able(job, self.rooms.get(pool, {}))
+        key = (pool, need)
+        if key not in self.ranked:
+            able = self._able(job, self.rooms.get(pool, {}))
+            fitting = [room for room in able if room.fits(need)]
+            fitting.sort(
+                key=lambda room: (room.left_over(need), room.worker.worker_id),
+                reverse=True,
+            )
+            self.ranked[key] = fitting
+        ranked = self.ranked[key]
+        while ranked and not self._takes(ranked[-1], need):
+            ranked.pop()
+        return ranked[-1:]
+
+    def _takes(self, room: Room, need: Usage) -> bool:
+        admitted = self._admits(room.worker.worker_id)
+        soon = room.leaves_s <= self.wall_s + LEAVE_MARGIN_S
+        return admitted and not soon and room.fits(need)
+
     def _able(self, job: Job, pool: dict[str, Room]) -> list[Room]:
         # A job keeps away from workers on which it failed while there are others.
         fresh = pool.keys() - set(job.failed_on)
         names = fresh if len(fresh) >= job.spec.gang else pool.keys()
-        admits = self.dispatch.admits
-        return [pool[name] for name in names if admits(name, self.now_s)]
+        return [pool[name] for name in names if self._admits(name)]
+
+    def _admits(self, worker_id: str) -> bool:
+        return worker_id not in self.held and self.dispatch.admits(
+            worker_id, self.now_s
+        )
 
     def _part(self, need: Usage, job: Job) -> float:
         return job.spec.gang * max(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/job_queue.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/job_queue.py
@@ -44,16 +44,17 @@
     saved up.
     """
 
-    def __init__(self, now_s: float):
+    def __init__(self):
         self.accounts: dict[str, _Account] = {}
-        self.now_s = now_s
 
-    def advance(self, now_s: float) -> None:
-        """Charge every team for the time that has passed."""
-        passed = max(0.0, now_s - self.now_s)
-        self.now_s = now_s
-        for account in self.accounts.values():
-            account.served += account.rate * passed
+    def charge(self, team: str, amount: float) -> None:
+        """Add to, or correct, what a team was served.
+
+        Args:
+            team: Team.
+            amount: Part of the fleet times seconds; negative to give back.
+        """
+        self.accounts.setdefault(team, _Account()).served += amount
 
     def set_share(self, team: str, share: float) -> None:
         """State a team's weight, above zero; what it was served stays in step."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/placement.py
@@ -44,6 +44,15 @@
         self.memory_mb -= need.memory_mb
         self.accelerators -= need.accelerators
 
+    def shortage(self, need: Usage) -> float:
+        """Return how much is missing for a job, as a part of the worker's size."""
+        worker = self.worker
+        return max(
+            (need.cpus - self.cpus) / worker.cpus,
+            (need.memory_mb - self.memory_mb) / worker.memory_mb,
+            (need.accelerators - self.accelerators) / max(1, worker.accelerators),
+        )
+
     def left_over(self, need: Usage) -> float:
         """Return how much would stay free, as parts of the worker's size."""
         worker = self.worker
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -53,6 +53,9 @@
         data_centres: Number of data centres that the nodes are spread over.
         work_s: Seconds that a backend server spends on a request.
         slots: Requests that a backend server works on at once.
+
+    Attributes:
+        extra_settings: Sections that every node's settings get besides.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.balancer = ""
         self.backends: dict[str, str] = {}
         self.workers: dict[str, str] = {}
+        self.extra_settings: dict = {}
 
     def start(self) -> None:
         """Start everything and apply the first configuration."""
@@ -99,7 +103,7 @@
         settings = node_settings(
             node, self.ports[node], self.store, f"dc-{data_centre}"
         )
-        self.trial.start_daemon(node, settings)
+        self.trial.start_daemon(node, {**settings, **self.extra_settings})
 
     def callers(self, node: str) -> str:
         """Return the ``host:port`` where a node takes work."""
--- a/tests/test_job_faults.py
+++ b/tests/test_job_faults.py
@@ -281,3 +281,16 @@
             node.finish_step()
         world.now += 0.25
     assert nodes[1].store.calls - before <= 21
+
+
+def test_job_faults_small_jobs_do_not_fill_every_hole():
+    # Red's small jobs end one by one; blue's next job needs a whole worker.
+    world = World(small_fleet(limit=99))
+    node = Node(world)
+    steps(world, node, 4.0)
+    small = [new_job(world, f"red-{i}", run_s=20.0 + 7 * i, cpus=2) for i in range(40)]
+    submit(world, small)
+    steps(world, node, 10.0)
+    submit(world, [new_job(world, "blue-1", "blue", run_s=5.0, cpus=4)])
+    steps(world, node, 60.0)
+    assert world.all_jobs()["blue-1"].state is not JobState.QUEUED
