--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,21 +1,23 @@
 """Prints measurements as lines of name, value and unit."""
 
-import time
+from . import (
+    backend_choice,
+    control,
+    fairness,
+    faults,
+    fleet,
+    jobs,
+    limits,
+    requests,
+)
 
-from heatherhatch_core.coordination.planner import plan_waves
-from heatherhatch_core.state.configuration import Configuration
-
-from . import fleet, jobs, requests
+AREAS = (limits, control, fairness, requests, backend_choice, faults, fleet, jobs)
 
 
 def main() -> None:
     """Run every measurement."""
-    begun = time.perf_counter()
-    plan_waves(Configuration(), 0.0)
-    print(f"plan.empty {(time.perf_counter() - begun) * 1e3:.3f} ms")
-    requests.run()
-    fleet.run()
-    jobs.run()
+    for area in AREAS:
+        area.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,136 @@
+"""Limits: never above, and used to the full wherever callers come."""
+
+import time
+
+import gevent
+
+from heatherhatch_core.codec import decode_json
+from heatherhatch_core.state.changes import Edit
+from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
+from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
+from heatherhatch_standins.backend import TEAM_HEADER
+from heatherhatch_standins.deployment import Deployment
+from heatherhatch_standins.ledger import LedgerPage
+from heatherhatch_standins.processes import Trial
+
+from . import report
+from .virtual_fleet import NODES, SAMPLE_S, Load, Tally, VirtualFleet
+
+LIMIT = 70
+CAPACITY = 400
+SERVICE_S = 0.1
+TARGET_S = 2.0
+SECONDS = 12.0
+TEAM = "red"
+ONE_NODE = (0.0, 0.0, 1.0, 0.0, 0.0, 0.0, 0.0)
+SKEWED = (16.0, 8.0, 4.0, 2.0, 1.0, 1.0, 0.0)
+OVERLOAD = 3.0
+REAL_LIMIT = 28
+REAL_S = 10.0
+WORK_S = 0.1
+CALLERS = 56
+REFUSED_PAUSE_S = 0.1
+EDIT = Edit(
+    pools=(Pool("tills", 1),),
+    teams=(Team(TEAM, 1.0, REAL_LIMIT),),
+    classes=(WorkClass("stock", "tills", WorkKind.REQUEST, TARGET_S, idempotent=True),),
+    workers=tuple(
+        Worker(f"w{i}", "fd-1", "r1", "127.0.0.1:1", "tills") for i in range(3)
+    ),
+)
+
+
+def run() -> None:
+    """Print the figures."""
+    for name, spread in (("one_node", ONE_NODE), ("skewed", SKEWED)):
+        shared = _ask(spread, alone=False)
+        used = shared.units(TEAM, 2.0, SECONDS) / LIMIT
+        report.at_least(f"limits.{name}.used", used, "of_limit", 0.95)
+        report.at_most(f"limits.{name}.whole_after", _reached_s(shared), "s", 2.0)
+        report.at_most(f"limits.{name}.over", _samples_over(shared), "samples", 0)
+        alone = _ask(spread, alone=True)
+        used = alone.units(TEAM, 2.0, SECONDS) / LIMIT
+        report.figure(f"limits.{name}.baseline.used", used, "of_limit")
+    _moving_callers()
+    _real_nodes()
+
+
+def _real_nodes() -> None:
+    """All callers of one team on one of seven real daemons."""
+    with Trial() as trial:
+        deployment = Deployment(trial, "limits", EDIT, work_s=WORK_S)
+        deployment.start()
+        key = deployment.grant_key(TEAM)
+        deployment.wait_for_seq(key.seq)
+        address = Address.parse(deployment.callers(deployment.node_names[2]))
+        client = HttpClient(address, CALLERS, TARGET_S)
+        headers = (("Authorization", f"Bearer {key.token}"), (TEAM_HEADER, TEAM))
+        request = HttpRequest("POST", "/run/stock/x", b"x", headers)
+        ends: list[float] = []
+        begun = time.monotonic()
+        callers = [
+            gevent.spawn(_keep_asking, client, request, begun + REAL_S, ends)
+            for _ in range(CALLERS)
+        ]
+        gevent.joinall(callers)
+        backend = Address.parse(deployment.backends["w1"])
+        answer = HttpClient(backend, 1, TARGET_S).exchange(
+            HttpRequest("GET", "/ledger"), TARGET_S
+        )
+        peak = decode_json(answer.body, LedgerPage).peaks[TEAM]
+    late = [end for end in ends if end >= begun + 2.0]
+    used = len(late) * WORK_S / (REAL_S - 2.0) / REAL_LIMIT
+    report.at_least("limits.daemons.used", used, "of_limit", 0.95)
+    report.at_most("limits.daemons.over", max(0, peak - REAL_LIMIT), "units", 0)
+
+
+def _keep_asking(client, request, until_s, ends) -> None:
+    while time.monotonic() < until_s:
+        try:
+            answer = client.exchange(request, TARGET_S)
+        except ExchangeError:
+            continue
+        if answer.status == 200:
+            ends.append(time.monotonic())
+        else:
+            gevent.sleep(REFUSED_PAUSE_S)
+
+
+def _ask(spread: tuple[float, ...], alone: bool) -> Tally:
+    fleet = VirtualFleet(
+        (Team(TEAM, 1.0, LIMIT),), CAPACITY, SERVICE_S, TARGET_S, alone
+    )
+    rate = OVERLOAD * LIMIT / SERVICE_S
+    return fleet.run((Load(TEAM, lambda _now: rate, spread),), SECONDS)
+
+
+def _moving_callers() -> None:
+    """All callers move to the next node every four seconds."""
+    fleet = VirtualFleet((Team(TEAM, 1.0, LIMIT),), CAPACITY, SERVICE_S, TARGET_S)
+    rate = OVERLOAD * LIMIT / SERVICE_S
+    loads = tuple(
+        Load(
+            TEAM,
+            lambda now, index=index: rate if int(now / 4) % 3 == index else 0.0,
+            tuple(float(node == index) for node in range(len(NODES))),
+        )
+        for index in range(3)
+    )
+    tally = fleet.run(loads, 3 * SECONDS)
+    used = tally.units(TEAM, 2.0, 3 * SECONDS) / LIMIT
+    report.figure("limits.moving.used", used, "of_limit")
+    report.at_most("limits.moving.over", _samples_over(tally), "samples", 0)
+    calls = fleet.store.calls / (3 * SECONDS) / len(NODES)
+    report.figure("limits.moving.store_calls", calls, "per_s_per_node")
+
+
+def _reached_s(tally: Tally) -> float:
+    for index, sample in enumerate(tally.samples):
+        if sample[TEAM] >= 0.95 * LIMIT:
+            return index * SAMPLE_S
+    return float("inf")
+
+
+def _samples_over(tally: Tally) -> int:
+    return sum(sample[TEAM] > LIMIT for sample in tally.samples)
