Ask the announced waves when a worker leaves; split the ends of attempts off

The dispatcher had no dates: jobs were moved off only once their worker was draining. It now asks the waves in the configuration; the planner's own drain times may replace them where they are at hand.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -31,6 +31,7 @@
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
+from .tasks.leaving import LeavingDates
 from .tasks.registrar import Registrar
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
@@ -129,6 +130,7 @@
             self.follower,
             settings.jobs,
             DispatcherPorts(
+                leaving_at=LeavingDates(self.follower, time.time),
                 pressure=self.admission.pressure,
                 store_gone=self.follower.store_gone,
                 grace_s=timing.standing_s,
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/attempt_ends.py
@@ -0,0 +1,158 @@
+"""The ends of attempts: when a running job has to end, and what follows."""
+
+from collections.abc import Callable, Iterable
+
+from heatherhatch_core.coordination import attempts
+from heatherhatch_core.coordination.dispatch import Dispatch
+from heatherhatch_core.coordination.placement import LeavingAt
+from heatherhatch_core.coordination.relief import Level, PoolRelief, must_leave
+from heatherhatch_core.state.configuration import Configuration
+from heatherhatch_core.state.entities import WorkerState
+from heatherhatch_core.state.jobs import Job, JobState, Usage
+
+from ..events import Event, log
+from ..transport.workers import TaskReport, TaskState
+from .follower import Follower
+from .task_follower import Attempt, TaskFollower
+
+
+class AttemptEnds:
+    """Decides on the end of attempts and asks workers to stop them.
+
+    Args:
+        tasks: Exchanges with workers.
+        follower: Source of the configuration.
+        leaving_at: When a worker leaves, seconds since the epoch, or None.
+        wall_clock: Returns seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        tasks: TaskFollower,
+        follower: Follower,
+        leaving_at: LeavingAt,
+        wall_clock: Callable[[], float],
+    ):
+        self.tasks = tasks
+        self.follower = follower
+        self.leaving_at = leaving_at
+        self.wall_clock = wall_clock
+
+    def next_state(
+        self, dispatch: Dispatch, job: Job, attempt: Attempt, relief: PoolRelief
+    ) -> Job | None:
+        """Return the job after its attempt has ended, or None while it goes on.
+
+        An attempt that has to end is asked to stop on each worker; it has ended
+        once they have all confirmed that or its lease is surely over.
+
+        Args:
+            dispatch: Live jobs, learned sizes and quarantined workers.
+            job: Running job.
+            attempt: What is known of its attempt.
+            relief: How the jobs of its pool make way.
+        """
+        reports = [attempt.reports.get(worker_id) for worker_id in job.workers]
+        if all(report and report.state is TaskState.DONE for report in reports):
+            used = _used(job, reports)
+            return attempts.end(job, JobState.DONE, "", self.wall_clock(), used)
+        reason = self._reason_to_end(dispatch, job, attempt, relief)
+        if not reason:
+            return None
+        self._end_members(job, attempt)
+        if not self._is_over(job, attempt):
+            return None
+        return self._after_end(dispatch, job, attempt, reason)
+
+    def _reason_to_end(self, dispatch, job, attempt, relief) -> str:
+        if job.cancel:
+            return "cancelled"
+        for worker_id in job.workers:
+            report = attempt.reports.get(worker_id)
+            state = report.state if report is not None else None
+            if state not in (None, TaskState.RUNNING, TaskState.DONE):
+                return f"{state.value} on {worker_id}"
+            if state is not TaskState.DONE and attempt.evidence.over(
+                self.tasks.clock()
+            ):
+                return f"worker {worker_id} does not answer"
+        return self._reason_to_move(dispatch, job, relief)
+
+    def _reason_to_move(self, dispatch, job, relief) -> str:
+        now = self.wall_clock()
+        left = dispatch.remaining_s(job, now)
+        for worker_id in job.workers:
+            if worker_id not in self.follower.config.workers:
+                continue
+            if self.follower.config.state_of(worker_id) is not WorkerState.SERVING:
+                return f"worker {worker_id} is leaving"
+            leaves = self.leaving_at(worker_id)
+            if leaves is not None and must_leave(job, leaves, left, now):
+                return f"worker {worker_id} leaves for maintenance"
+        if relief.level is Level.CHECKPOINT and job.spec.checkpoints:
+            return "its pool is needed for urgent work"
+        return ""
+
+    def _end_members(self, job: Job, attempt: Attempt) -> None:
+        save = job.spec.checkpoints and not job.cancel
+        controls = controls_of(self.follower.config, job.workers)
+        for worker_id, control in controls.items():
+            if not attempt.ended_on(worker_id):
+                self.tasks.end(attempt, worker_id, control, save)
+
+    def _is_over(self, job: Job, attempt: Attempt) -> bool:
+        if attempt.evidence.over(self.tasks.clock()):
+            return True
+        return all(attempt.ended_on(worker_id) for worker_id in job.workers)
+
+    def _after_end(self, dispatch, job, attempt, reason) -> Job:
+        now = self.wall_clock()
+        if job.cancel:
+            return attempts.end(job, JobState.CANCELLED, "cancelled", now)
+        for worker_id in job.workers:
+            report = attempt.reports.get(worker_id)
+            if report is not None and report.state is TaskState.FAILED:
+                return self._after_failure(dispatch, job, worker_id, report)
+        return attempts.requeue(job, reason, _saved(job, attempt))
+
+    def _after_failure(self, dispatch, job, worker_id, report) -> Job:
+        bad = dispatch.quarantine.failed(
+            worker_id, job.team, job.job_id, self.tasks.clock()
+        )
+        if bad:
+            log(Event.WORKER_QUARANTINED, worker=worker_id)
+        suspects = frozenset(dispatch.quarantine.quarantined())
+        return attempts.failed_attempt(
+            job, worker_id, report.detail, self.wall_clock(), suspects
+        )
+
+
+def controls_of(config: Configuration, worker_ids: Iterable[str]) -> dict[str, str]:
+    """Return the ``host:port`` of the task control of those that have one."""
+    workers = config.workers
+    return {
+        worker_id: workers[worker_id].control
+        for worker_id in worker_ids
+        if worker_id in workers and workers[worker_id].control
+    }
+
+
+def _used(job: Job, reports: list[TaskReport]) -> Usage:
+    # The share of the run time that earlier attempts saved counts too.
+    ran_s = max(report.run_s for report in reports)
+    return Usage(
+        max(report.cpus for report in reports),
+        max(report.memory_mb for report in reports),
+        job.spec.accelerators,
+        ran_s / max(0.05, 1 - job.progress),
+    )
+
+
+def _saved(job: Job, attempt: Attempt) -> float:
+    if not job.spec.checkpoints:
+        return 0.0
+    reports = [attempt.reports.get(worker_id) for worker_id in job.workers]
+    states = {report.state if report else None for report in reports}
+    if not states <= {TaskState.CHECKPOINTED, TaskState.DONE}:
+        return 0.0
+    return min(report.progress for report in reports)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/dispatcher.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/dispatcher.py
@@ -14,11 +14,9 @@
     THROTTLED_SHARE,
     Level,
     PoolRelief,
-    must_leave,
 )
 from heatherhatch_core.exceptions import HeatherhatchError, StoreError
 from heatherhatch_core.state.configuration import Configuration
-from heatherhatch_core.state.entities import WorkerState
 from heatherhatch_core.state.jobs import (
     ENDED_PREFIX,
     JOBS_PREFIX,
@@ -31,6 +29,7 @@
 from ..settings import JobSettings
 from ..transport.store import Transaction
 from ..transport.workers import HttpWorkerControl, TaskReport, TaskState
+from .attempt_ends import AttemptEnds, controls_of
 from .claim import Claim
 from .follower import Follower
 from .job_feed import JobFeed
@@ -111,6 +110,7 @@
         self.relief: dict[str, PoolRelief] = {}
         self.throttled: set[str] = set()
         self.tasks.may_renew = self.may_renew
+        self.ends = AttemptEnds(tasks, follower, ports.leaving_at, wall_clock)
 
     @property
     def config(self) -> Configuration:
@@ -219,18 +219,15 @@
         return self.tasks.adopt(job, self.claim.claimed_s, self.ports.grace_s)
 
     def _controls(self, worker_ids) -> dict[str, str]:
-        workers = self.config.workers
-        return {
-            worker_id: workers[worker_id].control
-            for worker_id in worker_ids
-            if worker_id in workers and workers[worker_id].control
-        }
+        return controls_of(self.config, worker_ids)
 
     def _settle(self) -> None:
         self._relieve()
         updates = []
         for live in list(self.dispatch.running.values()):
-            after = self._next_state(live)
+            relief = self.relief.get(self._pool_of(live.job), PoolRelief())
+            attempt = self._attempt(live.job)
+            after = self.ends.next_state(self.dispatch, live.job, attempt, relief)
             if after is not None:
                 updates.append(Update(live.job, live.revision, after))
         for update in self._commit_all(updates):
@@ -240,83 +237,6 @@
             for live in self.dispatch.running.values()
         )
 
-    def _next_state(self, live: Live) -> Job | None:
-        job = live.job
-        attempt = self._attempt(job)
-        reports = [attempt.reports.get(worker_id) for worker_id in job.workers]
-        if all(report and report.state is TaskState.DONE for report in reports):
-            used = _used(job, reports)
-            return attempts.end(job, JobState.DONE, "", self.wall_clock(), used)
-        reason = self._reason_to_end(job, attempt)
-        if not reason:
-            return None
-        self._end_members(job, attempt)
-        if not self._is_over(job, attempt):
-            return None
-        return self._after_end(job, attempt, reason)
-
-    def _reason_to_end(self, job: Job, attempt: Attempt) -> str:
-        if job.cancel:
-            return "cancelled"
-        for worker_id in job.workers:
-            report = attempt.reports.get(worker_id)
-            state = report.state if report is not None else None
-            if state not in (None, TaskState.RUNNING, TaskState.DONE):
-                return f"{state.value} on {worker_id}"
-            if state is not TaskState.DONE and attempt.evidence.over(self.clock()):
-                return f"worker {worker_id} does not answer"
-        return self._reason_to_move(job)
-
-    def _reason_to_move(self, job: Job) -> str:
-        now = self.wall_clock()
-        left = self.dispatch.remaining_s(job, now)
-        for worker_id in job.workers:
-            if worker_id not in self.config.workers:
-                continue
-            if self.config.state_of(worker_id) is not WorkerState.SERVING:
-                return f"worker {worker_id} is leaving"
-            leaves = self.ports.leaving_at(worker_id)
-            if leaves is not None and must_leave(job, leaves, left, now):
-                return f"worker {worker_id} leaves for maintenance"
-        pool = self._pool_of(job)
-        level = self.relief.get(pool, PoolRelief()).level
-        if level is Level.CHECKPOINT and job.spec.checkpoints:
-            return f"pool {pool} is needed for urgent work"
-        return ""
-
-    def _end_members(self, job: Job, attempt: Attempt) -> None:
-        save = job.spec.checkpoints and not job.cancel
-        controls = self._controls(job.workers)
-        for worker_id, control in controls.items():
-            if not attempt.ended_on(worker_id):
-                self.tasks.end(attempt, worker_id, control, save)
-
-    def _is_over(self, job: Job, attempt: Attempt) -> bool:
-        if attempt.evidence.over(self.clock()):
-            return True
-        return all(attempt.ended_on(worker_id) for worker_id in job.workers)
-
-    def _after_end(self, job: Job, attempt: Attempt, reason: str) -> Job:
-        now = self.wall_clock()
-        if job.cancel:
-            return attempts.end(job, JobState.CANCELLED, "cancelled", now)
-        for worker_id in job.workers:
-            report = attempt.reports.get(worker_id)
-            if report is not None and report.state is TaskState.FAILED:
-                return self._after_failure(job, worker_id, report)
-        return attempts.requeue(job, reason, _saved(job, attempt))
-
-    def _after_failure(self, job: Job, worker_id: str, report: TaskReport) -> Job:
-        bad = self.dispatch.quarantine.failed(
-            worker_id, job.team, job.job_id, self.clock()
-        )
-        if bad:
-            log(Event.WORKER_QUARANTINED, worker=worker_id)
-        suspects = frozenset(self.dispatch.quarantine.quarantined())
-        return attempts.failed_attempt(
-            job, worker_id, report.detail, self.wall_clock(), suspects
-        )
-
     def _note_end(self, update: Update) -> None:
         job = update.before
         for worker_id in job.workers:
@@ -526,24 +446,3 @@
         max(item.memory_mb for item in reports),
         live.job.spec.accelerators,
     )
-
-
-def _used(job: Job, reports: list[TaskReport]) -> Usage:
-    # The share of the run time that earlier attempts saved counts too.
-    ran_s = max(report.run_s for report in reports)
-    return Usage(
-        max(report.cpus for report in reports),
-        max(report.memory_mb for report in reports),
-        job.spec.accelerators,
-        ran_s / max(0.05, 1 - job.progress),
-    )
-
-
-def _saved(job: Job, attempt: Attempt) -> float:
-    if not job.spec.checkpoints:
-        return 0.0
-    reports = [attempt.reports.get(worker_id) for worker_id in job.workers]
-    states = {report.state if report else None for report in reports}
-    if not states <= {TaskState.CHECKPOINTED, TaskState.DONE}:
-        return 0.0
-    return min(report.progress for report in reports)
