--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,12 +6,27 @@
     fairness,
     faults,
     fleet,
+    idle,
     jobs,
     limits,
+    log,
     requests,
+    withdrawal,
 )
 
-AREAS = (limits, control, fairness, requests, backend_choice, faults, fleet, jobs)
+AREAS = (
+    limits,
+    idle,
+    log,
+    withdrawal,
+    fairness,
+    requests,
+    backend_choice,
+    control,
+    faults,
+    fleet,
+    jobs,
+)
 
 
 def main() -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -33,6 +33,7 @@
 from .tasks.job_runner import JobRunner
 from .tasks.leaving import LeavingDates
 from .tasks.registrar import Registrar
+from .tasks.reporter import Reporter
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
 from .transport.memory_store import MemoryStore
@@ -71,6 +72,7 @@
             data_centre=settings.node.data_centre,
         )
         store = open_store(settings.store)
+        metrics = open_metrics(settings.platform.statsd)
         self.follower = Follower(
             store,
             Standing(timing.standing_s),
@@ -120,9 +122,10 @@
             self.admission,
             Exchange(self.follower, time.monotonic, random.Random()),
             self._open_at_most_once(store, entry),
-            open_metrics(settings.platform.statsd),
+            metrics,
             time.monotonic,
         )
+        reporter = Reporter(store, self.heartbeats, metrics, time.monotonic)
         records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
         self.runner = JobRunner(records, GroupCommit(records), self.gateway, time.time)
         self.dispatcher = open_dispatcher(
@@ -143,6 +146,7 @@
             self.heartbeats,
             self.grants,
             self.admission,
+            reporter,
             self.dispatcher,
         )
         self.callers, self.operators, self.peers = self._listeners()
--- a/tests/test_job_path.py
+++ b/tests/test_job_path.py
@@ -19,7 +19,7 @@
 @pytest.fixture
 def three_nodes(trial, small_edit):
     deployment = Deployment(trial, "jobs", small_edit, nodes=3)
-    deployment.extra_settings = {"jobs": JOBS}
+    deployment.sections = {"jobs": JOBS}
     deployment.start()
     return deployment
 
