--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
     faults,
     fleet,
     idle,
+    jobs,
     limits,
     log,
     requests,
@@ -24,6 +25,7 @@
     control,
     faults,
     fleet,
+    jobs,
 )
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -31,6 +31,7 @@
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
+from .tasks.leaving import LeavingDates
 from .tasks.registrar import Registrar
 from .tasks.reporter import Reporter
 from .transport.listener import Listener
@@ -132,6 +133,7 @@
             self.follower,
             settings.jobs,
             DispatcherPorts(
+                leaving_at=LeavingDates(self.follower, time.time),
                 pressure=self.admission.pressure,
                 store_gone=self.follower.store_gone,
                 grace_s=timing.standing_s,
