--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,6 +9,7 @@
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.entities import Assignment, Cause, WorkerState
 
+from . import fleet_history
 from .fleet_bounds import (
     BoundView,
     Figures,
@@ -42,6 +43,7 @@
     _measure_replan()
     _measure_check()
     _measure_state()
+    fleet_history.run()
 
 
 def _say(name: str, value: float, unit: str, target: float | None = None) -> None:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/__init__.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/__init__.py
@@ -9,6 +9,7 @@
     PlanTiming,
     Shortfall,
     leaving_at,
+    leaving_times,
 )
 from .steps import Evidence, Steps, due_steps, failure_edit
 
@@ -24,5 +25,6 @@
     "due_steps",
     "failure_edit",
     "leaving_at",
+    "leaving_times",
     "plan_waves",
 ]
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/demand.py
@@ -106,8 +106,6 @@
 ) -> tuple[Absence, ...]:
     """Return every known absence that is not over yet."""
     waves = [wave for wave in config.waves.values() if wave.end_s > now_s]
-    end_s = max((wave.end_s for wave in waves), default=now_s) + timing.return_s
-    end_s = max(end_s, now_s + timing.restart_s)
     found = [
         absence for wave in waves for absence in _wave_absences(config, wave, timing)
     ]
@@ -117,7 +115,7 @@
     for assignment in config.assignments.values():
         worker = config.workers[assignment.worker_id]
         if assignment.state in INVOLUNTARY_STATES:
-            until_s = end_s
+            until_s = now_s + timing.repair_s
         elif assignment.state is WorkerState.SERVING or worker.worker_id in in_wave:
             continue
         elif assignment.next_pool:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
@@ -140,8 +140,12 @@
     def _choose(self, candidates, chain, careful) -> tuple[Lender | None, int]:
         wanted = bits(_first_bit(chain[0].reserved), chain[-1].last)
         risky = frozenset().union(*(need.domains for need in chain))
+        first = bits(_first_bit(wanted), chain[0].last)
         best, best_count, best_cost = None, 0, ()
         for lender in candidates:
+            # Most are busy at the first need, and are passed over at once.
+            if lender.held & first:
+                continue
             safe = not careful or lender.worker.failure_domain not in risky
             if safe and not (lender.held | lender.away) & wanted:
                 count = len(chain)
@@ -169,32 +173,36 @@
         )
 
     def _meet_alone(self, need: Need) -> None:
-        lender = self._choose_between(need)
-        if lender is not None:
-            lender.take([need])
-            return
-        middle = (need.first + need.last) // 2
-        if middle == need.first:
-            self.unmet.append(need)
-            return
-        # Two workers may stand in for halves that neither can take whole.
-        for first, last in ((need.first, middle), (middle, need.last)):
-            self._meet_alone(self._part(need, first, last))
-
-    def _choose_between(self, need: Need) -> Lender | None:
-        able = [
-            item
-            for item in self.lenders
-            if not item.reserved & need.reserved and _is_present(item, need, False)
-        ]
-        return min(
-            able,
-            key=lambda item: (
-                item.worker.failure_domain in need.domains,
-                self._cost(item, [need], 1),
-            ),
-            default=None,
-        )
+        # Whoever reaches furthest stands in, then the next one takes over.
+        at = need.first
+        while at < need.last:
+            rest = self._part(need, at, need.last)
+            lender, reach = self._reach_furthest(rest)
+            part = self._part(need, at, reach)
+            if lender is None:
+                self.unmet.append(part)
+            else:
+                lender.take([part])
+            at = reach
+
+    def _reach_furthest(self, need: Need) -> tuple[Lender | None, int]:
+        best, best_rank = None, ()
+        joining = need.reserved & ~need.mask
+        for lender in self.lenders:
+            blocked = lender.reserved | lender.away
+            if blocked >> need.first & 1:
+                continue
+            if blocked & joining and lender.place_before(need)[0] != need.pool:
+                continue
+            ahead = blocked & need.mask
+            reach = _first_bit(ahead) if ahead else need.last
+            risky = lender.worker.failure_domain in need.domains
+            rank = (-reach, risky, *self._cost(lender, [need], 1))
+            if best is None or rank < best_rank:
+                best, best_rank = lender, rank
+        if best is None:
+            return None, need.first + 1
+        return best, -best_rank[0]
 
     def _part(self, need: Need, first: int, last: int) -> Need:
         start_s = self.timeline.cuts[first]
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/messages.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/messages.py
@@ -12,11 +12,14 @@
             its next pool.
         return_s: From the end of a wave to the worker serving again.
         restart_s: From the drain for a restart to the worker serving again.
+        repair_s: From now to a failed or lost worker serving again; it is counted
+            anew with each plan.
     """
 
     lead_s: float = 60.0
     return_s: float = 60.0
     restart_s: float = 600.0
+    repair_s: float = 86_400.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
         wave_id: Wave that takes it.
         start_s: When the landlord takes it, seconds since the epoch.
         end_s: When the landlord gives it back, seconds since the epoch.
-        late: True if the wave has begun and the worker is not released yet.
+        late: True if the wave has begun and the worker is not surely drained yet.
     """
 
     at_s: float
@@ -120,19 +123,24 @@
     seq: int = 0
 
 
-def leaving_at(plan: Plan, worker_id: str) -> float | None:
-    """Return when a worker is wanted drained next, or None.
+def leaving_times(plan: Plan) -> dict[str, float]:
+    """Return when each worker is wanted drained next, seconds since the epoch.
 
     Moves between pools count as well as waves. Work that can't be finished by
-    then should be checkpointed or moved off.
+    then should be checkpointed or moved off. Workers that stay are left out.
+    """
+    times: dict[str, float] = {}
+    for step in (*plan.moves, *plan.departures):
+        known = times.get(step.worker_id, step.at_s)
+        times[step.worker_id] = min(known, step.at_s)
+    return times
+
+
+def leaving_at(plan: Plan, worker_id: str) -> float | None:
+    """Return when one worker is wanted drained next, or None.
 
     Args:
         plan: Plan for all announced waves.
         worker_id: Worker.
-
-    Returns:
-        Seconds since the epoch at which its drain begins.
     """
-    times = [move.at_s for move in plan.moves if move.worker_id == worker_id]
-    times += [leave.at_s for leave in plan.departures if leave.worker_id == worker_id]
-    return min(times, default=None)
+    return leaving_times(plan).get(worker_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/steps.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/steps.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import takewhile
 
 from ...state.budget import room_of
 from ...state.changes import Edit
@@ -36,7 +37,7 @@
         progress: Steps of workers that serve no pool now; they cost no budget.
         drains: Steps that take a permit.
         held_back: Workers whose drain is due but has no permit.
-        late: Workers whose wave has begun before their release is certain.
+        late: Workers whose wave has begun before they were surely drained.
     """
 
     progress: tuple[Assignment, ...] = ()
@@ -69,7 +70,8 @@
     progress = [
         step
         for item in config.assignments.values()
-        if (step := _next_step(config, item, active, plan, evidence)) is not None
+        if item.state is not _S.SERVING
+        and (step := _next_step(config, item, active, plan, evidence)) is not None
     ]
     progress = [dataclasses.replace(item, since_s=now_s) for item in progress]
     drains, held_back = _due_drains(config, plan, now_s)
@@ -106,8 +108,8 @@
 
 
 def is_late(config: Configuration, name: str) -> bool:
-    """Tell whether a worker whose wave has begun is not released yet."""
-    away = (_S.MAINTENANCE, *INVOLUNTARY_STATES)
+    """Tell whether a worker whose wave has begun is not surely drained yet."""
+    away = (_S.DRAINED, _S.MAINTENANCE, *INVOLUNTARY_STATES)
     return config.state_of(name) not in away
 
 
@@ -122,7 +124,12 @@
         over = item.worker_id not in active and item.cause is not Cause.OPERATOR
         if over and evidence.is_up(item.worker_id):
             return _follow(item, _S.RETURNING, Cause.RETURN)
-    if item.state is _S.RETURNING and evidence.is_up(item.worker_id):
+    by_operator = item.cause is Cause.OPERATOR
+    if (
+        item.state is _S.RETURNING
+        and not by_operator
+        and evidence.is_up(item.worker_id)
+    ):
         return _follow(item, _S.SERVING, Cause.RETURN)
     return None
 
@@ -193,17 +200,26 @@
 
 
 def _wanted_drains(config, plan, now_s):
-    for leave in plan.departures:
-        if leave.at_s <= now_s < leave.end_s and leave.worker_id in config.workers:
+    # Both are in order of time, so that what is not due yet is not looked at.
+    for leave in takewhile(lambda item: item.at_s <= now_s, plan.departures):
+        if _is_wanted(config, leave, now_s):
             yield _drain(config, leave.worker_id, Cause.WAVE, f"wave {leave.wave_id}")
-    for move in plan.moves:
-        if move.at_s > now_s or move.worker_id not in config.workers:
+    for move in takewhile(lambda item: item.at_s <= now_s, plan.moves):
+        if move.worker_id not in config.workers:
             continue
         if config.pool_of(move.worker_id) == move.from_pool:
             step = _drain(config, move.worker_id, Cause.MOVE, move.reason)
             yield dataclasses.replace(step, next_pool=move.to_pool)
 
 
+def _is_wanted(config, leave, now_s) -> bool:
+    # The plan may be older than the wave's last change.
+    wave = config.waves.get(leave.wave_id)
+    if wave is None or leave.worker_id not in config.workers:
+        return False
+    return now_s < wave.end_s and leave.worker_id in wave.workers
+
+
 def _drain(config, name, cause, detail) -> Assignment:
     assignment = config.assignments.get(name)
     seq = assignment.seq if assignment is not None else 0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -31,6 +31,7 @@
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
+from .tasks.planner import PlannerPorts, open_planner
 from .tasks.registrar import Registrar
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
@@ -114,10 +115,15 @@
             time.monotonic,
         )
         self.follower.on_accept = self.heartbeats.hurry
+        exchange = Exchange(self.follower, time.monotonic, random.Random())
+        self.planner = open_planner(
+            self.follower,
+            PlannerPorts(suspects=exchange.unreachable),
+        )
         self.gateway = Gateway(
             self.follower,
             self.admission,
-            Exchange(self.follower, time.monotonic, random.Random()),
+            exchange,
             self._open_at_most_once(store, entry),
             open_metrics(settings.platform.statsd),
             time.monotonic,
@@ -129,6 +135,7 @@
             self.follower,
             settings.jobs,
             DispatcherPorts(
+                leaving_at=self.planner.leaving_at,
                 pressure=self.admission.pressure,
                 store_gone=self.follower.store_gone,
                 grace_s=timing.standing_s,
@@ -142,6 +149,7 @@
             self.grants,
             self.admission,
             self.dispatcher,
+            self.planner,
         )
         self.callers, self.operators, self.peers = self._listeners()
 
@@ -214,6 +222,7 @@
             self.heartbeats,
             self.gateway,
             self.runner,
+            self.planner,
             self.settings.security.first_operator_digest,
             limits.body_bytes,
         )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -11,10 +11,8 @@
     ChangeRequest,
     InForce,
     NodeStatus,
-    PlanAnswer,
     Status,
 )
-from heatherhatch_core.coordination.planner import plan_waves
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.keys import secret_matches, split_token
 from heatherhatch_core.state.changes import check_edit
@@ -24,7 +22,9 @@
 from ..tasks.gateway import Gateway
 from ..tasks.heartbeats import Heartbeats
 from ..tasks.job_runner import JobRunner
+from ..tasks.planner import FleetPlanner
 from .bodies import bearer_token, read_message, write_message
+from .fleet import PlanResource, check_operator_steps
 from .jobs import OperatorJobsResource
 from .problems import new_app
 
@@ -40,6 +40,7 @@
         heartbeats: View of the other nodes.
         gateway: Requests of this node.
         runner: Long jobs.
+        planner: Plan of the fleet.
         first_operator_digest: Digest of the key named ``first``.
         body_bytes: Largest body.
     """
@@ -48,6 +49,7 @@
     heartbeats: Heartbeats
     gateway: Gateway
     runner: JobRunner
+    planner: FleetPlanner
     first_operator_digest: str
     body_bytes: int
 
@@ -60,8 +62,8 @@
     app.add_route("/v1/status", StatusResource(services))
     app.add_route("/v1/audit", AuditResource(services))
     app.add_route("/v1/in-force", InForceResource(services))
-    app.add_route("/v1/plan", PlanResource(services))
     authorize = OperatorResource(services).operator
+    app.add_route("/v1/plan", PlanResource(services.planner, authorize))
     jobs = OperatorJobsResource(services.runner, authorize, services.body_bytes)
     app.add_route("/v1/jobs", jobs)
     app.add_route("/v1/jobs/cancel", jobs, suffix="cancel")
@@ -115,6 +117,7 @@
         actor = self.operator(request, Role.OPERATOR)
         wish = read_message(request, ChangeRequest, self.services.body_bytes)
         follower = self.services.follower
+        check_operator_steps(follower.config, wish.edit)
         if wish.dry_run:
             check_edit(follower.config, wish.edit)
             write_message(response, ChangeAnswer(0))
@@ -198,14 +201,3 @@
         self.operator(request, Role.VIEWER)
         changes = self.services.follower.log_store.audit()
         write_message(response, AuditPage(changes))
-
-
-class PlanResource(OperatorResource):
-    """Shows the plan for the announced waves."""
-
-    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
-        """Return the plan."""
-        self.operator(request, Role.VIEWER)
-        follower = self.services.follower
-        plan = plan_waves(follower.config, follower.wall_clock())
-        write_message(response, PlanAnswer(plan))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claim.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claim.py
@@ -1,7 +1,8 @@
-"""The claim of the one node that dispatches long jobs."""
+"""The claim of the one node that dispatches long jobs, or holds the plan."""
 
 import secrets
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from heatherhatch_core.coordination.attempts import CLOCK_DRIFT
 
@@ -13,6 +14,22 @@
 RENEWALS_PER_TTL = 3
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimEvents:
+    """What is logged when a claim changes hands.
+
+    Attributes:
+        taken: This node has it from now on.
+        lost: It has lapsed.
+    """
+
+    taken: Event = Event.CLAIM_TAKEN
+    lost: Event = Event.CLAIM_LOST
+
+
+DISPATCHER_EVENTS = ClaimEvents()
+
+
 class Claim:
     """A store lease that one node holds at a time.
 
@@ -29,6 +46,8 @@
             so that a former holder that goes on without the store has seen it.
         may_take: Tells whether this node may reclaim what lapsed.
         clock: Returns monotonic seconds.
+        key: Key of the claim in the store.
+        events: What is logged when it changes hands.
     """
 
     def __init__(
@@ -39,8 +58,12 @@
         settle_s: float,
         may_take: Callable[[], bool],
         clock: Callable[[], float],
+        key: str = CLAIM_KEY,
+        events: ClaimEvents = DISPATCHER_EVENTS,
     ):
         self.store = store
+        self.key = key
+        self.events = events
         self.ttl_s = ttl_s
         self.look_s = look_s
         self.settle_s = settle_s
@@ -57,7 +80,7 @@
     @property
     def expect(self) -> Expect:
         """Condition that fails once another node has taken the claim."""
-        return Expect(CLAIM_KEY, self.revision)
+        return Expect(self.key, self.revision)
 
     def holds(self) -> bool:
         """Tell whether the claim surely is this node's at this moment."""
@@ -92,7 +115,7 @@
     def _renew(self) -> None:
         asked = self.clock()
         if not self.store.keep_lease(self.lease):
-            log(Event.CLAIM_LOST)
+            log(self.events.lost)
             self._forget()
             return
         self._extend(asked)
@@ -102,7 +125,7 @@
             return
         asked = self.clock()
         self.next_s = asked + self.look_s
-        entry = self.store.get(CLAIM_KEY)
+        entry = self.store.get(self.key)
         if entry is not None:
             # A take whose answer was lost shows here as this node's own.
             if entry.value == self.token and entry.lease == self.lease:
@@ -110,8 +133,8 @@
             return
         asked = self.clock()
         self.lease = self.store.grant_lease(self.ttl_s)
-        put = Put(CLAIM_KEY, self.token, self.lease)
-        outcome = self.store.transact(Transaction((Expect(CLAIM_KEY, 0),), (put,)))
+        put = Put(self.key, self.token, self.lease)
+        outcome = self.store.transact(Transaction((Expect(self.key, 0),), (put,)))
         if outcome.succeeded:
             self._taken(outcome.revision, asked)
 
@@ -122,7 +145,7 @@
         self.revision = revision
         self.claimed_s = self.clock()
         self._extend(asked)
-        log(Event.CLAIM_TAKEN, revision=revision)
+        log(self.events.taken, revision=revision)
 
     def _extend(self, asked: float) -> None:
         self.valid_until_s = asked + self.ttl_s * (1 - CLOCK_DRIFT)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/exchange.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/exchange.py
@@ -71,6 +71,15 @@
                 self._prepare_retry(work_class, error, unknown, retry, deadline_s)
         raise unknown or HeatherhatchError(ErrorKind.NO_BACKEND)
 
+    def unreachable(self) -> frozenset[str]:
+        """Return the addresses that this node's last attempts could not use."""
+        return frozenset(
+            address
+            for pool in self.pools.values()
+            for address, state in pool.choice.backends.items()
+            if state.ejections
+        )
+
     def _next_attempt(
         self, work_class: WorkClass, tried: frozenset[str], deadline_s: float
     ) -> Attempt:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -287,6 +287,18 @@
     assert fleet.state_of("a0") is WorkerState.SERVING
 
 
+def test_steps_of_a_plan_older_than_the_end_of_its_wave_drain_nobody(fleet):
+    wave = Wave("w", 1000.0, 2000.0, ("a0",))
+    fleet = accept(announce(fleet, wave), Edit(pools=(Pool("a", 2),)))
+    plan = plan_waves(fleet, 990.0, TIMING)
+    evidence = Evidence(lambda _item: True, lambda _name: True)
+    assert due_steps(fleet, plan, 1010.0, evidence).drains
+    early = announce(fleet, dataclasses.replace(wave, end_s=1005.0))
+    assert due_steps(early, plan, 1010.0, evidence).drains == ()
+    other = announce(fleet, dataclasses.replace(wave, workers=("a1",)))
+    assert due_steps(other, plan, 1010.0, evidence).drains == ()
+
+
 def test_steps_bring_a_failed_worker_back(fleet):
     holder = Holder()
     holder.down.add("b2")
--- /dev/null
+++ b/tests/test_planner_task.py
@@ -0,0 +1,189 @@
+"""The holder of the plan: its claim, its evidence, a store that is gone."""
+
+import pytest
+
+from heatherhatch_core.coordination.standing import InForce
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
+from heatherhatch_core.state.changes import Change, Edit, apply_change, check_edit
+from heatherhatch_core.state.configuration import Configuration
+from heatherhatch_core.state.entities import Pool, Wave, Worker, WorkerState
+from heatherhatch_daemon.tasks.planner import PlannerPorts, open_planner
+from heatherhatch_daemon.transport.memory_store import MemoryStore
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class Log:
+    """A log that every node of a test shares, without the platform behind it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.config = Configuration()
+        self.actors = []
+
+    def accept(self, actor, edit):
+        check_edit(self.config, edit)
+        change = Change(self.config.seq + 1, "", actor, "", self.clock(), edit)
+        self.config = apply_change(self.config, change)
+        self.actors.append(actor)
+
+
+class StubFollower:
+    """What the planner needs of a follower."""
+
+    def __init__(self, log, store, clock):
+        self.log = log
+        self.store = store
+        self.clock = clock
+        self.wall_clock = clock
+        self.standing = True
+        self.frozen = None
+        self.cut = False
+
+    @property
+    def config(self):
+        return self.frozen or self.log.config
+
+    def has_standing(self):
+        return self.standing
+
+    def in_force(self, seq):
+        return InForce(seq, everywhere=seq <= self.log.config.seq)
+
+    def append(self, _change_id, actor, _reason, edit):
+        if self.cut:
+            raise StoreError("no answer")
+        self.log.accept(actor, edit)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def log(clock):
+    log = Log(clock)
+    workers = tuple(
+        Worker(f"w{i}", f"fd-{i}", "r", f"10.0.0.1:{i + 1}", pool)
+        for i, pool in enumerate(("a", "a", "a", "spare", "spare"))
+    )
+    pools = (Pool("a", 3), Pool("spare", 0, spare=True))
+    log.accept("test", Edit(pools=pools, workers=workers))
+    return log
+
+
+@pytest.fixture
+def nodes(log, clock):
+    store = MemoryStore(clock)
+    return [open_node(log, store, clock) for _ in range(2)]
+
+
+def open_node(log, store, clock):
+    follower = StubFollower(log, store, clock)
+    down = set()
+    planner = open_planner(
+        follower,
+        PlannerPorts(probe=lambda names: [name not in down for name in names]),
+    )
+    planner.down = down
+    return planner
+
+
+def play(clock, nodes, seconds):
+    for _ in range(int(seconds * 2)):
+        clock.now_s += 0.5
+        for node in nodes:
+            node.step()
+
+
+def announce(log, start_s, end_s, *names):
+    log.accept("test", Edit(waves=(Wave("w", start_s, end_s, names),)))
+
+
+def test_planner_task_hands_over_when_its_holder_is_gone(nodes, log, clock):
+    first, second = nodes
+    announce(log, 1100.0, 1130.0, "w0")
+    play(clock, nodes, 2)
+    assert first.claim.holds()
+    assert not second.claim.holds()
+    play(clock, [second], 60)
+    assert second.claim.holds()
+    play(clock, [second], 60)
+    assert log.config.state_of("w0") is WorkerState.MAINTENANCE
+    play(clock, [second], 60)
+    assert log.config.state_of("w0") is WorkerState.SERVING
+    assert len(log.config.serving_workers("a")) == 3
+
+
+def test_planner_task_does_nothing_without_standing(nodes, log, clock):
+    announce(log, 1010.0, 1100.0, "w0")
+    for node in nodes:
+        node.follower.standing = False
+    before = log.config
+    play(clock, nodes, 30)
+    assert log.config is before
+
+
+def test_planner_task_does_nothing_that_was_not_recorded(nodes, log, clock):
+    announce(log, 1010.0, 1100.0, "w0")
+    for node in nodes:
+        node.follower.cut = True
+    before = log.config
+    tried = 0
+    for _ in range(20):
+        clock.now_s += 0.5
+        for node in nodes:
+            try:
+                node.step()
+            except StoreError:
+                tried += 1
+    assert tried
+    assert log.config is before
+
+
+def test_planner_task_of_a_paused_holder_changes_nothing(nodes, log, clock):
+    first, second = nodes
+    announce(log, 1100.0, 1190.0, "w0")
+    play(clock, nodes, 2)
+    first.follower.frozen = log.config
+    play(clock, [second], 110)
+    states = {name: log.config.state_of(name) for name in log.config.workers}
+    assert states["w0"] is WorkerState.MAINTENANCE
+    # It wakes up in the middle of a step, past the look at its claim.
+    first.plan = first.current_plan()
+    for edit in first._due_steps().edits:
+        with pytest.raises(HeatherhatchError) as caught:
+            first.follower.append("id", "planner", "", edit)
+        assert caught.value.kind in (
+            ErrorKind.INVALID_CHANGE,
+            ErrorKind.BUDGET_EXCEEDED,
+        )
+    assert states == {name: log.config.state_of(name) for name in log.config.workers}
+
+
+def test_planner_task_records_a_failure_and_replaces_the_worker(nodes, log, clock):
+    for node in nodes:
+        node.down.add(log.config.workers["w1"].address)
+    play(clock, nodes, 30)
+    assert log.config.state_of("w1") is WorkerState.FAILED
+    assert len(log.config.serving_workers("a")) == 3
+    for node in nodes:
+        node.down.clear()
+    play(clock, nodes, 60)
+    assert log.config.state_of("w1") is WorkerState.SERVING
+    assert len(log.config.serving_workers("spare")) == 2
+
+
+def test_planner_task_that_reaches_nobody_records_nothing(nodes, log, clock):
+    for node in nodes:
+        node.down |= {worker.address for worker in log.config.workers.values()}
+    before = log.config
+    play(clock, nodes, 30)
+    assert log.config is before
