--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -31,7 +31,7 @@
 from .tasks.heartbeats import Heartbeats
 from .tasks.job_records import GroupCommit, JobRecords
 from .tasks.job_runner import JobRunner
-from .tasks.leaving import LeavingDates
+from .tasks.planner import PlannerPorts, open_planner
 from .tasks.registrar import Registrar
 from .tasks.reporter import Reporter
 from .transport.listener import Listener
@@ -117,10 +117,15 @@
             time.monotonic,
         )
         self.follower.on_accept = self.heartbeats.hurry
+        exchange = Exchange(self.follower, time.monotonic, random.Random())
+        self.planner = open_planner(
+            self.follower,
+            PlannerPorts(suspects=exchange.unreachable),
+        )
         self.gateway = Gateway(
             self.follower,
             self.admission,
-            Exchange(self.follower, time.monotonic, random.Random()),
+            exchange,
             self._open_at_most_once(store, entry),
             metrics,
             time.monotonic,
@@ -133,7 +138,7 @@
             self.follower,
             settings.jobs,
             DispatcherPorts(
-                leaving_at=LeavingDates(self.follower, time.time),
+                leaving_at=self.planner.leaving_at,
                 pressure=self.admission.pressure,
                 store_gone=self.follower.store_gone,
                 grace_s=timing.standing_s,
@@ -148,6 +153,7 @@
             self.admission,
             reporter,
             self.dispatcher,
+            self.planner,
         )
         self.callers, self.operators, self.peers = self._listeners()
 
@@ -220,6 +226,7 @@
             self.heartbeats,
             self.gateway,
             self.runner,
+            self.planner,
             self.settings.security.first_operator_digest,
             limits.body_bytes,
         )
