--- a/tests/test_spec_config_log.py
+++ b/tests/test_spec_config_log.py
@@ -21,3 +21,11 @@
     verdict = SPEC.check(broken, SOME_STATES)["properties"][promise]
     assert verdict["holds"] is False
     assert verdict["counterexample"]
+
+
+def test_config_log_keeps_every_promise_with_four_positions(monkeypatch):
+    monkeypatch.setattr(SPEC, "MAX_SEQ", 4)
+    monkeypatch.setattr(SPEC, "ASKED", (("x", "z"), ("y", "x")))
+    verdict = SPEC.check()
+    assert verdict["exhaustive"]
+    assert all(item["holds"] is True for item in verdict["properties"].values())
