--- a/tests/grant_fleet.py
+++ b/tests/grant_fleet.py
@@ -16,6 +16,7 @@
 from heatherhatch_core.state.grants import GRANTS_PREFIX
 from heatherhatch_core.state.nodes import NodeEntry
 from heatherhatch_daemon.tasks.grants import GrantKeeper
+from heatherhatch_daemon.tasks.log_store import LogStore
 from heatherhatch_daemon.tasks.registrar import Registrar
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 
@@ -88,9 +89,11 @@
     Standing is the real one; the log is replaced by a whole configuration.
     """
 
-    def __init__(self, clock, config):
+    def __init__(self, store, clock, config):
+        self.log_store = LogStore(store)
         self.clock = clock
         self.config = config
+        self.on_read = lambda _tail, _asked_s: None
         self.standing = Standing(STANDING_S)
         self.registration = None
         self.admitted_s = float("inf")
@@ -100,6 +103,11 @@
     def admitted(self):
         return self.admitted_s <= self.clock()
 
+    def refresh(self):
+        """Read the membership that comes with the log; the log is not used."""
+        asked = self.clock()
+        self.on_read(self.log_store.read_after(0), asked)
+
     def advance(self, event):
         self.standing = advance(event, self.standing, self.clock())
 
@@ -122,7 +130,7 @@
         self.name = name
         self.store = FaultyStore(fleet.store)
         entry = NodeEntry(name, incarnation, "127.0.0.1:1", "dc-1")
-        self.follower = FakeFollower(fleet.clock, fleet.config)
+        self.follower = FakeFollower(self.store, fleet.clock, fleet.config)
         self.registrar = Registrar(
             self.store, entry, LEASE_S, self.follower, lambda: None, fleet.clock
         )
@@ -142,6 +150,7 @@
         asked = self.fleet.clock()
         try:
             self.registrar.step()
+            self.follower.refresh()
             self.follower.config = self.fleet.config
             self.follower.advance(Confirmed(asked))
         except StoreError:
