--- a/bench/virtual_fleet.py
+++ b/bench/virtual_fleet.py
@@ -11,6 +11,7 @@
 from heatherhatch_core.coordination.fair_share import TeamDemand, divide_pool
 from heatherhatch_core.coordination.grants import even_grant
 from heatherhatch_core.coordination.membership import Membership, Registry
+from heatherhatch_core.coordination.smoothing import SmoothedDemand
 from heatherhatch_core.coordination.standing import Standing
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.demand import Demand
@@ -116,6 +117,7 @@
             fleet.clock,
         )
         self.queue = AdmissionQueue(self.keeper.allowance)
+        self.smoothed = SmoothedDemand()
 
     def all_reports(self) -> dict[str, tuple[Demand, ...]]:
         return {**self.reports, self.name: self.report()}
@@ -141,6 +143,7 @@
             if item.wanted
         )
         weights = {team.name: team.share for team in self.fleet.config.teams.values()}
+        demands = self.smoothed.follow(demands, self.fleet.clock())
         division = divide_pool(self.fleet.capacity, demands, weights, NODES)
         parts = division.parts[self.name]
         self.queue.divide(POOL, division.budgets[self.name], parts)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/fair_share.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/fair_share.py
@@ -16,7 +16,7 @@
 
     team: str
     node: str
-    wanted: int
+    wanted: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
@@ -19,6 +19,7 @@
     TeamDemand,
     divide_pool,
 )
+from heatherhatch_core.coordination.smoothing import SmoothedDemand
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.demand import Demand
@@ -123,6 +124,7 @@
         self.capacities: dict[str, int] = {}
         self.capacities_seq = -1
         self.divided: dict[str, PoolReports] = {}
+        self.smoothed: dict[str, SmoothedDemand] = {}
         self.queue = AdmissionQueue(keeper.allowance)
         self.numbers = itertools.count()
         self.waiters: dict[Ticket, AsyncResult] = {}
@@ -274,6 +276,7 @@
         return self.capacities
 
     def _divide_all(self):
+        now = self.clock()
         seq = self.follower.config.seq
         capacities = self._capacities()
         nodes = tuple(sorted(e.name for e in self.registrar.membership.everyone))
@@ -284,7 +287,9 @@
                     demand = TeamDemand(item.team, node, item.wanted)
                     demands[item.pool].append(demand)
         for pool, capacity in capacities.items():
-            reports = PoolReports(seq, capacity, nodes, tuple(demands[pool]))
+            smoothed = self.smoothed.setdefault(pool, SmoothedDemand())
+            followed = smoothed.follow(demands[pool], now)
+            reports = PoolReports(seq, capacity, nodes, followed)
             if self.divided.get(pool) != reports:
                 self._divide(pool, reports)
                 self.divided[pool] = reports
