Fill the demo's pools in their bursts and measure how close teams come to their shares

A burst asked for less than a pool holds, so that no share was ever put to the test. Held requests go to a pool that is not full: a full pool refused them as not run, which interrupts nothing.

--- a/packages/heatherhatch-standins/src/heatherhatch_standins/demo.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/demo.py
@@ -14,7 +14,7 @@
 
 EXAMPLES = ("ciosg", "harcama")
 EXAMPLES_FOLDER = Path("examples")
-WORK_S = 0.05
+WORK_S = 0.1
 SLOTS = 2
 
 
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/deployment.py
@@ -162,7 +162,11 @@
         for worker, backend, control in zip(
             self.edit.workers, backends.split(), controls.split(), strict=True
         ):
-            filled.append(dataclasses.replace(worker, address=backend, control=control))
+            filled.append(
+                dataclasses.replace(
+                    worker, address=backend, control=control, cpus=self.slots
+                )
+            )
             self.backends[worker.worker_id] = backend
             self.workers[worker.worker_id] = control
         self.edit = dataclasses.replace(self.edit, workers=tuple(filled))
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/invariants.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/invariants.py
@@ -30,6 +30,7 @@
         answered_id: Request id in the answer.
         answer: Body of the answer.
         not_run: True if the answer says that the work was not run.
+        unanswered: Attempts before it whose connection broke without an answer.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     answered_id: str
     answer: bytes
     not_run: bool
+    unanswered: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +125,8 @@
     ran = {start.request_id for start in starts}
     return [
         f"request {item.request_id}: said not run, but ran"
+        f" (idempotent {item.idempotent}, status {item.status},"
+        f" {item.unanswered} attempts without an answer)"
         for item in sent
         if item.not_run and item.request_id in ran
     ]
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
@@ -62,6 +62,23 @@
     return str(uuid.UUID(int=high | 0b10 << 62 | secrets.randbits(62)))
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A request as it was asked for.
+
+    Attributes:
+        request_id: Its id.
+        team: Team that asked, empty for open work.
+        pool: Pool that was asked.
+        burst: Number of the burst that it belongs to, -1 between bursts.
+    """
+
+    request_id: str
+    team: str
+    pool: str
+    burst: int
+
+
 class Load:
     """Sends requests to a deployment through its balancer and keeps the answers.
 
@@ -88,23 +105,34 @@
         )
         self.greenlets = Greenlets(MOST_CALLS)
         self.sent: list[Sent] = []
+        self.asked: list[Asked] = []
+        self.begun_s = 0.0
         self.late: Counter[bool] = Counter()
         self.statuses: Counter[int] = Counter()
         self.pools = sorted({item.pool for item in self._request_classes()})
 
     def run(self, seconds: float) -> None:
         """Send load for some time and wait for the last answers."""
-        begun = time.monotonic()
-        makers = [gevent.spawn(self._feed, pool, begun, seconds) for pool in self.pools]
+        self.begun_s = time.monotonic()
+        makers = [
+            gevent.spawn(self._feed, pool, self.begun_s, seconds) for pool in self.pools
+        ]
         gevent.joinall(makers, raise_error=True)
         self.greenlets.join()
 
     def rate(self, pool: str, elapsed_s: float) -> float:
         """Return the requests a second of a pool's queue at a moment."""
-        turn = int(elapsed_s / BURST_S) % len(self.pools)
-        bursts = self.pools[turn] == pool
+        bursts = self.burst(pool, elapsed_s) >= 0
         return self.mean_rate * (BURST_FACTOR if bursts else QUIET_FACTOR)
 
+    def burst(self, pool: str, elapsed_s: float) -> int:
+        """Return the number of the burst that a pool has at a moment, -1 if none."""
+        return int(elapsed_s / BURST_S) if self.pool_of_turn(elapsed_s) == pool else -1
+
+    def pool_of_turn(self, elapsed_s: float) -> str:
+        """Return the pool whose turn it is to burst."""
+        return self.pools[int(elapsed_s / BURST_S) % len(self.pools)]
+
     def _request_classes(self) -> list[WorkClass]:
         classes = self.deployment.edit.classes
         return [item for item in classes if item.kind is WorkKind.REQUEST]
@@ -115,11 +143,16 @@
             work_class = self.random.choice(classes)
             caller = self.random.choice(self.callers)
             body = self.random.randbytes(BODY_BYTES)
-            self.greenlets.spawn(self._call, work_class, caller, body)
+            request_id = new_uuid7()
+            team = "" if work_class.open else caller.team
+            burst = self.burst(pool, elapsed)
+            self.asked.append(Asked(request_id, team, pool, burst))
+            self.greenlets.spawn(self._call, work_class, caller, body, request_id)
             gevent.sleep(self.random.expovariate(self.rate(pool, elapsed)))
 
-    def _call(self, work_class: WorkClass, caller: Caller, body: bytes) -> None:
-        request_id = new_uuid7()
+    def _call(
+        self, work_class: WorkClass, caller: Caller, body: bytes, request_id: str
+    ) -> None:
         request = HttpRequest(
             "POST",
             f"/run/{work_class.name}/work",
@@ -128,7 +161,7 @@
         )
         begun = time.monotonic()
         sent = Sent(request_id, work_class.idempotent, body, 0, "", b"", False)
-        for _ in range(1 + RESENDS):
+        for unanswered in range(1 + RESENDS):
             try:
                 answer = self.client.exchange(request, CALL_TIMEOUT_S)
             except ExchangeError:
@@ -145,6 +178,7 @@
                 headers.get(ID_HEADER.lower(), ""),
                 answer.body,
                 _says_not_run(answer.status, answer.body),
+                unanswered,
             )
             break
         if sent.status == 200:
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
@@ -29,11 +29,12 @@
     refusal_violations,
 )
 from .ledger import LedgerPage
-from .load import Caller, Load
+from .load import BURST_S, Caller, Load
 from .report import Promise, Report
+from .shares import share_error
 
 LOAD_S = 30.0
-MEAN_RATE = 24.0
+MEAN_RATE = 32.0
 CALL_TIMEOUT_S = 6.0
 KEY_STOP_S = 3.0
 IN_FORCE_S = 4.0
@@ -92,12 +93,13 @@
         self.say = say
         self.keys: dict[str, GrantedKey] = {}
         self.jobs: list[str] = []
+        self.load: Load | None = None
 
     def run(self) -> None:
         """Run the whole scenario and check what it observed."""
         self._prepare()
         callers = tuple(Caller(team, key.token) for team, key in self.keys.items())
-        load = Load(self.deployment, callers, MEAN_RATE, self.seed)
+        self.load = load = Load(self.deployment, callers, MEAN_RATE, self.seed)
         begun = time.time()
         events = [gevent.spawn(self._at, begun, *event) for event in self._events()]
         load.run(LOAD_S)
@@ -115,7 +117,7 @@
         yield 6.0, "a key is withdrawn", self._withdraw
         yield 7.0, "the node is started", lambda: self.deployment.start_node(nodes[1])
         yield 10.0, f"a node freezes for {PAUSE_S} s", lambda: self._freeze(nodes[2])
-        yield 14.0, "a node ends gracefully", lambda: self._end(nodes[3])
+        yield 12.5, "a node ends gracefully", lambda: self._end(nodes[3])
         yield (
             22.5,
             f"the store is out for {OUTAGE_S} s",
@@ -201,7 +203,7 @@
 
     def _end(self, node: str) -> None:
         client = self._client(self.deployment.callers(node))
-        work_class = self._class(open_to_all=False, idempotent=True)
+        work_class = self._quiet_class()
         token = self.keys[self.deployment.edit.teams[0].name].token
         request = _request(work_class, token, HELD_S)
         held = [
@@ -210,11 +212,10 @@
         ]
         gevent.sleep(POLL_S)
         code = self.deployment.trial.end(node)
-        self.report.check(Promise.SHUTDOWN, code == 0)
-        for item in held:
-            item.join()
-            answered = item.successful() and item.value.status == 200
-            self.report.check(Promise.SHUTDOWN, answered)
+        gevent.joinall(held)
+        found = [f"{node} ended with code {code}"] if code else []
+        found += [f"{node} answered {_outcome(item)}" for item in held if not _ok(item)]
+        self.report.check_all(Promise.SHUTDOWN, found, 1 + len(held))
         self.deployment.start_node(node)
 
     def _fault(self, address: str, faults: Faults, seconds: float) -> None:
@@ -266,6 +267,12 @@
         report.measure(f"{name}.answered", 100 * answered / count, "%")
         on_time = 100 * load.late[False] / max(1, answered)
         report.measure(f"{name}.answered_in_target", on_time, "%")
+        ended = {item.request_id for item in load.sent if item.status == 200}
+        # The team whose key is withdrawn is refused for that, not for its share.
+        withdrawn = self.deployment.edit.teams[-1].name
+        asked = [item for item in load.asked if item.team != withdrawn]
+        error = 100 * share_error(asked, frozenset(ended), teams)
+        report.measure(f"{name}.share_error", error, "%")
         for status, number in sorted(load.statuses.items()):
             if status != 200:
                 report.measure(f"{name}.status_{status}", number, "requests")
@@ -318,6 +325,19 @@
     def _client(self, address: str) -> HttpClient:
         return HttpClient(Address.parse(address), HELD_REQUESTS, CALL_TIMEOUT_S)
 
+    def _quiet_class(self) -> WorkClass:
+        # A pool that is full refuses as not run, which interrupts nothing.
+        elapsed = time.monotonic() - self.load.begun_s
+        busy = {self.load.pool_of_turn(elapsed - back) for back in (0.0, BURST_S)}
+        return next(
+            item
+            for item in self.deployment.edit.classes
+            if item.pool not in busy
+            and item.idempotent
+            and not item.open
+            and item.kind is WorkKind.REQUEST
+        )
+
     def _class(self, open_to_all: bool, idempotent: bool = True) -> WorkClass:
         return next(
             item
@@ -333,3 +353,13 @@
     if work_s:
         headers.append(("X-Work-Seconds", str(work_s)))
     return HttpRequest("POST", f"/run/{work_class.name}/demo", b"", tuple(headers))
+
+
+def _ok(held: gevent.Greenlet) -> bool:
+    return held.successful() and held.value.status == 200
+
+
+def _outcome(held: gevent.Greenlet) -> str:
+    if held.successful():
+        return f"{held.value.status} {held.value.body.decode()}"
+    return repr(held.exception)
