Take leaving dates from the plan alone

Cause: two answers to when a worker leaves. The node has long passed the planner's to the dispatcher of jobs; LeavingDates was only called by its test.

The test moves to the planner's task and asks more than before: next wave after a past one, present wave, no wave, on nodes that never held the claim, and once a wave has ended. Dates are those at which the drain begins, one lead time before the wave, as jobs need them. Nothing was lacking in the planner: a running wave gives the present moment.

The test was seen to fail with the latest date in place of the earliest, with running waves left out of the departures, and with a planner that plans on the holder of the claim alone.

Difference that stays: the plan is made anew at most REPLAN_MOST_S (60 s) after the last, so a date may outlive its wave by that time; the old one ended at once. A worker that is back gets no new jobs for so long.

--- a/tests/test_job_faults.py
+++ b/tests/test_job_faults.py
@@ -7,17 +7,14 @@
 import heatherhatch_daemon.tasks.task_follower as task_follower
 from heatherhatch_core.coordination.attempts import LeaseEvidence
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
-from heatherhatch_core.state.entities import Wave
 from heatherhatch_core.state.jobs import JobSpec, JobState, Usage, job_id_of
 from heatherhatch_daemon.tasks.job_records import GroupCommit, JobRecords
-from heatherhatch_daemon.tasks.leaving import LeavingDates
 from heatherhatch_daemon.transport.workers import Reading
 from heatherhatch_standins.faults import Faults
 from heatherhatch_standins.worker import Worker as WorkerStandin
 from job_harness import (
     GRACE_S,
     LIMIT,
-    FollowerFake,
     Node,
     World,
     new_job,
@@ -297,18 +294,3 @@
     submit(world, [new_job(world, "blue-1", "blue", run_s=5.0, cpus=4)])
     steps(world, node, 60.0)
     assert world.all_jobs()["blue-1"].state is not JobState.QUEUED
-
-
-def test_job_faults_leaving_date_is_the_present_or_next_wave(world):
-    now = world.wall_clock()
-    waves = [
-        Wave("past", now - 20, now - 10, ("w1", "w2")),
-        Wave("next", now + 10, now + 20, ("w1",)),
-        Wave("later", now + 30, now + 40, ("w1", "w2")),
-    ]
-    world.config = dataclasses.replace(
-        world.config, seq=2, waves={wave.wave_id: wave for wave in waves}
-    )
-    dates = LeavingDates(FollowerFake(world), world.wall_clock)
-    found = [dates(name) for name in ("w1", "w2", "w3")]
-    assert found == [now + 10, now + 30, None]
--- a/tests/test_planner_task.py
+++ b/tests/test_planner_task.py
@@ -7,7 +7,12 @@
 from heatherhatch_core.state.changes import Change, Edit, apply_change, check_edit
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.entities import Pool, Wave, Worker, WorkerState
-from heatherhatch_daemon.tasks.planner import PlannerPorts, open_planner
+from heatherhatch_daemon.tasks.planner import (
+    REPLAN_MOST_S,
+    TIMING,
+    PlannerPorts,
+    open_planner,
+)
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 
 
@@ -187,3 +192,24 @@
     before = log.config
     play(clock, nodes, 30)
     assert log.config is before
+
+
+def test_planner_task_leaving_date_is_the_present_or_next_wave(nodes, log, clock):
+    now = clock()
+    w1, w2, w3, w4 = sorted(log.config.workers)[:4]
+    waves = (
+        Wave("past", now - 20, now - 10, (w1, w2)),
+        Wave("present", now - 20, now + 5000, (w4,)),
+        Wave("next", now + 1000, now + 1010, (w1,)),
+        Wave("later", now + 3000, now + 3010, (w1, w2)),
+    )
+    log.accept("operator", Edit(waves=waves))
+    lead_s = TIMING.lead_s
+    # No node has taken a step: the answer does not depend on holding the claim.
+    for node in nodes:
+        found = [node.leaving_at(name) for name in (w1, w2, w3, w4)]
+        assert found == [now + 1000 - lead_s, now + 3000 - lead_s, None, now]
+    clock.now_s = now + 1010 + REPLAN_MOST_S
+    for node in nodes:
+        found = [node.leaving_at(name) for name in (w1, w2, w3, w4)]
+        assert found == [now + 3000 - lead_s, now + 3000 - lead_s, None, clock()]
