--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -7,6 +7,7 @@
 
 from heatherhatch_core.coordination import attempts
 from heatherhatch_core.coordination.dispatch import Dispatch
+from heatherhatch_core.coordination.dispatch_round import DispatchRound
 from heatherhatch_core.coordination.placement import clamp, rooms_of
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.entities import Pool, Team, WorkClass, Worker, WorkKind
@@ -120,9 +121,10 @@
             self.tasks[job.job_id] = _Task(started, worker_id, self.now)
 
     def _learned_starts(self):
-        starts = self.dispatch.starts(
-            self.config, lambda _w: None, lambda _t: 10**9, self.now, self.now
+        rounds = DispatchRound(
+            self.dispatch, self.config, lambda _w: None, self.now, self.now
         )
+        starts = rounds.starts(lambda _t: 10**9)
         return [(item.job, item.workers[0]) for item in starts]
 
     def _first_fit(self):
@@ -272,7 +274,8 @@
         spec = JobSpec(("short", "night")[i % 2], "", 8, 8192, run_s=60.0)
         dispatch.put(Job(f"{i:05d}", TEAMS[i % 4], spec, float(i)), i + 1)
     begun = time.perf_counter()
-    starts = dispatch.starts(config, lambda _w: None, lambda _t: 10**9, 1.0, 1.0)
+    rounds = DispatchRound(dispatch, config, lambda _w: None, 1.0, 1.0)
+    starts = rounds.starts(lambda _t: 10**9)
     spent = time.perf_counter() - begun
     print(f"jobs.decision {spent / len(starts) * 1e3:.3f} ms/job")
     print(f"jobs.round_of_{len(starts)}_starts {spent * 1e3:.1f} ms")
