--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/demand.py
@@ -88,6 +88,11 @@
     return (1 << last) - (1 << first) if last > first else 0
 
 
+def first_bit(mask: int) -> int:
+    """Return the lowest bit that is set."""
+    return (mask & -mask).bit_length() - 1
+
+
 def present_pool(config: Configuration, worker_id: str) -> str:
     """Return the pool of a worker, or the one that it is on its way to."""
     assignment = config.assignments.get(worker_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/improvement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/improvement.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from .demand import Need, Timeline
+from .annealing import Annealing
+from .demand import Need, Timeline, first_bit
 from .lending import Lender
 
 PASSES = 40
@@ -30,24 +31,31 @@
     Two lenders that exchange everything after some point of each still meet the
     same needs, and so do two of which one takes a block of the other's needs.
     Either is done if it lowers the moves and the time in which lent workers wait,
-    weighed against each other.
+    weighed against each other. Where no two gain any more, annealing goes on from
+    there, and exchanges of two end it.
 
     Args:
         lenders: Lenders with their needs; changed in place.
         timeline: Planned time.
     """
     search = _Search(timeline)
-    for _ in range(PASSES):
-        changed = search.exchange_tails(lenders)
-        changed |= search.hand_over_blocks(lenders)
-        if not changed:
-            return
+    search.exchange_until_settled(lenders)
+    Annealing(lenders, timeline, MOVE_WORTH_S).run()
+    search.exchange_until_settled(lenders)
 
 
 class _Search:
     def __init__(self, timeline: Timeline):
         self.timeline = timeline
 
+    def exchange_until_settled(self, lenders: list[Lender]) -> None:
+        """Exchange until nothing is gained, or all passes are used up."""
+        for _ in range(PASSES):
+            changed = self.exchange_tails(lenders)
+            changed |= self.hand_over_blocks(lenders)
+            if not changed:
+                return
+
     def exchange_tails(self, lenders: list[Lender]) -> bool:
         links = [link for item in lenders for link in self.links_of(item)]
         spent: set[Lender] = set()
@@ -83,7 +91,7 @@
         before, after = self.link(lender, first), self.link(lender, last)
         block = lender.needs[first:last]
         pool = block[0].pool
-        begins, joins = block[0].first, _first_bit(block[0].reserved)
+        begins, joins = block[0].first, first_bit(block[0].reserved)
         ended = block[-1].last
         closed = (before.pool != after.next_pool) - before.moves - after.moves
         closed_s = closed * MOVE_WORTH_S - before.wait_s - after.wait_s
@@ -120,7 +128,7 @@
         next_pool = after.pool if after else ""
         ended = before.last if before else 0
         begins = after.first if after else self.timeline.size
-        joins = _first_bit(after.reserved) if after else self.timeline.size
+        joins = first_bit(after.reserved) if after else self.timeline.size
         if pool == home:
             pool = ""
         return _Link(
@@ -205,7 +213,3 @@
     mine = first.needs[: link.position] + second.needs[other.position :]
     its = second.needs[: other.position] + first.needs[link.position :]
     first.needs, second.needs = mine, its
-
-
-def _first_bit(mask: int) -> int:
-    return (mask & -mask).bit_length() - 1
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
@@ -8,7 +8,15 @@
 from ...state.configuration import Configuration
 from ...state.entities import Worker
 from ...state.transitions import INVOLUNTARY_STATES
-from .demand import Absence, Need, Timeline, bits, is_lendable, present_pool
+from .demand import (
+    Absence,
+    Need,
+    Timeline,
+    bits,
+    first_bit,
+    is_lendable,
+    present_pool,
+)
 from .messages import Cover
 
 # What it costs, in moves, to take a worker from where it was planned before.
@@ -39,7 +47,7 @@
         """Stand in for some needs of one pool."""
         for need in needs:
             self.reserved |= need.reserved
-        self.held |= bits(_first_bit(needs[0].reserved), needs[-1].last)
+        self.held |= bits(first_bit(needs[0].reserved), needs[-1].last)
         self.needs = sorted([*self.needs, *needs], key=lambda need: need.first)
 
     def place_before(self, need: Need) -> tuple[str, int]:
@@ -138,9 +146,9 @@
         return [self.by_name[name] for name in names if name in self.by_name]
 
     def _choose(self, candidates, chain, careful) -> tuple[Lender | None, int]:
-        wanted = bits(_first_bit(chain[0].reserved), chain[-1].last)
+        wanted = bits(first_bit(chain[0].reserved), chain[-1].last)
         risky = frozenset().union(*(need.domains for need in chain))
-        first = bits(_first_bit(wanted), chain[0].last)
+        first = bits(first_bit(wanted), chain[0].last)
         best, best_count, best_cost = None, 0, ()
         for lender in candidates:
             # Most are busy at the first need, and are passed over at once.
@@ -195,7 +203,7 @@
             if blocked & joining and lender.place_before(need)[0] != need.pool:
                 continue
             ahead = blocked & need.mask
-            reach = _first_bit(ahead) if ahead else need.last
+            reach = first_bit(ahead) if ahead else need.last
             risky = lender.worker.failure_domain in need.domains
             rank = (-reach, risky, *self._cost(lender, [need], 1))
             if best is None or rank < best_rank:
@@ -222,7 +230,7 @@
 
 def _count_takeable(lender: Lender, chain: list[Need], careful: bool) -> int:
     # How many needs from the first one on the worker can stand in for.
-    begin = _first_bit(chain[0].reserved)
+    begin = first_bit(chain[0].reserved)
     for count, need in enumerate(chain):
         if lender.held & bits(begin, need.last):
             return count
@@ -280,9 +288,5 @@
     )
 
 
-def _first_bit(mask: int) -> int:
-    return (mask & -mask).bit_length() - 1
-
-
 def _chain_start(chain: list[Need]) -> tuple:
-    return (_first_bit(chain[0].reserved), chain[0].pool, chain[0].level)
+    return (first_bit(chain[0].reserved), chain[0].pool, chain[0].level)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,6 +1,8 @@
 """Plans over all waves, and the steps that carry them out."""
 
 import dataclasses
+import itertools
+import math
 
 import pytest
 from hypothesis import given, settings
@@ -14,6 +16,14 @@
     leaving_at,
     plan_waves,
 )
+from heatherhatch_core.coordination.planner.annealing import Annealing
+from heatherhatch_core.coordination.planner.demand import (
+    Timeline,
+    find_absences,
+    find_needs,
+)
+from heatherhatch_core.coordination.planner.explanation import list_moves
+from heatherhatch_core.coordination.planner.lending import Lenders
 from heatherhatch_core.exceptions import HeatherhatchError
 from heatherhatch_core.state.changes import Change, Edit, apply_change, check_edit
 from heatherhatch_core.state.configuration import Configuration
@@ -206,6 +216,50 @@
     assert set(places.values()) <= {"s"}
 
 
+def rolling_fleet():
+    workers = tuple(
+        Worker(f"{pool}{i}", f"fd-{i % 4}", f"r{i}", "127.0.0.1:1", pool)
+        for pool, size in (*((f"p{n}", 8) for n in range(6)), ("s", 16))
+        for i in range(size)
+    )
+    pools = tuple(Pool(f"p{n}", 7) for n in range(6)) + (Pool("s", 0, spare=True),)
+    fleet = accept(Configuration(), Edit(pools=pools, workers=workers))
+    waves = []
+    for i in range(8):
+        names = [f"p{n}{j}" for n in range(6) for j in (i, (i + 4 * (n % 2)) % 8)]
+        names += [f"p{n}{(i + n + 1) % 8}" for n in range(0, 6, 1 + i % 3)]
+        names.append(f"s{i}")
+        start_s = 1000.0 + 100_000.0 * i
+        waves.append(Wave(f"w{i}", start_s, start_s + 500.0, tuple(sorted(set(names)))))
+    return announce(fleet, *waves)
+
+
+def test_annealing_meets_the_same_needs_and_costs_no_more():
+    fleet = rolling_fleet()
+    absences = find_absences(fleet, 0.0, TIMING)
+    timeline = Timeline(0.0, absences, TIMING)
+    needs = find_needs(fleet, timeline, absences)
+    found = []
+    for _ in range(2):
+        lending = Lenders(fleet, timeline, absences).lend(needs, ())
+        before = list_moves(lending, timeline)
+        met = sorted(map(repr, (n for item in lending.lenders for n in item.needs)))
+        # Waiting is free here, so that the moves alone are the cost.
+        Annealing(list(lending.lenders), timeline, math.inf).run()
+        after = list_moves(lending, timeline)
+        again = sorted(map(repr, (n for item in lending.lenders for n in item.needs)))
+        assert met == again
+        assert len(after) < len(before)
+        found.append(after)
+        for item in lending.lenders:
+            for need, later in itertools.pairwise(item.needs):
+                assert need.last <= later.first
+            for need in item.needs:
+                assert not item.away & need.mask
+                assert item.worker.failure_domain not in need.domains
+    assert found[0] == found[1]
+
+
 class Holder:
     """A planner on one node, driven by a clock that the test sets."""
 
