Share the looks at the planner's claim between the nodes

Cause: each of the nodes without the claim looked at it once a second, so that the looks of one fleet grew with its nodes.

Now one node looks in each second of the wall clock, in turns by the order of names (core: coordination/turns.py). The turn of a dead holder stays empty, so a plan is without a holder for at most 3 s of the claim, two turns and half a second of the planner, if the nodes' clocks agree; where they don't, nobody waits longer than one round of turns (7 s at 7 nodes). A look that got no answer is repeated after a second. The dispatcher's claim is as before. Small edits outside: Follower.members, set by the registrar beside the rank.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claim.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/claim.py
@@ -48,6 +48,8 @@
         clock: Returns monotonic seconds.
         key: Key of the claim in the store.
         events: What is logged when it changes hands.
+        next_look_s: Returns the seconds to the next look after one that found
+            another holder; ``look_s`` if there is none.
     """
 
     def __init__(
@@ -60,10 +62,12 @@
         clock: Callable[[], float],
         key: str = CLAIM_KEY,
         events: ClaimEvents = DISPATCHER_EVENTS,
+        next_look_s: Callable[[], float] | None = None,
     ):
         self.store = store
         self.key = key
         self.events = events
+        self.next_look_s = next_look_s
         self.ttl_s = ttl_s
         self.look_s = look_s
         self.settle_s = settle_s
@@ -130,6 +134,9 @@
             # A take whose answer was lost shows here as this node's own.
             if entry.value == self.token and entry.lease == self.lease:
                 self._taken(entry.revision, asked)
+            elif self.next_look_s is not None:
+                # Only a look that got its answer may stand for the others'.
+                self.next_s = asked + self.next_look_s()
             return
         asked = self.clock()
         self.lease = self.store.grant_lease(self.ttl_s)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/follower.py
@@ -54,6 +54,7 @@
         admitted_s: When every member had this node in its view.
         leaving: True once the node ends and accepts no change any more.
         rank: Position of this node in the order of names.
+        members: Number of nodes in this node's view, itself included.
         on_read: Called with each read and the time of its question, before the
             read counts as evidence.
         on_accept: Called after this node accepted a change.
@@ -78,6 +79,7 @@
         self.admitted_s = float("inf")
         self.leaving = False
         self.rank = 0
+        self.members = 1
         self.store_up = True
         self.had_standing = False
         self.appending = RLock()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/planner.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/planner.py
@@ -19,6 +19,7 @@
     plan_waves,
 )
 from heatherhatch_core.coordination.release import ReleaseGate
+from heatherhatch_core.coordination.turns import turn_in_s
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.changes import Edit
 from heatherhatch_core.state.configuration import Configuration
@@ -32,7 +33,8 @@
 PLANNER_KEY = "planner"
 PLANNER_EVENTS = ClaimEvents(Event.PLANNER_TAKEN, Event.PLANNER_LOST)
 ACTOR = "planner"
-# Together they bound how long a plan is without a holder.
+# Together they bound how long a plan is without a holder. One node looks in
+# each slot of LOOK_S; the slot of a dead holder stays empty.
 CLAIM_S = 3
 LOOK_S = 1.0
 PERIOD_S = 0.5
@@ -236,6 +238,9 @@
         clock=follower.clock,
         key=PLANNER_KEY,
         events=PLANNER_EVENTS,
+        next_look_s=lambda: turn_in_s(
+            follower.wall_clock(), LOOK_S, follower.rank, follower.members
+        ),
     )
     return FleetPlanner(claim, follower, ports, follower.wall_clock)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/registrar.py
@@ -119,6 +119,7 @@
         self.membership = membership
         self.follower.admitted_s = membership.admitted_s
         own = membership.own.name
+        self.follower.members = len(membership.others) + 1
         self.follower.rank = sum(item.name < own for item in membership.others)
 
     def take_read(self, tail: LogTail, asked_s: float) -> None:
--- a/tests/test_planner_task.py
+++ b/tests/test_planner_task.py
@@ -7,7 +7,12 @@
 from heatherhatch_core.state.changes import Change, Edit, apply_change, check_edit
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.entities import Pool, Wave, Worker, WorkerState
-from heatherhatch_daemon.tasks.planner import PlannerPorts, open_planner
+from heatherhatch_daemon.tasks.planner import (
+    CLAIM_S,
+    LOOK_S,
+    PlannerPorts,
+    open_planner,
+)
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 
 
@@ -45,6 +50,8 @@
         self.standing = True
         self.frozen = None
         self.cut = False
+        self.rank = 0
+        self.members = 1
 
     @property
     def config(self):
@@ -122,6 +129,51 @@
     assert len(log.config.serving_workers("a")) == 3
 
 
+def open_fleet(log, store, clock, size):
+    nodes = [open_node(log, store, clock) for _ in range(size)]
+    for rank, node in enumerate(nodes):
+        node.follower.rank = rank
+        node.follower.members = size
+    return nodes
+
+
+def test_planner_task_shares_the_looks_at_its_claim_between_nodes(log, clock):
+    store = MemoryStore(clock)
+    nodes = open_fleet(log, store, clock, 7)
+    play(clock, nodes, 10)
+    before = store.calls
+    play(clock, nodes, 70)
+    # The holder renews once a second, and one of the others looks meanwhile.
+    assert store.calls - before <= 2 * 70
+
+
+@pytest.mark.parametrize("rest_s", range(7))
+def test_planner_task_is_taken_over_within_two_looks_of_the_lapse(log, clock, rest_s):
+    store = MemoryStore(clock)
+    nodes = open_fleet(log, store, clock, 7)
+    play(clock, nodes, 10 + rest_s)
+    holder = next(node for node in nodes if node.claim.holds())
+    others = [node for node in nodes if node is not holder]
+    play(clock, others, CLAIM_S + 2 * LOOK_S)
+    assert any(node.claim.holds() for node in others)
+
+
+def test_planner_task_looks_again_soon_after_a_look_without_an_answer(log, clock):
+    store = MemoryStore(clock)
+    first, second = open_fleet(log, store, clock, 7)[:2]
+    play(clock, [first], 1)
+    get = store.get
+
+    def lose(_key):
+        raise StoreError("no answer")
+
+    store.get = lose
+    with pytest.raises(StoreError):
+        second.step()
+    store.get = get
+    assert second.claim.next_s - clock() <= LOOK_S
+
+
 def test_planner_task_does_nothing_without_standing(nodes, log, clock):
     announce(log, 1010.0, 1100.0, "w0")
     for node in nodes:
