Let admission rest while no node reports work

Cause: ten times a second admission smoothed and compared the demand of every pool, also when no node had any; the cost grew with the pools.

Now a step ends at once if nothing runs or waits on any node, the smoothing of what has ended is over, and the last full step was for the same log position and members. A request is admitted by its own call as before, and the first report, change of the configuration or of the members is seen in the next step, a tenth of a second as before.

Tests: on the step as it was, the test of resting fails; with a step that rests whatever is reported, the three tests of waking fail. 361 tests passed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/admission.py
@@ -94,6 +94,19 @@
     demands: tuple[TeamDemand, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QuietFleet:
+    """What the division goes by while no node reports work.
+
+    Attributes:
+        seq: Log position of the shares.
+        nodes: Members by name.
+    """
+
+    seq: int
+    nodes: tuple[str, ...]
+
+
 class Admission(Task):
     """Hands out permits within the teams' grants and their fair shares.
 
@@ -131,6 +144,7 @@
         self.job_demand: Callable[[], tuple[Demand, ...]] = tuple
         self.job_reports: tuple[Demand, ...] = ()
         self.job_reports_s = float("-inf")
+        self.rested: QuietFleet | None = None
 
     @property
     def running(self) -> Counter:
@@ -180,10 +194,15 @@
         if self.clock() - self.job_reports_s >= JOB_REPORT_S:
             self.job_reports = self.job_demand()
             self.job_reports_s = self.clock()
+        quiet = self._quiet_fleet()
+        if quiet is not None and quiet == self.rested:
+            # Nothing runs or waits on any node, and all is divided for that.
+            return
         self._divide_all()
         if not self.keeper.may_spend():
             self._refuse_teams()
         self._tell(self.queue.refresh(self.clock()))
+        self.rested = quiet
 
     def demand(self) -> tuple[Demand, ...]:
         """Return what this node tells its peers."""
@@ -275,11 +294,23 @@
             self.capacities_seq = config.seq
         return self.capacities
 
+    def _quiet_fleet(self) -> QuietFleet | None:
+        """Return what to divide by if nothing is reported, None if something is."""
+        if any(self._all_reports().values()):
+            return None
+        # Work that has just ended still counts until its smoothing has ended.
+        if any(smoothed.units for smoothed in self.smoothed.values()):
+            return None
+        return QuietFleet(self.follower.config.seq, self._node_names())
+
+    def _node_names(self) -> tuple[str, ...]:
+        return tuple(sorted(e.name for e in self.registrar.membership.everyone))
+
     def _divide_all(self):
         now = self.clock()
         seq = self.follower.config.seq
         capacities = self._capacities()
-        nodes = tuple(sorted(e.name for e in self.registrar.membership.everyone))
+        nodes = self._node_names()
         demands: dict[str, list[TeamDemand]] = {pool: [] for pool in capacities}
         for node, items in self._all_reports().items():
             for item in items:
--- a/tests/test_tasks_admission.py
+++ b/tests/test_tasks_admission.py
@@ -1,5 +1,7 @@
 """Admission as the gateway uses it."""
 
+import dataclasses
+
 import gevent
 import pytest
 
@@ -172,3 +174,49 @@
     admission.step()
     monkeypatch.setattr(admission, "_divide", None)
     admission.step()
+
+
+def test_tasks_admission_rests_while_no_node_reports_work(admission, reports):
+    divided = []
+    divide = admission.queue.divide
+    admission.queue.divide = lambda *args: divided.append(args) or divide(*args)
+    refresh = admission.queue.refresh
+    refreshed = []
+    admission.queue.refresh = lambda now_s: refreshed.append(now_s) or refresh(now_s)
+    for _ in range(10):
+        admission.clock.now_s += 0.1
+        admission.step()
+    assert len(divided) == 1
+    assert len(refreshed) == 1
+
+
+def test_tasks_admission_wakes_for_a_report_and_for_its_end(admission, reports):
+    admission.step()
+    rest = admission.divided["tills"]
+    reports["b"] = (Demand("blue", "tills", 1, 0, 0),)
+    admission.step()
+    assert admission.divided["tills"].demands
+    reports.clear()
+    for _ in range(100):
+        admission.clock.now_s += 0.1
+        admission.step()
+    assert admission.divided["tills"] == rest
+
+
+def test_tasks_admission_wakes_for_a_change_of_the_configuration(admission):
+    admission.step()
+    before = admission.divided["tills"]
+    config = admission.follower.config
+    worker = Worker("v", "fd", "r", "127.0.0.1:2", "tills", cpus=4)
+    workers = {**config.workers, "v": worker}
+    admission.follower.config = dataclasses.replace(config, seq=2, workers=workers)
+    admission.step()
+    assert admission.divided["tills"].capacity > before.capacity
+
+
+def test_tasks_admission_wakes_for_a_change_of_the_members(admission):
+    admission.step()
+    own = admission.registrar.entry
+    admission.registrar.membership = Membership(own, Registry(2, (own,), (own.name,)))
+    admission.step()
+    assert admission.divided["tills"].nodes == (own.name,)
