Answer what idle connections sent before a listener closes

Cause: at the end of a graceful stop, an idle connection counted as done even if a request lay unread in its buffer. The listener reported that nothing was cut, then killed the connection after 0.1 s. Now a waiting connection with bytes in its buffer is served; on others only the reading side is shut, and the listener waits until no connection is left.

The new test in test_transport.py failed 3 of 3 against the old listener (500 in place of the answer) and passed 3 of 3 with the new one.

Not shown: that this was the cause of the resets seen now and then in test_shutdown_interrupts_no_request_under_load.

Left: a request that arrives between the last read and the close of an idle connection is still lost; the client sees the connection closed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -1,6 +1,7 @@
 """HTTP listeners with bounds on what a client can cost."""
 
 import contextlib
+import select
 import socket as blocking
 import time
 from collections.abc import Callable
@@ -80,6 +81,18 @@
             self.fresh = False
             waiting.discard(self)
 
+    def retire(self) -> None:
+        """End a waiting connection, unless a request lies in its buffer.
+
+        Only the reading side is shut, so that what comes between the look and
+        the shutdown is still read and answered, and nothing is reset.
+        """
+        poll = select.poll()
+        poll.register(self.socket.fileno(), select.POLLIN)
+        if not poll.poll(0):
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RD)
+
     def read_request(self, raw_requestline):
         """Read the head as one whole with one time limit.
 
@@ -208,12 +221,15 @@
     def _wait_until_done(self):
         # A new connection brings a request that is on its way, most likely.
         patient_until_s = time.monotonic() + FIRST_REQUEST_S
-        while self._busy() or (self.fresh and time.monotonic() < patient_until_s):
+        while len(self.pool):
+            self._retire(self.idle)
+            if time.monotonic() >= patient_until_s:
+                self._retire(self.fresh)
             gevent.sleep(POLL_S)
 
-    def _busy(self):
-        waiting = len(self.idle) + len(self.fresh)
-        return self.open_requests > 0 or len(self.pool) > waiting
+    def _retire(self, waiting: set[BoundedHandler]):
+        for handler in waiting:
+            handler.retire()
 
 
 def _take_all(descriptor: int) -> list[tuple[blocking.socket, tuple]]:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -11,6 +11,7 @@
 from heatherhatch_daemon.protocol.bodies import read_body
 from heatherhatch_daemon.protocol.problems import new_app
 from heatherhatch_daemon.settings import Address, LimitSettings
+from heatherhatch_daemon.transport import listener as listener_module
 from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
 from heatherhatch_daemon.transport.listener import Listener
 
@@ -237,6 +238,31 @@
     assert stopping.get()
 
 
+def test_listener_answers_what_an_idle_connection_sent_before_the_close(
+    listening, monkeypatch
+):
+    def slow_app(_environ, start_response):
+        gevent.sleep(0.3)
+        start_response("200 OK", [("Content-Length", "4")])
+        return [b"body"]
+
+    listener, sock = listening(slow_app)
+    sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    read_until(sock, b"body")
+    take_all = listener_module._take_all
+
+    def send_last(descriptor):
+        # The request lies in the kernel's buffer; its greenlet has not run yet.
+        sock.send(b"GET / HTTP/1.1\r\n\r\n")
+        return take_all(descriptor)
+
+    monkeypatch.setattr(listener_module, "_take_all", send_last)
+    assert listener.stop(grace_s=5.0)
+    answer = read_all(sock)
+    assert b"Connection: close" in answer
+    assert answer.endswith(b"body")
+
+
 def test_listener_waits_for_the_first_request_of_a_new_connection(listening):
     listener, sock = listening(plain_app)
     stopping = gevent.spawn(listener.stop, 5.0)
