Let a replan keep who stands in as long as planned

Cause: a replan took a lent worker for the rest of a chain, also where the plan before had sent it elsewhere. It is now kept for as long as it was planned to stay.

The new test passes before this change too; it fails if the last plan is ignored.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/lending.py
@@ -124,6 +124,10 @@
 
     def _take_some(self, chain: list[Need]) -> int:
         # Settles the first needs of a chain and returns how many.
+        lender, count = self._keep(chain)
+        if count:
+            lender.take(chain[:count])
+            return count
         for candidates, careful in (
             (self._previous_lenders(chain[0]), True),
             (self.lenders, True),
@@ -136,6 +140,18 @@
         self._meet_alone(chain[0])
         return 1
 
+    def _keep(self, chain: list[Need]) -> tuple[Lender | None, int]:
+        # Whoever was planned here stays as long as it was planned to, and no longer.
+        best, best_count = None, 0
+        for lender in self._previous_lenders(chain[0]):
+            kept = 0
+            while kept < len(chain) and lender in self._previous_lenders(chain[kept]):
+                kept += 1
+            count = _count_keepable(lender, chain[:kept])
+            if count > best_count:
+                best, best_count = lender, count
+        return best, best_count
+
     def _previous_lenders(self, need: Need) -> list[Lender]:
         start_s = self.timeline.cuts[need.first]
         names = (
@@ -241,6 +257,20 @@
     return len(chain)
 
 
+def _count_keepable(lender: Lender, chain: list[Need]) -> int:
+    # A worker that stays in a pool may stand in twice without a time to join.
+    stays = lender.place_before(chain[0])[0] == chain[0].pool if chain else False
+    for count, need in enumerate(chain):
+        begin = chain[0].first if stays else first_bit(chain[0].reserved)
+        if lender.held & bits(begin, need.last):
+            return count
+        if lender.worker.failure_domain in need.domains:
+            return count
+        if not _is_present(lender, need, count > 0):
+            return count
+    return len(chain)
+
+
 def _is_present(lender: Lender, need: Need, there: bool) -> bool:
     # A worker that is there already needs no time to join.
     if not lender.away & need.reserved:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -260,6 +260,12 @@
     assert found[0] == found[1]
 
 
+def test_planner_keeps_every_choice_of_an_improved_plan():
+    fleet = rolling_fleet()
+    plan = plan_waves(fleet, 0.0, TIMING)
+    assert plan_waves(fleet, 0.0, TIMING, plan) == plan
+
+
 class Holder:
     """A planner on one node, driven by a clock that the test sets."""
 
