Look at the planner's claim once a second again

Turns of 0.75 s broke the bound of two store calls a second for all nodes together. A holder that dies is followed after at most 5.5 s: 3 s of claim, two empty turns and half a second of planner. With a living holder a change is planned for within its period of 2 s; that stays within the 5 s that are asked.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/planner.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/planner.py
@@ -36,7 +36,7 @@
 # Together they bound how long a plan is without a holder. One node looks in
 # each slot of LOOK_S; the slot of a dead holder stays empty.
 CLAIM_S = 3
-LOOK_S = 0.75
+LOOK_S = 1.0
 PERIOD_S = 0.5
 PROBE_PERIOD_S = 1.0
 REPLAN_LEAST_S = 2.0
