--- a/packages/heatherhatch-cli/src/heatherhatch_cli/commands/status.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/status.py
@@ -17,3 +17,5 @@
     if context.output == "table":
         standing = "up to date" if answer.standing else "NOT known to be up to date"
         click.echo(f"{answer.node} is {standing}; {answer.running} requests running")
+        if not answer.store_answers:
+            click.echo("the store does not answer: work goes on, changes wait")
--- a/packages/heatherhatch-cli/src/heatherhatch_cli/output.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/output.py
@@ -11,6 +11,8 @@
 
 FORMATS = ("table", "json", "yaml")
 COLUMN_GAP = "  "
+LEFT_OUT = frozenset(["digest", "replaces", "seq", "since_s"])
+FIRST_EPOCH_S = 1e9
 
 
 def show(message: object, rows: Sequence[object], output: str) -> None:
@@ -35,11 +37,14 @@
 
 
 def brief(entity: object) -> str:
-    """Return the facts of an entity in one line, without digests."""
+    """Return the facts of an entity in one line.
+
+    Its name, digests, empty facts and positions in the log are left out.
+    """
     facts = [
         f"{item.name}={_text(getattr(entity, item.name))}"
-        for item in fields(entity)
-        if item.name != "digest"
+        for item in fields(entity)[1:]
+        if item.name not in LEFT_OUT and getattr(entity, item.name) not in ("", ())
     ]
     return " ".join(facts)
 
@@ -62,6 +67,8 @@
         return ",".join(str(item) for item in value)
     if isinstance(value, bool):
         return "yes" if value else "no"
+    if isinstance(value, float) and value >= FIRST_EPOCH_S:
+        return time_text(value)
     if isinstance(value, float):
         return f"{value:g}"
     return str(getattr(value, "value", value))
--- a/packages/heatherhatch-core/src/heatherhatch_core/api.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/api.py
@@ -77,6 +77,8 @@
         standing: True if this node may act on its configuration.
         running: Requests running here.
         nodes: The other nodes.
+        store_answers: False if this node does not reach the store, directly or
+            through a peer; then no change can be accepted here.
     """
 
     node: str
@@ -84,6 +86,7 @@
     standing: bool
     running: int
     nodes: tuple[NodeStatus, ...]
+    store_answers: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/operator.py
@@ -189,6 +189,7 @@
             follower.has_standing(),
             self.services.gateway.total_running,
             tuple(nodes),
+            not follower.standing.lost(now),
         )
         write_message(response, status)
 
