--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -1,6 +1,7 @@
 """Measures every slope, prints it and writes docs/CAPACITY.md."""
 
 from .decisions import decision_slopes
+from .libraries import ALL, LISTENER, imported_mib
 from .nodes import node_slopes
 from .page import write_page
 
@@ -12,7 +13,13 @@
         name = f"{slope.name} over {slope.axis}".replace(" ", "-")
         print(f"capacity.{name} {slope.at_target:.3f} {slope.unit}")
         print(f"capacity.{name}.residual {100 * slope.residual:.1f} %")
-    write_page(slopes)
+    memory = {
+        "libraries": imported_mib(ALL),
+        "listener": imported_mib(LISTENER),
+    }
+    for name, value in memory.items():
+        print(f"capacity.imported.{name} {value:.1f} MiB")
+    write_page(slopes, {name: f"{value:.0f} MiB" for name, value in memory.items()})
 
 
 if __name__ == "__main__":
--- a/bench/capacity/nodes.py
+++ b/bench/capacity/nodes.py
@@ -23,7 +23,17 @@
     return (
         _over_nodes("idle processor time", "% of a core", by_nodes, "cpu"),
         _over_nodes("idle bytes", "B/s", by_nodes, "bytes_s"),
-        _over_nodes("idle store calls", "calls/s", by_nodes, "calls_s"),
+        Slope(
+            "idle store calls of all nodes",
+            "nodes",
+            "calls/s",
+            NODE_SIZES,
+            tuple(
+                size * cost.calls_s
+                for size, cost in zip(NODE_SIZES, by_nodes, strict=True)
+            ),
+            TARGET_NODES,
+        ),
         _over_nodes("memory of the process", "MiB", by_nodes, "memory_mb"),
         _over_workers("memory of the process", "MiB", by_workers, "memory_mb"),
         _over_workers("idle processor time", "% of a core", by_workers, "cpu"),
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -16,14 +16,19 @@
 PLOT_DPI = 72
 
 
-def write_page(slopes: tuple[Slope, ...]) -> None:
-    """Write the page and a plot for each slope."""
+def write_page(slopes: tuple[Slope, ...], figures: dict[str, str]) -> None:
+    """Write the page and a plot for each slope.
+
+    Args:
+        slopes: What was measured; each fills the place of its name.
+        figures: Other figures by the name of their place.
+    """
     (DOCS / PLOTS).mkdir(exist_ok=True)
     for slope in slopes:
         _plot(slope)
     text = TEMPLATE.read_text(encoding="utf-8")
-    figures = {_slug(slope): f"{slope.at_target:.3g} {slope.unit}" for slope in slopes}
-    for name, figure in figures.items():
+    places = {_slug(slope): f"{slope.at_target:.3g} {slope.unit}" for slope in slopes}
+    for name, figure in {**places, **figures}.items():
         text = text.replace("{" + name + "}", figure)
     text = text.replace("{slopes}", _table(slopes))
     (DOCS / "CAPACITY.md").write_text(text, encoding="utf-8")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/cmdline.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/cmdline.py
@@ -11,7 +11,7 @@
 
 from .control import Daemon
 from .events import open_log
-from .settings import read_settings
+from .settings_file import read_settings
 
 EXIT_SETTINGS = 2
 EXIT_CUT = 1
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -35,10 +35,11 @@
 from .tasks.planner import PlannerPorts, open_planner
 from .tasks.registrar import Registrar
 from .tasks.reporter import Reporter
+from .transport.etcd_store import EtcdStore
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
 from .transport.memory_store import MemoryStore
-from .transport.store import EtcdStore, Store
+from .transport.store import Store
 
 # A peer that has not answered for this long counts as one without demand.
 REPORT_S = 2.0
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
@@ -6,32 +6,18 @@
 
 import gevent
 
-from heatherhatch_core.api import AuditPage, InForce, JobPage, Status
+from heatherhatch_core.api import InForce
 from heatherhatch_core.codec import decode_json, encode_json
-from heatherhatch_core.exceptions import HeatherhatchError
-from heatherhatch_core.state.changes import Change, Edit, Removal
+from heatherhatch_core.state.changes import Edit, Removal
 from heatherhatch_core.state.entities import Pool, Wave, WorkClass, WorkKind
-from heatherhatch_core.state.jobs import JobSpec, JobState
-from heatherhatch_daemon.settings import Address
-from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
+from heatherhatch_core.state.jobs import JobSpec
+from heatherhatch_daemon.transport.http import ExchangeError, HttpRequest
 
 from .deployment import Deployment, GrantedKey
 from .faults import FAULTS_PATH, Faults
-from .invariants import (
-    answer_violations,
-    away_intervals,
-    budget_violations,
-    doubling_violations,
-    job_violations,
-    leaving_violations,
-    limit_violations,
-    one_pool_violations,
-    refusal_violations,
-)
-from .ledger import LedgerPage
 from .load import BURST_S, Caller, Load
+from .observation import Observation, open_client
 from .report import Promise, Report
-from .shares import share_error
 
 LOAD_S = 30.0
 MEAN_RATE = 32.0
@@ -104,9 +90,10 @@
         events = [gevent.spawn(self._at, begun, *event) for event in self._events()]
         load.run(LOAD_S)
         gevent.joinall(events, raise_error=True)
-        self._wait_for_jobs()
-        self._check_load(load)
-        self._check_log(begun)
+        seen = Observation(self.deployment, self.report)
+        seen.check_jobs(self.jobs)
+        seen.check_load(load)
+        seen.check_log()
 
     def _events(self) -> Iterator[tuple[float, str, Callable[[], None]]]:
         nodes = self.deployment.node_names
@@ -176,7 +163,7 @@
         body = encode_json(JobSpec(work_class.name, "demo", run_s=JOB_RUN_S))
         headers = (("Authorization", f"Bearer {self.keys[team].token}"),)
         request = HttpRequest("POST", "/jobs", body, headers)
-        client = self._client(self.deployment.balancer)
+        client = open_client(self.deployment.balancer)
         for _ in range(JOBS):
             answer = client.exchange(request, CALL_TIMEOUT_S)
             if answer.status == 201:
@@ -189,7 +176,7 @@
         gevent.sleep(KEY_STOP_S)
         closed = self._class(open_to_all=False)
         for node in self.deployment.node_names:
-            client = self._client(self.deployment.callers(node))
+            client = open_client(self.deployment.callers(node))
             try:
                 answer = client.exchange(_request(closed, key.token), CALL_TIMEOUT_S)
             except ExchangeError:
@@ -202,7 +189,7 @@
         self.deployment.trial.resume(node)
 
     def _end(self, node: str) -> None:
-        client = self._client(self.deployment.callers(node))
+        client = open_client(self.deployment.callers(node))
         work_class = self._quiet_class()
         token = self.keys[self.deployment.edit.teams[0].name].token
         request = _request(work_class, token, HELD_S)
@@ -225,105 +212,7 @@
 
     def _put(self, address: str, faults: Faults) -> None:
         request = HttpRequest("PUT", FAULTS_PATH, encode_json(faults))
-        self._client(address).exchange(request, CALL_TIMEOUT_S)
-
-    def _wait_for_jobs(self) -> None:
-        deadline = time.monotonic() + JOBS_END_S
-        done: set[str] = set()
-        while time.monotonic() < deadline and len(done) < len(self.jobs):
-            try:
-                jobs = self.deployment.client().get("/v1/jobs", JobPage).jobs
-            except HeatherhatchError:
-                # The store is just coming back.
-                jobs = ()
-            done |= {job.job_id for job in jobs if job.state is JobState.DONE}
-            gevent.sleep(POLL_S)
-        self.report.check_all(
-            Promise.JOBS, [f"job {j} is lost" for j in set(self.jobs) - done], JOBS
-        )
-        starts = []
-        for control in self.deployment.workers.values():
-            request = HttpRequest("GET", "/started")
-            answer = self._client(control).exchange(request, CALL_TIMEOUT_S)
-            starts += decode_json(answer.body, tuple[tuple[str, int], ...])
-        found = job_violations(starts, done)
-        self.report.check_all(Promise.JOBS, found, len(starts))
-
-    def _check_load(self, load: Load) -> None:
-        name = self.deployment.name
-        page = self._ledger()
-        count = len(load.sent)
-        keyed = [item for item in load.sent if not item.idempotent]
-        report = self.report
-        report.check_all(Promise.WHOLE_ANSWER, answer_violations(load.sent), count)
-        refused = refusal_violations(load.sent, page.starts)
-        report.check_all(Promise.TRUE_REFUSAL, refused, count)
-        doubled = doubling_violations(load.sent, page.starts)
-        report.check_all(Promise.AT_MOST_ONCE, doubled, len(keyed))
-        teams = self.deployment.edit.teams
-        report.check_all(Promise.LIMIT, limit_violations(page.peaks, teams), len(teams))
-        answered = load.statuses[200]
-        report.measure(f"{name}.sent", count, "requests")
-        report.measure(f"{name}.answered", 100 * answered / count, "%")
-        on_time = 100 * load.late[False] / max(1, answered)
-        report.measure(f"{name}.answered_in_target", on_time, "%")
-        ended = {item.request_id for item in load.sent if item.status == 200}
-        # The team whose key is withdrawn is refused for that, not for its share.
-        withdrawn = self.deployment.edit.teams[-1].name
-        asked = [item for item in load.asked if item.team != withdrawn]
-        error = 100 * share_error(asked, frozenset(ended), teams)
-        report.measure(f"{name}.share_error", error, "%")
-        for status, number in sorted(load.statuses.items()):
-            if status != 200:
-                report.measure(f"{name}.status_{status}", number, "requests")
-
-    def _check_log(self, begun: float) -> None:
-        changes = self.deployment.client().get("/v1/audit", AuditPage).changes
-        report = self.report
-        count = len(changes)
-        report.check_all(Promise.BUDGET, budget_violations(changes), count)
-        report.check_all(Promise.ONE_POOL, one_pool_violations(changes), count)
-        by_backend = dict(zip(map(str, range(count)), self._worker_ids(), strict=False))
-        late = leaving_violations(
-            self._ledger().starts, by_backend, away_intervals(changes)
-        )
-        away = len(away_intervals(changes))
-        report.check_all(Promise.LEAVING, late, away)
-        self._measure_fleet(changes)
-        for node in self.deployment.node_names:
-            status = self.deployment.client(node).get("/v1/status", Status)
-            report.check(Promise.IN_FORCE, status.seq >= changes[-1].seq)
-
-    def _measure_fleet(self, changes: tuple[Change, ...]) -> None:
-        name = self.deployment.name
-        spans = away_intervals(changes)
-        moves = sum(
-            item.pool != before.pool
-            for change in changes
-            for item in change.edit.assignments
-            for before in change.before.assignments
-            if item.worker_id == before.worker_id
-        )
-        ended = [span for span in spans if span.end_s != float("inf")]
-        buffer_s = sum(span.end_s - span.start_s for span in ended)
-        roll_out = max((span.end_s for span in ended), default=0.0) - min(
-            (span.start_s for span in ended), default=0.0
-        )
-        self.report.measure(f"{name}.moves", moves, "moves")
-        self.report.measure(f"{name}.out_of_service", buffer_s, "worker-seconds")
-        self.report.measure(f"{name}.roll_out", roll_out, "s")
-
-    def _ledger(self) -> LedgerPage:
-        backend = next(iter(self.deployment.backends.values()))
-        request = HttpRequest("GET", "/ledger")
-        answer = self._client(backend).exchange(request, CALL_TIMEOUT_S)
-        return decode_json(answer.body, LedgerPage)
-
-    def _worker_ids(self) -> list[str]:
-        return [worker.worker_id for worker in self.deployment.edit.workers]
-
-    def _client(self, address: str) -> HttpClient:
-        return HttpClient(Address.parse(address), HELD_REQUESTS, CALL_TIMEOUT_S)
+        open_client(address).exchange(request, CALL_TIMEOUT_S)
 
     def _quiet_class(self) -> WorkClass:
         # A pool that is full refuses as not run, which interrupts nothing.
--- a/tests/test_hostile_input.py
+++ b/tests/test_hostile_input.py
@@ -11,7 +11,7 @@
 from heatherhatch_core.exceptions import HeatherhatchError, SettingsError
 from heatherhatch_core.state.changes import Change, Edit
 from heatherhatch_daemon.protocol.messages import Heartbeat
-from heatherhatch_daemon.settings import parse_settings
+from heatherhatch_daemon.settings_file import parse_settings
 from heatherhatch_standins.deployment import Deployment
 from heatherhatch_standins.processes import FIRST_TOKEN
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,8 @@
 import pytest
 
 from heatherhatch_core.exceptions import SettingsError
-from heatherhatch_daemon.settings import Address, parse_settings
+from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.settings_file import parse_settings
 
 GOOD = """\
 node: {name: n1}
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,7 +9,8 @@
 from heatherhatch_core.codec import encode_json
 from heatherhatch_core.exceptions import StoreError
 from heatherhatch_daemon.settings import Address
-from heatherhatch_daemon.transport.store import EtcdStore, Expect, Put, Transaction
+from heatherhatch_daemon.transport.etcd_store import EtcdStore
+from heatherhatch_daemon.transport.store import Expect, Put, Transaction
 from heatherhatch_standins.faults import Faults
 from heatherhatch_standins.ledger import Ledger
 
