--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -132,7 +132,9 @@
             metrics,
             time.monotonic,
         )
-        reporter = Reporter(store, self.heartbeats, metrics, time.monotonic)
+        reporter = Reporter(
+            store, self.heartbeats, self.gateway, metrics, time.monotonic
+        )
         records = JobRecords(store, settings.jobs.keep_s, time.monotonic)
         self.runner = JobRunner(records, GroupCommit(records), self.gateway, time.time)
         self.dispatcher = open_dispatcher(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -14,6 +14,8 @@
     REQUESTS = "requests accepted or refused, by answer, count"
     REQUEST_MS = "time from accepting to answering a request, milliseconds"
     RUNNING = "requests running on this node, gauge"
+    LOG_SEQ = "log position in force on this node, gauge"
+    STANDING = "1 if this node may act on its configuration, else 0, gauge"
     STORE_CALLS = "calls to the store, count"
     STORE_BYTES = "bytes sent to and received from the store, count"
     PEER_BYTES = "bytes of questions to peers and their answers, count"
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/gateway.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/gateway.py
@@ -19,6 +19,7 @@
 
 OPEN_TEAM = ""
 MOST_TICKETS = 1_000
+ANSWERED = "answered"
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +83,18 @@
         Raises:
             HeatherhatchError: The kind tells whether the work may have run.
         """
+        begun_s = self.clock()
+        answer = ANSWERED
+        try:
+            return self._carry_out(work)
+        except HeatherhatchError as error:
+            answer = error.kind.value
+            raise
+        finally:
+            self.metrics.count(Metric.REQUESTS, label=answer)
+            self.metrics.time(Metric.REQUEST_MS, 1e3 * (self.clock() - begun_s))
+
+    def _carry_out(self, work: Work) -> HttpAnswer:
         with self._before_decision(work.idempotency_key):
             if self.draining:
                 raise HeatherhatchError(ErrorKind.SHUTTING_DOWN)
@@ -201,4 +214,3 @@
             return self.exchange.carry_out(work_class, request, deadline_s)
         finally:
             self.admission.release(permit)
-            self.metrics.count(Metric.REQUESTS)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/reporter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/reporter.py
@@ -1,9 +1,10 @@
-"""Reports what control costs."""
+"""Reports what control costs and where the node stands."""
 
 from collections.abc import Callable
 
 from ..metrics import Metric, Metrics
 from ..transport.store import Store
+from .gateway import Gateway
 from .heartbeats import Heartbeats
 from .task import Task
 
@@ -11,11 +12,12 @@
 
 
 class Reporter(Task):
-    """Sends the growth of the control counters as metrics.
+    """Sends the growth of the control counters, and the state, as metrics.
 
     Args:
         store: Counts its calls and bytes.
         heartbeats: Counts the bytes to and from peers.
+        gateway: Knows what runs, and the log that this node follows.
         metrics: Where figures go.
         clock: Returns monotonic seconds.
     """
@@ -24,12 +26,14 @@
         self,
         store: Store,
         heartbeats: Heartbeats,
+        gateway: Gateway,
         metrics: Metrics,
         clock: Callable[[], float],
     ):
         super().__init__("reporter", REPORT_S, clock)
         self.store = store
         self.heartbeats = heartbeats
+        self.gateway = gateway
         self.metrics = metrics
         self.reported: dict[Metric, int] = {}
 
@@ -38,6 +42,10 @@
         self._count(Metric.STORE_CALLS, self.store.calls)
         self._count(Metric.STORE_BYTES, self.store.bytes)
         self._count(Metric.PEER_BYTES, self.heartbeats.bytes)
+        follower = self.gateway.follower
+        self.metrics.gauge(Metric.RUNNING, self.gateway.total_running)
+        self.metrics.gauge(Metric.LOG_SEQ, follower.config.seq)
+        self.metrics.gauge(Metric.STANDING, float(follower.has_standing()))
 
     def _count(self, metric, total):
         grown = total - self.reported.get(metric, 0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from heatherhatch_core.exceptions import ErrorKind, Execution, HeatherhatchError
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.entities import Pool, WorkClass, WorkKind
+from heatherhatch_daemon.metrics import NoMetrics
 from heatherhatch_daemon.tasks.gateway import Gateway, Work
 from heatherhatch_daemon.transport.http import HttpRequest
 
@@ -24,7 +25,7 @@
     )
     exchange = SimpleNamespace(random=random.Random(1))
     once = SimpleNamespace(issue=lambda team, count: (team,) * count)
-    return Gateway(follower, None, exchange, once, None, time.monotonic)
+    return Gateway(follower, None, exchange, once, NoMetrics(), time.monotonic)
 
 
 def error_of(gateway, key):
