--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/heartbeats.py
@@ -21,8 +21,7 @@
 from ..protocol.messages import Heartbeat, HeartbeatAnswer
 from ..protocol.signing import SIGNATURE_HEADER, Signer
 from ..settings import Address
-from ..transport.http import HttpAnswer, HttpClient, HttpRequest
-from ..transport.store import exchange_bytes
+from ..transport.http import HttpAnswer, HttpClient, HttpRequest, exchange_bytes
 from .follower import Follower
 from .registrar import Registrar
 from .task import Task
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/etcd_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/etcd_store.py
@@ -9,12 +9,10 @@
 from heatherhatch_core.exceptions import HeatherhatchError, StoreError
 
 from ..settings import Address
-from .http import ExchangeError, HttpAnswer, HttpClient, HttpRequest
+from .http import ExchangeError, HttpClient, HttpRequest, exchange_bytes
 from .store import Entry, Outcome, Put, Snapshot, Transaction, WatchEvent, prefix_end
 
 STORE_CONNECTIONS = 8
-NO_HOST = "0.0.0.0:00000"
-STATUS_LINE_BYTES = 19
 
 
 def _b64(text: str | bytes) -> str:
@@ -186,13 +184,6 @@
             raise StoreError(f"{path}: {error}", writes) from error
 
 
-def exchange_bytes(request: HttpRequest, answer: HttpAnswer) -> int:
-    """Return the bytes of a request and its answer, heads included."""
-    sent = len(request.encode(NO_HOST))
-    head = sum(len(name) + len(value) + 4 for name, value in answer.headers)
-    return sent + STATUS_LINE_BYTES + head + len(answer.body)
-
-
 def _put_operation(put: Put) -> dict:
     operation = {"key": _b64(put.key), "value": _b64(put.value)}
     if put.lease:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -17,6 +17,8 @@
 READ_BLOCK_BYTES = 65_536
 ANSWER_BYTES = 16_777_216
 IDLE_S = 5.0
+NO_HOST = "0.0.0.0:00000"
+STATUS_LINE_BYTES = 19
 NO_BODY_STATUSES = (204, 304)
 
 
@@ -218,3 +220,10 @@
 def _headers_of(answer: HTTPSocketPoolResponse) -> tuple[tuple[str, str], ...]:
     """Return the headers in order, a repeated one as often as it came."""
     return tuple(answer.items())
+
+
+def exchange_bytes(request: HttpRequest, answer: HttpAnswer) -> int:
+    """Return the bytes of a request and its answer, heads included."""
+    sent = len(request.encode(NO_HOST))
+    head = sum(len(name) + len(value) + 4 for name, value in answer.headers)
+    return sent + STATUS_LINE_BYTES + head + len(answer.body)
