--- a/docs/spec/drain.py
+++ b/docs/spec/drain.py
@@ -3,7 +3,7 @@
 Two planners and one log. Two workers, 0 and 1, serve one pool that must keep one.
 A planner reads the log, then writes the drain of its worker if its view has room.
 Each node sends requests by the configuration that it has applied. A drained worker
-is released to the landlord, who switches it off.
+is released to the provider, who switches it off.
 
 Promises:
     budget: a voluntary step never leaves fewer than one worker serving.
--- a/packages/heatherhatch-cli/src/heatherhatch_cli/commands/plan.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/plan.py
@@ -27,7 +27,7 @@
 def plan() -> None:
     """The plan for the announced waves.
 
-    Plans need no approval: dates are the landlord's, and a plan that waits for
+    Plans need no approval: dates are the provider's, and a plan that waits for
     a person would break a budget at night. A planned move that is not wanted
     is prevented by changing what the plan follows from, for example by a
     lower --min-available.
--- a/packages/heatherhatch-cli/src/heatherhatch_cli/commands/waves.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/waves.py
@@ -1,4 +1,4 @@
-"""Maintenance waves that the landlord has announced."""
+"""Maintenance waves that the provider has announced."""
 
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -40,7 +40,7 @@
 
 @click.group()
 def wave() -> None:
-    """Maintenance waves; their dates are the landlord's."""
+    """Maintenance waves; their dates are the provider's."""
 
 
 @wave.command("announce")
@@ -86,7 +86,7 @@
 @change_options
 @click.pass_obj
 def remove_wave(context: Context, wave_id: str, options: ChangeOptions) -> None:
-    """Remove a wave that the landlord has called off."""
+    """Remove a wave that the provider has called off."""
     context.change(Edit(removals=(Removal("wave", wave_id),)), options)
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/messages.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/planner/messages.py
@@ -49,8 +49,8 @@
         at_s: When its drain begins, seconds since the epoch.
         worker_id: Worker.
         wave_id: Wave that takes it.
-        start_s: When the landlord takes it, seconds since the epoch.
-        end_s: When the landlord gives it back, seconds since the epoch.
+        start_s: When the provider takes it, seconds since the epoch.
+        end_s: When the provider gives it back, seconds since the epoch.
         late: True if the wave has begun and the worker is not surely drained yet.
     """
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/entities.py
@@ -132,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Wave:
-    """A maintenance window that the landlord has fixed.
+    """A maintenance window that the provider has fixed.
 
     Attributes:
         wave_id: Unique name.
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -1,4 +1,4 @@
-"""A landlord's wave, carried out by three real nodes, one of them killed."""
+"""A provider's wave, carried out by three real nodes, one of them killed."""
 
 import dataclasses
 import time
@@ -88,7 +88,7 @@
 
     wait_until(lambda: fleet().state_of("w1") is WorkerState.MAINTENANCE)
     assert fleet().pool_of("w3") == "tills"
-    # The landlord is ready early, so that no moment of the test is a guess.
+    # The provider is ready early, so that no moment of the test is a guess.
     over = dataclasses.replace(wave, end_s=max(time.time(), start_s + 0.1))
     three_nodes.change(Edit(waves=(over,)), other)
     wait_until(lambda: fleet().state_of("w1") is WorkerState.SERVING)
