Submit the demo's jobs with a key, and count that they are taken

Jobs of a class that is not idempotent need a key since submissions are idempotent; the demo sent none, every submission was refused, and the check counted the jobs that it meant to send, so that it could not fail.

--- a/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
@@ -15,7 +15,7 @@
 
 from .deployment import Deployment, GrantedKey
 from .faults import FAULTS_PATH, Faults
-from .load import BURST_S, Caller, Load
+from .load import BURST_S, Caller, Load, new_uuid7
 from .observation import Observation, open_client
 from .report import Promise, Report
 
@@ -161,11 +161,13 @@
         )
         team = self.deployment.edit.teams[0].name
         body = encode_json(JobSpec(work_class.name, "demo", run_s=JOB_RUN_S))
-        headers = (("Authorization", f"Bearer {self.keys[team].token}"),)
-        request = HttpRequest("POST", "/jobs", body, headers)
+        bearer = ("Authorization", f"Bearer {self.keys[team].token}")
         client = open_client(self.deployment.balancer)
         for _ in range(JOBS):
+            headers = (bearer, ("Idempotency-Key", new_uuid7()))
+            request = HttpRequest("POST", "/jobs", body, headers)
             answer = client.exchange(request, CALL_TIMEOUT_S)
+            self.report.check(Promise.JOBS, answer.status == 201)
             if answer.status == 201:
                 self.jobs.append(decode_json(answer.body, dict)["job_id"])
 
