Keep one map from tables to kinds and one choice of the demo's class

The map from a table to the kind of its entities stood in the audit command and beside the desired configuration; two selections of a class differed by pools to avoid only; a method of the pool's division had no caller.

--- a/packages/heatherhatch-cli/src/heatherhatch_cli/commands/audit.py
+++ b/packages/heatherhatch-cli/src/heatherhatch_cli/commands/audit.py
@@ -6,13 +6,17 @@
 import click
 
 from heatherhatch_core.api import AuditPage
-from heatherhatch_core.state.changes import TABLES, Change, name_of, table_of
+from heatherhatch_core.state.changes import (
+    KIND_OF_TABLE,
+    TABLES,
+    Change,
+    name_of,
+    table_of,
+)
 
 from ..context import Context, output_option
 from ..output import brief, time_text
 
-KIND_OF_TABLE = {table: kind for kind, table in TABLES.items()}
-
 
 @dataclass(frozen=True, slots=True)
 class AuditRow:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/fair_share.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/fair_share.py
@@ -32,10 +32,6 @@
     parts: dict[str, dict[str, float]] = field(default_factory=dict)
     budgets: dict[str, int] = field(default_factory=dict)
 
-    def team_total(self, team: str) -> float:
-        """Return a team's units at all nodes."""
-        return sum(by_team.get(team, 0.0) for by_team in self.parts.values())
-
 
 def max_min(
     capacity: float, wanted: dict[str, float], weights: dict[str, float]
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/changes.py
@@ -179,6 +179,7 @@
     "wave": "waves",
     "assignment": "assignments",
 }
+KIND_OF_TABLE = {table: kind for kind, table in TABLES.items()}
 
 
 @singledispatch
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/desired.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/desired.py
@@ -2,12 +2,10 @@
 
 from dataclasses import dataclass, fields
 
-from .changes import TABLES, Edit, Removal, name_of, table_of
+from .changes import KIND_OF_TABLE, Edit, Removal, name_of, table_of
 from .configuration import Configuration
 from .entities import Pool, Team, Wave, WorkClass, Worker
 
-KIND_OF_TABLE = {table: kind for kind, table in TABLES.items()}
-
 
 @dataclass(frozen=True, slots=True)
 class Desired:
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
@@ -176,7 +176,7 @@
         key = self.keys[team]
         self.deployment.change(Edit(removals=(Removal("team-key", key.key_id),)))
         gevent.sleep(KEY_STOP_S)
-        closed = self._class(open_to_all=False)
+        closed = self._keyed_class()
         for node in self.deployment.node_names:
             client = open_client(self.deployment.callers(node))
             try:
@@ -220,24 +220,19 @@
         # A pool that is full refuses as not run, which interrupts nothing.
         elapsed = time.monotonic() - self.load.begun_s
         busy = {self.load.pool_of_turn(elapsed - back) for back in (0.0, BURST_S)}
+        return self._keyed_class(frozenset(busy))
+
+    def _keyed_class(self, avoided: frozenset[str] = frozenset()) -> WorkClass:
+        """Return an idempotent class of requests that needs a key."""
         return next(
             item
             for item in self.deployment.edit.classes
-            if item.pool not in busy
+            if item.pool not in avoided
             and item.idempotent
             and not item.open
             and item.kind is WorkKind.REQUEST
         )
 
-    def _class(self, open_to_all: bool, idempotent: bool = True) -> WorkClass:
-        return next(
-            item
-            for item in self.deployment.edit.classes
-            if item.open == open_to_all
-            and item.idempotent == idempotent
-            and item.kind is WorkKind.REQUEST
-        )
-
 
 def _request(work_class: WorkClass, token: str, work_s: float = 0.0) -> HttpRequest:
     headers = [("Authorization", f"Bearer {token}")]
