--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/__init__.py
@@ -0,0 +1,38 @@
+"""The scheduler of one pool: jobs, workers and runs in; orders out.
+
+No sockets, clocks or random sources: callers hand in the time.
+"""
+
+from .messages import (
+    Ending,
+    JobWrite,
+    ListedEnd,
+    ListedRun,
+    Order,
+    PaceOrder,
+    Report,
+    StartOrder,
+    StartResult,
+    StopOrder,
+    TaskName,
+    WorkerInfo,
+)
+from .rules import Rules
+from .scheduler import Scheduler
+
+__all__ = [
+    "Ending",
+    "JobWrite",
+    "ListedEnd",
+    "ListedRun",
+    "Order",
+    "PaceOrder",
+    "Report",
+    "Rules",
+    "Scheduler",
+    "StartOrder",
+    "StartResult",
+    "StopOrder",
+    "TaskName",
+    "WorkerInfo",
+]
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -0,0 +1,62 @@
+"""The order in which jobs get workers."""
+
+from ...state.work import Phase
+from .live import LiveJob
+from .state import PoolState
+
+LATE_FACTOR = 3.0  # up to so many times the objective a late job is worth something
+ON_TIME, LATE, OVERDUE = 0, 1, 2
+
+
+def sort_jobs(state: PoolState, wall_s: float) -> list[LiveJob]:
+    """Return the jobs that may start tasks, the most pressing first."""
+    jobs = [job for job in state.jobs.values() if not job.phase.final]
+    for job in jobs:
+        job.order_key = _key(state, job, wall_s)
+    jobs.sort(key=lambda job: job.order_key)
+    return jobs
+
+
+def chain_s(state: PoolState, job: LiveJob, occurrence: int, left: bool) -> float:
+    """Return the longest chain of expected run times of an occurrence.
+
+    Args:
+        state: The pool.
+        job: The job.
+        occurrence: Number of the occurrence.
+        left: True to count only the steps that are not done.
+    """
+    open_steps = job.open_steps.get(occurrence, set())
+    ends: list[float] = []
+    for number, step in enumerate(job.job.steps):
+        begin = max((ends[other] for other in step.after if other < number), default=0)
+        length = state.times.expect(job.job.queue, number, step.estimate_s)
+        if left and number not in open_steps:
+            length = 0.0
+        ends.append(begin + length)
+    return max(ends, default=0.0)
+
+
+def objective_s(state: PoolState, job: LiveJob, occurrence: int) -> float:
+    """Return how long an occurrence may take to be on time, seconds."""
+    queue = state.queue_of(job)
+    return queue.stretch * chain_s(state, job, occurrence, False) + queue.target_s
+
+
+def _key(state: PoolState, job: LiveJob, wall_s: float) -> tuple:
+    priority = state.queue_of(job).priority
+    if any(step.lasting for step in job.job.steps):
+        return (-1, priority, job.job.accepted_s, job.job.job_id)
+    occurrence = min(job.expanded, default=0)
+    due_s = job.due_s(occurrence)
+    objective = objective_s(state, job, occurrence)
+    left = chain_s(state, job, occurrence, True)
+    if wall_s + left <= due_s + objective:
+        lateness = ON_TIME
+    elif wall_s + left <= due_s + LATE_FACTOR * objective:
+        lateness = LATE
+    else:
+        lateness = OVERDUE
+    slack = due_s + objective - left
+    begun = 0 if job.phase is Phase.RUNNING else 1
+    return (lateness, priority, begun if lateness else 0, slack, job.job.job_id)
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
@@ -0,0 +1,95 @@
+"""Permits of the policy service: which workers may run a step."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from .messages import TaskName
+
+SPARE_S = 0.5  # a permit this close to its end is renewed rather than used
+
+
+class StepName(NamedTuple):
+    """Name of a step of one occurrence.
+
+    Attributes:
+        job_id: Job that it belongs to.
+        occurrence: Number of the occurrence.
+        step: Number of the step.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+def step_of(task: TaskName) -> StepName:
+    """Return the step that a task belongs to."""
+    return StepName(task.job_id, task.occurrence, task.step)
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Leave to run a step on one worker.
+
+    Attributes:
+        ticket: What the start has to show.
+        until_s: When it ends.
+    """
+
+    ticket: str
+    until_s: float
+
+
+@dataclass(slots=True)
+class Permits:
+    """Permits by step and worker, and the questions that are open.
+
+    Attributes:
+        held: Permits by step, then worker.
+        refused: Workers that may not run a step; that never changes.
+        wanted: Steps that need an answer of the policy service.
+    """
+
+    held: dict[StepName, dict[str, Permit]] = field(default_factory=dict)
+    refused: dict[StepName, set[str]] = field(default_factory=dict)
+    wanted: set[StepName] = field(default_factory=set)
+
+    def allows(self, step: StepName, worker_id: str, now_s: float) -> bool:
+        """Tell whether a step may start on a worker now."""
+        permit = self.held.get(step, {}).get(worker_id)
+        return permit is not None and now_s + SPARE_S < permit.until_s
+
+    def ticket(self, step: StepName, worker_id: str) -> str:
+        """Return the ticket for a worker; empty if there is none."""
+        permit = self.held.get(step, {}).get(worker_id)
+        return permit.ticket if permit else ""
+
+    def open_workers(self, step: StepName, worker_ids: list[str]) -> list[str]:
+        """Return the workers that the policy service did not refuse."""
+        refused = self.refused.get(step, set())
+        return [worker_id for worker_id in worker_ids if worker_id not in refused]
+
+    def answered(
+        self,
+        step: StepName,
+        asked: list[str],
+        good: dict[str, str],
+        until_s: float,
+    ) -> None:
+        """Take in an answer of the policy service."""
+        self.wanted.discard(step)
+        held = self.held.setdefault(step, {})
+        for worker_id, ticket in good.items():
+            held[worker_id] = Permit(ticket, until_s)
+        self.refused.setdefault(step, set()).update(set(asked) - set(good))
+
+    def void(self, step: StepName, worker_id: str) -> None:
+        """Forget a permit that a worker did not take."""
+        self.held.get(step, {}).pop(worker_id, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop all that belongs to a job."""
+        for table in (self.held, self.refused):
+            for step in [step for step in table if step.job_id == job_id]:
+                del table[step]
+        self.wanted = {step for step in self.wanted if step.job_id != job_id}
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -0,0 +1,229 @@
+"""Chooses workers for the tasks whose turn has come."""
+
+from dataclasses import dataclass, field
+
+from ...state.resources import Resources
+from .live import LiveJob, Task
+from .ordering import sort_jobs
+from .permits import step_of
+from .state import PoolState
+from .worker import Worker
+
+STARTS_MOST = 200  # tasks placed in one round, so that orders leave in between
+
+
+@dataclass(slots=True)
+class Round:
+    """One pass over all jobs.
+
+    Attributes:
+        state: The pool.
+        workers: Workers that may get new runs.
+        now_s: Monotonic time.
+        wall_s: Seconds since the epoch.
+        placed: Tasks placed so far.
+        full: Needs that found no room in this round.
+    """
+
+    state: PoolState
+    workers: list[Worker]
+    now_s: float
+    wall_s: float
+    placed: int = 0
+    full: set[tuple] = field(default_factory=set)
+
+
+def place_tasks(state: PoolState, now_s: float, wall_s: float) -> int:
+    """Place ready tasks on workers; return how many."""
+    workers = [worker for worker in state.workers.values() if worker.usable(now_s)]
+    workers = [item for item in workers if item.info.machine not in state.vacating]
+    state.short.clear()
+    this = Round(state, workers, now_s, wall_s)
+    for job in list(state.jobs.values()):
+        _expand_due(state, job, wall_s)
+    if not workers:
+        return 0
+    for job in sort_jobs(state, wall_s):
+        if this.placed >= STARTS_MOST:
+            break
+        for occurrence in sorted(job.expanded):
+            for number in range(len(job.job.steps)):
+                if job.ready(occurrence, number):
+                    _place_step(this, job, occurrence, number)
+    return this.placed
+
+
+def _expand_due(state: PoolState, job: LiveJob, wall_s: float) -> None:
+    if job.phase.final:
+        return
+    for occurrence in range(job.occurrences):
+        if occurrence in job.expanded or occurrence in job.occurrences_done:
+            continue
+        if job.job.schedule.count and (
+            wall_s < job.due_s(occurrence) - state.rules.early_s
+        ):
+            break
+        job.expand(occurrence)
+
+
+def _place_step(this: Round, job: LiveJob, occurrence: int, number: int) -> None:
+    tasks = job.step_tasks(occurrence, number)
+    step = job.job.steps[number]
+    waiting = [task for task in tasks if _wants_run(task, this.now_s)]
+    if not waiting:
+        return
+    if step.gang:
+        if len(waiting) == len(tasks) and not any(task.runs for task in tasks):
+            _place_gang(this, tasks)
+        return
+    need = (step.need, step.label, step.fills)
+    if need in this.full and not step.lasting:
+        return
+    for task in waiting:
+        if not _allowed(this.state, task, step.need):
+            return
+        worker = choose_worker(this, task, {})
+        if worker is None:
+            if not step.spread and not task.avoid:
+                this.full.add(need)
+            return
+        _start(this, task, worker, task.last_run + 1)
+
+
+def _wants_run(task: Task, now_s: float) -> bool:
+    return not task.settled and not task.runs and now_s >= task.not_before_s
+
+
+def _start(this: Round, task: Task, worker: Worker, number: int) -> None:
+    this.state.add_run(task, worker, number, this.now_s)
+    this.placed += 1
+    this.state.note(
+        "placed",
+        task=task.name,
+        run=number,
+        worker=worker.worker_id,
+        room_cpu_m=worker.room.cpu_m,
+        version=task.job.version,
+    )
+
+
+def _place_gang(this: Round, tasks: list[Task]) -> None:
+    step = tasks[0].step
+    if not _allowed(this.state, tasks[0], step.need.times(len(tasks))):
+        return
+    for rack in _racks(this) if step.same_rack else [""]:
+        taken: dict[str, tuple[Resources, int]] = {}
+        chosen = []
+        for task in tasks:
+            worker = choose_worker(this, task, taken, rack)
+            if worker is None:
+                break
+            held, count = taken.get(worker.worker_id, (Resources(), 0))
+            taken[worker.worker_id] = (held + step.need, count + 1)
+            chosen.append(worker)
+        if len(chosen) == len(tasks):
+            number = max(task.last_run for task in tasks) + 1
+            for task, worker in zip(tasks, chosen, strict=True):
+                _start(this, task, worker, number)
+            return
+
+
+def _racks(this: Round) -> list[str]:
+    room: dict[str, int] = {}
+    for worker in this.workers:
+        for label in worker.info.labels:
+            room[label] = room.get(label, 0) + worker.room.cpu_m
+    # Last, any rack: slower, but better than not at all.
+    return [*sorted(room, key=lambda label: -room[label]), ""]
+
+
+def _allowed(state: PoolState, task: Task, need: Resources) -> bool:
+    team = task.job.job.team
+    allowance = state.allowances.get(team)
+    if allowance is None:
+        return True
+    if task.step.fills:
+        need = Resources(0, need.memory_mb, need.accelerators)
+    if (state.team_used[team] + need).within(allowance):
+        return True
+    state.short[team] = state.short.get(team, Resources()) + need
+    return False
+
+
+def choose_worker(
+    this: Round,
+    task: Task,
+    taken: dict[str, tuple[Resources, int]],
+    rack: str = "",
+) -> Worker | None:
+    """Return the best worker for a task, or None if none has room.
+
+    Args:
+        this: The round.
+        task: The task.
+        taken: Room and number of tasks set aside by other members of its gang.
+        rack: Rack that the worker must be in; empty for any.
+    """
+    best = None
+    best_score: tuple = ()
+    for worker in this.workers:
+        if not _may_run(this, task, worker, taken, rack):
+            continue
+        score = _score(this.state, task, worker)
+        if best is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def _may_run(
+    this: Round,
+    task: Task,
+    worker: Worker,
+    taken: dict[str, tuple[Resources, int]],
+    rack: str,
+) -> bool:
+    step = task.step
+    held, count = taken.get(worker.worker_id, (Resources(), 0))
+    need = step.need
+    if step.fills:
+        need = Resources(0, need.memory_mb, need.accelerators)
+    if not (need + held).fits(worker.room):
+        return False
+    if step.label and step.label not in worker.info.labels:
+        return False
+    if rack and rack not in worker.info.labels:
+        return False
+    if worker.trust.on_trial and worker.runs:
+        return False
+    if step.spread and count + _beside(task, worker) >= step.spread:
+        return False
+    queue = this.state.queue_of(task.job)
+    if queue.advice is not None:
+        name = step_of(task.name)
+        if not this.state.permits.allows(name, worker.worker_id, this.now_s):
+            this.state.permits.wanted.add(name)
+            return False
+    return True
+
+
+def _beside(task: Task, worker: Worker) -> int:
+    """Return how many tasks of the same step and occurrence are on a worker."""
+    name = task.name
+    return sum(
+        1
+        for other, _number in worker.runs
+        if other[:3] == (name.job_id, name.occurrence, name.step)
+    )
+
+
+def _score(state: PoolState, task: Task, worker: Worker) -> tuple:
+    step = task.step
+    room = worker.room
+    avoided = worker.worker_id in task.avoid
+    if step.lasting:
+        # What stays long goes where no maintenance is due, and is spread out.
+        due = worker.info.machine in state.upkeep_due
+        return (avoided, due, worker.info.cold_s > 0, -room.cpu_m, worker.worker_id)
+    remote = bool(step.rack) and step.rack not in worker.info.labels
+    # The tightest fit keeps room for wide tasks.
+    return (avoided, remote, worker.info.cold_s > 0, room.cpu_m, worker.worker_id)
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -0,0 +1,205 @@
+"""Takes in what workers list and answer."""
+
+import dataclasses
+
+from .live import Run, RunState, Task
+from .messages import (
+    Ending,
+    ListedEnd,
+    ListedRun,
+    Report,
+    StartOrder,
+    StartResult,
+    StopOrder,
+    TaskName,
+)
+from .permits import step_of
+from .state import PoolState
+from .worker import Worker
+
+AT_WORK_PERCENT = 100  # a lasting task is at work at this share
+
+
+def take_report(
+    state: PoolState, worker: Worker, report: Report, sent_s: float, now_s: float
+) -> None:
+    """Take in a worker's answer to a renewal.
+
+    Args:
+        state: The pool.
+        worker: Who answered.
+        report: The answer.
+        sent_s: When it was asked. What was ordered before and is neither alive
+            nor ended in the answer is gone.
+        now_s: When the answer came.
+    """
+    if report.born_ms and report.born_ms != worker.info.born_ms:
+        begin_life(state, worker, report.born_ms, now_s)
+    worker.note_clock(report.clock_ms, now_s)
+    worker.fenced = True
+    worker.silent_since_s = float("inf")
+    ended = set()
+    for end in sorted(report.ends, key=lambda item: item.sequence):
+        ended.add((end.task, end.number))
+        if end.sequence > worker.heard_end:
+            _take_end(state, worker, end, now_s)
+    worker.advance()
+    listed = _take_runs(state, worker, report.runs, sent_s, now_s)
+    if report.whole:
+        _take_missing(state, worker, listed | ended, sent_s, now_s)
+
+
+def begin_life(state: PoolState, worker: Worker, born_ms: int, now_s: float) -> None:
+    """Note that a worker started anew: nothing of before runs or counts."""
+    state.note(
+        "worker reborn",
+        worker=worker.worker_id,
+        born_ms=born_ms,
+        before_ms=worker.info.born_ms,
+        runs_lost=len(worker.runs),
+    )
+    worker.info = dataclasses.replace(worker.info, born_ms=born_ms)
+    worker.heard_end = 0
+    worker.acked = 0
+    worker.pending.clear()
+    worker.deadline_ms = 0.0
+    worker.strays.clear()
+    worker.fenced = False
+    for run in list(worker.runs.values()):
+        if run.born_ms != born_ms:
+            state.end_run(run, Ending.LOST, "", now_s)
+
+
+def _take_end(state: PoolState, worker: Worker, end: ListedEnd, now_s: float) -> None:
+    worker.heard_end = end.sequence
+    worker.strays.discard((end.task.job_id, end.number))
+    run = worker.runs.get((end.task, end.number))
+    if run is None:
+        task = find_task(state, end.task)
+        if task is not None and end.ending is Ending.DONE and not task.done:
+            # It was taken for lost. Its result counts, and it must not run again.
+            run = Run(task, end.task, end.number, worker.worker_id, 0)
+    if run is not None:
+        state.note(
+            "run ended",
+            task=end.task,
+            run=end.number,
+            worker=worker.worker_id,
+            ending=end.ending.value,
+            sequence=end.sequence,
+        )
+        state.end_run(run, end.ending, end.checkpoint, now_s)
+    job = state.jobs.get(end.task.job_id)
+    if job is not None and job.stored < job.version:
+        worker.pending[end.sequence] = (end.task.job_id, job.version)
+
+
+def _take_runs(
+    state: PoolState,
+    worker: Worker,
+    rows: tuple[ListedRun, ...],
+    sent_s: float,
+    now_s: float,
+) -> set[tuple[TaskName, int]]:
+    listed = set()
+    strays = set()
+    for row in rows:
+        key = (row.task, row.number)
+        listed.add(key)
+        run = worker.runs.get(key)
+        if run is None:
+            # Its job ended, or it was taken for lost; nobody waits for it.
+            strays.add((row.task.job_id, row.number))
+            state.orders.append(StopOrder(worker.worker_id, row.task, row.number))
+            continue
+        run.state = RunState.ALIVE
+        run.seen_s = sent_s
+        run.begun_s = min(run.begun_s, now_s)
+        _take_work(run, row, now_s)
+    worker.strays = strays
+    return listed
+
+
+def _take_work(run: Run, row: ListedRun, now_s: float) -> None:
+    run.percent = row.percent
+    run.figure = row.figure
+    at_work = row.percent >= AT_WORK_PERCENT
+    if at_work != run.at_work:
+        run.at_work = at_work
+        run.away_since_s = now_s
+    task = run.task
+    if at_work and task.step.lasting:
+        task.ordered_away = False
+        task.failures = 0 if now_s - run.begun_s > 1.0 else task.failures
+    if row.checkpoint and not task.done:
+        task.checkpoint = row.checkpoint
+
+
+def _take_missing(
+    state: PoolState,
+    worker: Worker,
+    present: set[tuple[TaskName, int]],
+    sent_s: float,
+    now_s: float,
+) -> None:
+    for key, run in list(worker.runs.items()):
+        if key in present or run.state is RunState.RECORDING:
+            continue
+        if run.seen_s < sent_s or run.stop_heard_s < sent_s:
+            state.note(
+                "run gone", task=run.name, run=run.number, worker=worker.worker_id
+            )
+            state.end_run(run, Ending.LOST, "", now_s)
+        elif run.state is RunState.DOUBTFUL:
+            # It may still begin, unless the worker is told to refuse it.
+            state.stop_run(run, now_s)
+
+
+def take_start(
+    state: PoolState, order: StartOrder, result: StartResult, now_s: float
+) -> None:
+    """Take in the answer to a start."""
+    worker = state.workers.get(order.worker_id)
+    run = worker.runs.get((order.task, order.number)) if worker else None
+    if run is None:
+        return
+    state.note(
+        "start answered",
+        task=order.task,
+        run=order.number,
+        worker=order.worker_id,
+        result=result.value,
+    )
+    if result is StartResult.STARTED:
+        if run.state is not RunState.ALIVE:
+            run.state = RunState.ALIVE
+            run.seen_s = now_s
+        run.begun_s = min(run.begun_s, now_s)
+        return
+    if result is StartResult.UNKNOWN:
+        if run.state is RunState.ORDERED:
+            run.state = RunState.DOUBTFUL
+        return
+    if run.state is RunState.ALIVE:
+        return
+    if result is StartResult.NO_PERMIT:
+        state.permits.void(step_of(order.task), order.worker_id)
+    elif result in (StartResult.UNWELL, StartResult.NO_ROOM):
+        worker.unwell(now_s)
+    state.end_run(run, Ending.LOST, "", now_s)
+
+
+def take_stop(state: PoolState, order: StopOrder, heard: bool, now_s: float) -> None:
+    """Take in the answer to a stop; without one it is repeated later."""
+    worker = state.workers.get(order.worker_id)
+    run = worker.runs.get((order.task, order.number)) if worker else None
+    if run is not None and heard:
+        run.stop_heard_s = min(run.stop_heard_s, now_s)
+
+
+def find_task(state: PoolState, name: TaskName) -> Task | None:
+    """Return a task of a live job."""
+    job = state.jobs.get(name.job_id)
+    if job is None or job.phase.final:
+        return None
+    return job.tasks.get((name.occurrence, name.step, name.index))
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -0,0 +1,210 @@
+"""The scheduler of one pool behind one interface."""
+
+from ...state.fleet_configuration import FleetConfiguration
+from ...state.resources import Resources
+from ...state.work import Job, JobStatus, Phase, Progress
+from .evacuation import cleared_machines, step_evacuation
+from .live import LiveJob, RunState
+from .messages import (
+    Ending,
+    JobWrite,
+    Order,
+    Report,
+    StartOrder,
+    StartResult,
+    StopOrder,
+    WorkerInfo,
+)
+from .pacing import pace_fillers
+from .placement import place_tasks
+from .reports import begin_life, take_report, take_start, take_stop
+from .rules import Rules
+from .state import PoolState
+from .watchdog import watch_runs
+from .worker import Worker
+
+
+class Scheduler:
+    """Decides which task runs where; the caller stores, sends and listens.
+
+    A run is placed first, then stored by the caller (``take_writes``), and only
+    then ordered (``take_orders``). An end is acknowledged to its worker only
+    once it is stored.
+
+    Args:
+        pool: Name of the pool.
+        rules: Bounds.
+        now_s: When this holder took the pool over, monotonic seconds.
+    """
+
+    def __init__(self, pool: str, rules: Rules, now_s: float):
+        self.state = PoolState(pool, rules, now_s)
+        self.emptying_since_s: dict[str, float] = {}
+
+    def configure(self, config: FleetConfiguration) -> None:
+        """Take over a version of the configuration."""
+        self.state.queues = {queue.name: queue for queue in config.queues}
+        pool = config.pool_named(self.state.pool)
+        self.state.guards = pool is not None and pool.guards_capacity
+
+    def add_job(self, job: Job, progress: Progress | None, now_s: float) -> None:
+        """Take in a job, with its progress if it has begun."""
+        if job.job_id in self.state.jobs:
+            return
+        live = LiveJob(job)
+        self.state.jobs[job.job_id] = live
+        if progress is None:
+            return
+        live.restore(progress)
+        if live.began:
+            live.phase = live.shown = Phase.RUNNING
+        for record in progress.tasks:
+            task = live.tasks.get((record.occurrence, record.step, record.index))
+            for run in record.runs:
+                if task is not None:
+                    worker = self._worker(run.worker_id, run.born_ms)
+                    self.state.adopt_run(task, worker, run.number, run.born_ms)
+
+    def cancel(self, job_id: str, now_s: float) -> None:
+        """Cancel a job; nothing of it starts from here on."""
+        live = self.state.jobs.get(job_id)
+        if live is None or live.phase.final:
+            return
+        live.phase = Phase.CANCELLED
+        self.state.retire(live, now_s)
+
+    def see_worker(self, info: WorkerInfo, now_s: float) -> None:
+        """Take in what the directory says of a worker."""
+        worker = self.state.workers.get(info.worker_id)
+        if worker is None:
+            worker = Worker(info, self.state.rules, self.state.claimed_s)
+            self.state.workers[info.worker_id] = worker
+        if info.born_ms > worker.info.born_ms:
+            begin_life(self.state, worker, info.born_ms, now_s)
+        if info.born_ms >= worker.info.born_ms:
+            worker.info = info
+        worker.present = True
+        self._end_former_lives(info, now_s)
+
+    def lose_worker(self, worker_id: str) -> None:
+        """Note that the directory doesn't list a worker any more."""
+        worker = self.state.workers.get(worker_id)
+        if worker is not None:
+            worker.present = False
+
+    def take_silence(self, worker_id: str, now_s: float) -> None:
+        """Note that a worker gave no answer to a renewal."""
+        worker = self.state.workers.get(worker_id)
+        if worker is not None:
+            worker.silent_since_s = min(worker.silent_since_s, now_s)
+
+    def take_report(
+        self, worker_id: str, report: Report, sent_s: float, now_s: float
+    ) -> None:
+        """Take in a worker's answer to a renewal that was sent at ``sent_s``."""
+        worker = self.state.workers.get(worker_id)
+        if worker is not None:
+            take_report(self.state, worker, report, sent_s, now_s)
+
+    def take_start(self, order: StartOrder, result: StartResult, now_s: float) -> None:
+        """Take in the answer to a start."""
+        take_start(self.state, order, result, now_s)
+
+    def take_stop(self, order: StopOrder, heard: bool, now_s: float) -> None:
+        """Take in the answer to a stop."""
+        take_stop(self.state, order, heard, now_s)
+
+    def allow(self, allowances: dict[str, Resources]) -> None:
+        """Set what each team may have running in this pool."""
+        self.state.allowances = allowances
+
+    def vacate(self, machines: frozenset[str], upkeep_due: frozenset[str]) -> None:
+        """Set the machines to be emptied, and those that a wave takes down."""
+        self.state.vacating = machines
+        self.state.upkeep_due = upkeep_due
+
+    def cleared(self) -> set[str]:
+        """Return the machines to be emptied that are empty."""
+        return cleared_machines(self.state)
+
+    def decide(self, now_s: float, wall_s: float) -> None:
+        """Do one round: look after what runs, and place what waits."""
+        watch_runs(self.state, now_s)
+        step_evacuation(self.state, self.emptying_since_s, now_s)
+        pace_fillers(self.state, now_s)
+        place_tasks(self.state, now_s, wall_s)
+
+    def take_writes(self, wall_s: float) -> list[JobWrite]:
+        """Return the jobs to be stored, and count them as being stored."""
+        writes = []
+        for job_id in list(self.state.changed):
+            live = self.state.jobs[job_id]
+            if live.writing:
+                continue
+            self.state.changed.discard(job_id)
+            live.writing = live.version
+            live.being_shown = live.phase
+            writes.append(
+                JobWrite(job_id, live.version, live.progress(), _status(live, wall_s))
+            )
+        return writes
+
+    def stored(self, job_id: str, version: int, now_s: float) -> None:
+        """Note that a version of a job is stored."""
+        live = self.state.jobs.get(job_id)
+        if live is not None:
+            live.shown = live.being_shown
+        self.state.stored(job_id, version, now_s)
+
+    def not_stored(self, job_id: str) -> None:
+        """Note that a write failed for sure and has to be repeated."""
+        live = self.state.jobs.get(job_id)
+        if live is not None:
+            live.writing = 0
+            self.state.changed.add(job_id)
+
+    def take_orders(self) -> list[Order]:
+        """Return the orders that may be sent now."""
+        orders, self.state.orders = self.state.orders, []
+        return orders
+
+    def take_notes(self) -> list[tuple[str, dict]]:
+        """Return the decisions since the last call, for the log."""
+        notes, self.state.notes = self.state.notes, []
+        return notes
+
+    def waiting(self) -> dict[str, int]:
+        """Return how many jobs of each queue have not begun."""
+        counts: dict[str, int] = {}
+        for live in self.state.jobs.values():
+            if not live.began and not live.phase.final and not live.job.schedule.count:
+                counts[live.job.queue] = counts.get(live.job.queue, 0) + 1
+        return counts
+
+    def _worker(self, worker_id: str, born_ms: int) -> Worker:
+        worker = self.state.workers.get(worker_id)
+        if worker is None:
+            info = WorkerInfo(worker_id, "", self.state.pool, "", born_ms)
+            worker = Worker(info, self.state.rules, self.state.claimed_s)
+            worker.present = False
+            self.state.workers[worker_id] = worker
+        return worker
+
+    def _end_former_lives(self, info: WorkerInfo, now_s: float) -> None:
+        if not info.machine:
+            return
+        for other in list(self.state.workers.values()):
+            same = other.info.machine == info.machine
+            if same and other.info.born_ms < info.born_ms:
+                for run in list(other.runs.values()):
+                    if run.state is not RunState.RECORDING:
+                        self.state.end_run(run, Ending.LOST, "", now_s)
+                other.present = False
+
+
+def _status(live: LiveJob, wall_s: float) -> JobStatus | None:
+    if live.phase is live.shown:
+        return None
+    ended_s = wall_s if live.phase.final else 0.0
+    job = live.job
+    return JobStatus(live.phase, job.pool, job.queue, job.team, ended_s)
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -0,0 +1,278 @@
+"""What the scheduler of one pool knows, and the changes that runs bring."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from ...state.fleet_configuration import Queue
+from ...state.resources import Resources
+from ...state.work import Phase
+from .live import LiveJob, Run, RunState, Task
+from .messages import Ending, Order, StartOrder, StopOrder
+from .permits import Permits, step_of
+from .rules import Rules
+from .run_times import RunTimes
+from .worker import Worker
+
+LASTING_PAUSE_S = 0.25  # pause before a lasting task that keeps failing is retried
+LASTING_PAUSE_MOST_S = 2.0  # well inside the 6 s in which it has to be back
+STOP_AGAIN_S = 0.6  # a stop without effect is repeated after stop_s and a trip
+PLAIN_QUEUE = Queue("", "", "/", "")
+
+
+@dataclass(slots=True, eq=False)
+class PoolState:
+    """Jobs, workers and runs of one pool.
+
+    Attributes:
+        pool: Name of the pool.
+        rules: Bounds.
+        claimed_s: When this holder took the pool over.
+        guards: True if the workers refuse what does not fit.
+        queues: Queues by name.
+        jobs: Jobs that are not final, or whose end is not stored yet.
+        workers: Workers by identifier.
+        team_used: What each team has running here.
+        allowances: What each team may have running here; absent for no bound.
+        short: Teams that were kept back by their allowance, with the need.
+        vacating: Machines that shall become empty.
+        upkeep_due: Machines that a wave will take down.
+        changed: Jobs with changes that are not being stored.
+        orders: Orders to be sent.
+        times: Learned run times.
+        permits: Permits of the policy service, by step and worker.
+        notes: Decisions to be logged.
+    """
+
+    pool: str
+    rules: Rules
+    claimed_s: float
+    guards: bool = False
+    queues: dict[str, Queue] = field(default_factory=dict)
+    jobs: dict[str, LiveJob] = field(default_factory=dict)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    team_used: dict[str, Resources] = field(
+        default_factory=lambda: defaultdict(Resources)
+    )
+    allowances: dict[str, Resources] = field(default_factory=dict)
+    short: dict[str, Resources] = field(default_factory=dict)
+    vacating: frozenset[str] = frozenset()
+    upkeep_due: frozenset[str] = frozenset()
+    changed: set[str] = field(default_factory=set)
+    orders: list[Order] = field(default_factory=list)
+    times: RunTimes = field(default_factory=RunTimes)
+    permits: Permits = field(default_factory=Permits)
+    notes: list[tuple[str, dict]] = field(default_factory=list)
+
+    def queue_of(self, job: LiveJob) -> Queue:
+        """Return the queue of a job, with defaults if it was removed."""
+        return self.queues.get(job.job.queue, PLAIN_QUEUE)
+
+    def note(self, what: str, **details: object) -> None:
+        """Keep a decision for the log."""
+        self.notes.append((what, details))
+
+    def touch(self, job: LiveJob) -> None:
+        """Mark a job as changed."""
+        job.version += 1
+        self.changed.add(job.job.job_id)
+
+    def add_run(self, task: Task, worker: Worker, number: int, now_s: float) -> Run:
+        """Place a run of a task on a worker; it is ordered once it is stored."""
+        held = task.step.need
+        if task.step.fills:
+            held = Resources(0, held.memory_mb, held.accelerators)
+        run = Run(task, task.name, number, worker.worker_id, worker.info.born_ms, held)
+        run.placed_s = now_s
+        run.away_since_s = now_s
+        self._hold(run, worker)
+        task.last_run = max(task.last_run, number)
+        job = task.job
+        job.began = True
+        if job.phase is Phase.QUEUED:
+            job.phase = Phase.RUNNING
+        self.touch(job)
+        run.version = job.version
+        return run
+
+    def adopt_run(self, task: Task, worker: Worker, number: int, born_ms: int) -> Run:
+        """Take over a run that an earlier holder placed."""
+        held = task.step.need
+        if task.step.fills:
+            held = Resources(0, held.memory_mb, held.accelerators)
+        run = Run(task, task.name, number, worker.worker_id, born_ms, held)
+        run.state = RunState.DOUBTFUL
+        run.seen_s = float("-inf")
+        run.placed_s = self.claimed_s
+        self._hold(run, worker)
+        return run
+
+    def _hold(self, run: Run, worker: Worker) -> None:
+        worker.runs[run.name, run.number] = run
+        worker.used = worker.used + run.held
+        run.task.runs[run.number] = run
+        team = run.task.job.job.team
+        self.team_used[team] = self.team_used[team] + run.held
+
+    def end_run(self, run: Run, ending: Ending, checkpoint: str, now_s: float) -> None:
+        """Take a run out and draw the consequences for its task and job."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None and worker.runs.pop((run.name, run.number), None):
+            worker.used = worker.used - run.held
+        task = run.task
+        if task is None:
+            return
+        task.runs.pop(run.number, None)
+        team = task.job.job.team
+        self.team_used[team] = self.team_used[team] - run.held
+        job = task.job
+        if job.phase.final or task.settled:
+            return
+        if checkpoint:
+            self._save(task, checkpoint)
+        self._judge(run, worker, ending, now_s)
+        if ending is Ending.DONE and not task.step.lasting:
+            self._done(task, now_s)
+        elif ending is Ending.FAILED and not task.step.lasting:
+            self._failed(run, task, now_s)
+        elif task.step.lasting:
+            self._lasting_ended(task, ending, run, now_s)
+        if task.step.gang and ending is not Ending.DONE:
+            self._break_gang(task, run.number, now_s)
+        self.touch(job)
+        if job.phase.final:
+            self.retire(job, now_s)
+
+    def retire(self, job: LiveJob, now_s: float) -> None:
+        """Let go of a job that is final; what still runs is stopped."""
+        for task in job.tasks.values():
+            for run in list(task.runs.values()):
+                self._let_go(run, job, now_s)
+        self.touch(job)
+        self.note(
+            "job ended", job=job.job.job_id, phase=job.phase.value, queue=job.job.queue
+        )
+
+    def stop_run(self, run: Run, now_s: float) -> None:
+        """End a run; its worker is told once the run was ordered."""
+        run.stopping = True
+        if run.state is RunState.RECORDING:
+            return
+        if now_s - run.stop_sent_s >= STOP_AGAIN_S:
+            run.stop_sent_s = now_s
+            self.orders.append(StopOrder(run.worker_id, run.name, run.number))
+
+    def stored(self, job_id: str, version: int, now_s: float) -> None:
+        """Draw the consequences of a stored version: orders, acknowledgements."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        job.writing = 0
+        job.stored = version
+        for worker in self.workers.values():
+            done = [
+                sequence
+                for sequence, (owner, at) in worker.pending.items()
+                if owner == job_id and at <= version
+            ]
+            for sequence in done:
+                worker.note_stored(sequence)
+        for task in job.tasks.values():
+            for run in list(task.runs.values()):
+                if run.state is RunState.RECORDING and run.version <= version:
+                    self._order(run, task, now_s)
+        if job.phase.final and job.stored == job.version:
+            del self.jobs[job_id]
+            self.changed.discard(job_id)
+
+    def _order(self, run: Run, task: Task, now_s: float) -> None:
+        if run.stopping:
+            self.end_run(run, Ending.LOST, "", now_s)
+            return
+        run.state = RunState.ORDERED
+        run.placed_s = now_s
+        self.orders.append(
+            StartOrder(
+                run.worker_id,
+                run.name,
+                run.number,
+                task.job.job.payload,
+                task.checkpoint,
+                self.permits.ticket(step_of(run.name), run.worker_id),
+            )
+        )
+
+    def _let_go(self, run: Run, job: LiveJob, now_s: float) -> None:
+        if run.state is RunState.RECORDING:
+            # Never ordered: the write that would have allowed it is replaced.
+            self.end_run(run, Ending.LOST, "", now_s)
+            return
+        self.stop_run(run, now_s)
+
+    def _save(self, task: Task, checkpoint: str) -> None:
+        if not task.step.gang:
+            task.checkpoint = checkpoint
+            return
+        # What one member of a gang saved holds for all, and all must carry it.
+        job = task.job
+        for other in job.step_tasks(task.name.occurrence, task.name.step):
+            other.checkpoint = checkpoint
+
+    def _judge(
+        self, run: Run, worker: Worker | None, ending: Ending, now_s: float
+    ) -> None:
+        if worker is None or run.stopping:
+            return
+        if ending is Ending.DONE:
+            worker.trust.good()
+            worker.unwell_pause_s = 0.0
+            if run.begun_s < now_s and not run.task.checkpoint:
+                self.times.learn(run.task, now_s - run.begun_s)
+        elif ending is Ending.FAILED and worker.trust.bad(run.name.job_id, now_s):
+            self.note(
+                "worker distrusted",
+                worker=worker.worker_id,
+                pause_s=worker.trust.pause_s,
+            )
+
+    def _done(self, task: Task, now_s: float) -> None:
+        job = task.job
+        members = [task]
+        if task.step.gang:
+            # One member that ended well stands for all.
+            members = job.step_tasks(task.name.occurrence, task.name.step)
+        for member in members:
+            member.done = True
+            for other in list(member.runs.values()):
+                if not member.step.gang:
+                    self._let_go(other, job, now_s)
+        job.note_done(task)
+
+    def _failed(self, run: Run, task: Task, now_s: float) -> None:
+        members = [task]
+        if task.step.gang:
+            members = task.job.step_tasks(task.name.occurrence, task.name.step)
+        for member in members:
+            member.failures += 1
+        task.avoid.add(run.worker_id)
+        if task.failures >= self.queue_of(task.job).attempts:
+            task.job.phase = Phase.FAILED
+
+    def _lasting_ended(
+        self, task: Task, ending: Ending, run: Run, now_s: float
+    ) -> None:
+        task.away_since_s = now_s
+        task.ordered_away = run.stopping or ending is Ending.STOPPED
+        if ending is Ending.FAILED:
+            task.failures += 1
+            task.avoid = {run.worker_id}
+            pause = LASTING_PAUSE_S * min(task.failures - 1, 8)
+            task.not_before_s = now_s + min(pause, LASTING_PAUSE_MOST_S)
+
+    def _break_gang(self, task: Task, number: int, now_s: float) -> None:
+        job = task.job
+        if (task.name.occurrence, task.name.step, 0) not in job.tasks:
+            return
+        for other in job.step_tasks(task.name.occurrence, task.name.step):
+            run = other.runs.get(number)
+            if run is not None:
+                self._let_go(run, job, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
@@ -48,6 +48,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not-found"
+    NO_SUCH_JOB = "no-such-job"
     CONFLICT = "conflict"
     INVALID_CHANGE = "invalid-change"
     TOO_LARGE = "too-large"
@@ -88,6 +89,9 @@
     ErrorKind.NOT_FOUND: Answer(
         103, 404, _NOT_RUN, Retry.AFTER_FIX, "There is no such thing.", 4
     ),
+    ErrorKind.NO_SUCH_JOB: Answer(
+        107, 410, _NOT_RUN, Retry.NEVER, "There is no such job.", 4
+    ),
     ErrorKind.CONFLICT: Answer(
         104, 409, _NOT_RUN, Retry.LATER, "Another change came first.", 5
     ),
@@ -202,3 +206,25 @@
     def __init__(self, detail: str, maybe_applied: bool = False):
         super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
         self.maybe_applied = maybe_applied
+
+
+class HistoryLostError(StoreError):
+    """The store has dropped the changes that were asked for."""
+
+
+class LeaseGoneError(StoreError):
+    """The lease of a write has ended; nothing was written."""
+
+
+class FencedError(HeatherhatchError):
+    """A newer holder of the same role has given orders here."""
+
+    def __init__(self, detail: str):
+        super().__init__(ErrorKind.CONFLICT, detail)
+
+
+class WrongLifeError(HeatherhatchError):
+    """The worker that was meant is gone; another life of it answered."""
+
+    def __init__(self, detail: str):
+        super().__init__(ErrorKind.NOT_FOUND, detail)
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/resources.py
@@ -0,0 +1,73 @@
+"""Amounts of what workers offer and tasks need."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Processor, memory and accelerators.
+
+    Attributes:
+        cpu_m: Thousandths of a core.
+        memory_mb: Memory, MB.
+        accelerators: Whole accelerators.
+    """
+
+    cpu_m: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_m + other.cpu_m,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_m - other.cpu_m,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> "Resources":
+        """Return this amount ``count`` times."""
+        return Resources(
+            self.cpu_m * count, self.memory_mb * count, self.accelerators * count
+        )
+
+    def fits(self, room: "Resources") -> bool:
+        """Tell whether this amount fits into the room in every dimension."""
+        return (
+            self.cpu_m <= room.cpu_m
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def within(self, limit: "Resources") -> bool:
+        """Tell whether this amount keeps a limit, in which 0 means no limit."""
+        return (
+            (not limit.cpu_m or self.cpu_m <= limit.cpu_m)
+            and (not limit.memory_mb or self.memory_mb <= limit.memory_mb)
+            and (not limit.accelerators or self.accelerators <= limit.accelerators)
+        )
+
+    def at_most(self, other: "Resources") -> "Resources":
+        """Return the smaller amount in each dimension."""
+        return Resources(
+            min(self.cpu_m, other.cpu_m),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def at_least(self, other: "Resources") -> "Resources":
+        """Return the larger amount in each dimension."""
+        return Resources(
+            max(self.cpu_m, other.cpu_m),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/log_queue.py
@@ -0,0 +1,94 @@
+"""Writes events to standard output without ever waiting for it."""
+
+import time
+from collections import deque
+
+import gevent
+import msgspec
+from gevent.os import make_nonblocking, nb_write
+
+from .events import LOG, Event
+
+QUEUE_LINES = 2_000  # about 0.5 MB; what comes on top is counted and dropped
+ROUTINE_PER_S = 150  # routine lines a second; role changes and refusals always pass
+ROUTINE = frozenset({Event.DECIDED, Event.JOB_ACCEPTED})
+WRITE_BYTES = 32_768  # lines are joined up to this size for one write
+STDOUT = 1
+
+
+class LogQueue:
+    """A bounded queue of log lines and the greenlet that writes them.
+
+    Args:
+        node: Name of the node, in each line.
+        descriptor: Where lines go.
+    """
+
+    def __init__(self, node: str, descriptor: int = STDOUT):
+        self.node = node
+        self.descriptor = descriptor
+        self.lines: deque[bytes] = deque()
+        self.dropped = 0
+        self.second = 0
+        self.routine = 0
+        self.greenlet: gevent.Greenlet | None = None
+        self.encoder = msgspec.json.Encoder(enc_hook=str)
+
+    def install(self) -> None:
+        """Take all events of the process from here on."""
+        make_nonblocking(self.descriptor)
+        LOG.sink = self.put
+        self.greenlet = gevent.spawn(self._run)
+
+    def put(self, event: Event, details: dict) -> None:
+        """Queue one event, or count it if that is too much."""
+        second = int(time.time())
+        if second != self.second:
+            self._turn(second)
+        if event in ROUTINE:
+            self.routine += 1
+            if self.routine > ROUTINE_PER_S:
+                self.dropped += 1
+                return
+        if len(self.lines) >= QUEUE_LINES:
+            self.dropped += 1
+            return
+        self._append(event, details)
+
+    def flush(self) -> None:
+        """Write what is queued, at the end of the process."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+        with gevent.Timeout(0.5, False):
+            self._write_all()
+
+    def _turn(self, second: int) -> None:
+        self.second = second
+        self.routine = 0
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            self._append(Event.LINES_DROPPED, {"lines": dropped})
+
+    def _append(self, event: Event, details: dict) -> None:
+        line = {
+            "time": round(time.time(), 3),
+            "node": self.node,
+            "event": event.value.number,
+            "name": event.name.lower(),
+            **details,
+        }
+        self.lines.append(self.encoder.encode(line) + b"\n")
+
+    def _run(self) -> None:
+        while True:
+            self._write_all()
+            gevent.sleep(0.05)
+
+    def _write_all(self) -> None:
+        while self.lines:
+            block = bytearray()
+            while self.lines and len(block) < WRITE_BYTES:
+                block += self.lines.popleft()
+            view = memoryview(block)
+            while view:
+                view = view[nb_write(self.descriptor, view) :]
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -0,0 +1,170 @@
+"""What holders of roles tell each other through the store."""
+
+import msgspec
+
+from heatherhatch_core.codec import decode_json
+from heatherhatch_core.exceptions import HeatherhatchError
+
+from ..events import Event, log
+from ..transport.store import Entry, PolledStore
+from .feed import Feed
+from .keys import FLEET_PREFIX, GRANT_PREFIX, PLAN_KEY, REPORT_PREFIX
+
+PACE_S = 0.1  # reports of several pools are read together
+
+
+class MachineLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What a pool's holder has on one machine.
+
+    Attributes:
+        machine: The machine.
+        used_cpu_m: Thousandths of a core in use.
+        lasting: Tasks that stay until their job is cancelled.
+    """
+
+    machine: str
+    used_cpu_m: int
+    lasting: int
+
+
+class PoolReport(msgspec.Struct, frozen=True):
+    """What a pool's holder tells the rest of the fleet.
+
+    Attributes:
+        pool: The pool.
+        at_s: When it was written, seconds since the epoch.
+        waiting: Jobs of each queue that have not begun.
+        wanted_cpu_m: Thousandths of a core that waiting tasks need.
+        used_cpu_m: Thousandths of a core in use.
+        capacity_cpu_m: Thousandths of a core of the usable workers.
+        loads: Load of each machine.
+        cleared: Machines to be emptied that are empty.
+    """
+
+    pool: str
+    at_s: float
+    waiting: dict[str, int]
+    wanted_cpu_m: int
+    used_cpu_m: int
+    capacity_cpu_m: int
+    loads: tuple[MachineLoad, ...]
+    cleared: tuple[str, ...]
+
+
+class MachineOrder(msgspec.Struct, frozen=True, array_like=True):
+    """The last order for a machine.
+
+    Attributes:
+        machine: The machine.
+        token: Fencing token of the coordinator that gave it.
+        at_s: When it was about to be given, seconds since the epoch.
+    """
+
+    machine: str
+    token: int
+    at_s: float
+
+
+class FleetPlan(msgspec.Struct, frozen=True):
+    """What the coordinator asks of the holders, and keeps for its successor.
+
+    Attributes:
+        vacating: Machines to be emptied.
+        due: Machines that a wave will take down.
+        maintained: Machines of each wave that have had their turn.
+        completed: Waves that were reported as completed.
+        orders: Last order for each machine that was given one.
+    """
+
+    vacating: tuple[str, ...] = ()
+    due: tuple[str, ...] = ()
+    maintained: dict[int, tuple[str, ...]] = {}
+    completed: tuple[int, ...] = ()
+    orders: tuple[MachineOrder, ...] = ()
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """The division of one team's limit over the pools.
+
+    Attributes:
+        parts: For each pool: thousandths of a core, MB, accelerators.
+    """
+
+    parts: dict[str, tuple[int, int, int]] = {}
+
+
+class Board:
+    """Follows the reports, the plan and the divisions of limits.
+
+    Attributes:
+        plan: The coordinator's plan.
+        plan_revision: Its revision in the store.
+        reports: The last report of each pool.
+        report_revisions: Their revisions in the store.
+        grants: Division of each team's limit.
+        grant_revisions: Their revisions in the store.
+    """
+
+    def __init__(self, store: PolledStore):
+        self.plan = FleetPlan()
+        self.plan_revision = 0
+        self.reports: dict[str, PoolReport] = {}
+        self.report_revisions: dict[str, int] = {}
+        self.grants: dict[str, Grant] = {}
+        self.grant_revisions: dict[str, int] = {}
+        self.feeds = [
+            Feed(store, FLEET_PREFIX, self._see_fleet, self._miss, pace_s=PACE_S),
+            Feed(store, GRANT_PREFIX, self.see_grant, self._miss, pace_s=PACE_S),
+        ]
+
+    def start(self) -> None:
+        """Follow them from here on."""
+        for feed in self.feeds:
+            if feed.greenlet is None:
+                feed.start()
+
+    def stop(self) -> None:
+        """Stop following them."""
+        for feed in self.feeds:
+            feed.stop()
+
+    @property
+    def read(self) -> bool:
+        """True once everything was read."""
+        return all(feed.revision for feed in self.feeds)
+
+    def see_grant(self, entry: Entry) -> None:
+        """Take in the division of a team's limit."""
+        team = entry.key.removeprefix(GRANT_PREFIX)
+        grant = _decoded(entry, Grant)
+        if grant is not None and entry.revision > self.grant_revisions.get(team, 0):
+            self.grants[team] = grant
+            self.grant_revisions[team] = entry.revision
+
+    def see_plan(self, plan: FleetPlan, revision: int) -> None:
+        """Take in the plan."""
+        if revision > self.plan_revision:
+            self.plan = plan
+            self.plan_revision = revision
+
+    def _see_fleet(self, entry: Entry) -> None:
+        if entry.key == PLAN_KEY:
+            plan = _decoded(entry, FleetPlan)
+            if plan is not None:
+                self.see_plan(plan, entry.revision)
+        elif entry.key.startswith(REPORT_PREFIX):
+            report = _decoded(entry, PoolReport)
+            if report is not None:
+                self.reports[report.pool] = report
+                self.report_revisions[report.pool] = entry.revision
+
+    def _miss(self, key: str) -> None:
+        log(Event.RECORD_SKIPPED, key=key, reason="a record of the fleet is gone")
+
+
+def _decoded(entry: Entry, kind: type):
+    try:
+        return decode_json(entry.value, kind)
+    except HeatherhatchError as error:
+        log(Event.RECORD_SKIPPED, key=entry.key, error=error.detail)
+        return None
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -0,0 +1,119 @@
+"""Follows the keys under a prefix of the store."""
+
+from collections.abc import Callable
+
+import gevent
+
+from heatherhatch_core.exceptions import HistoryLostError, StoreError
+
+from ..events import Event, log
+from ..transport.store import Entry, PolledStore
+from .clock import now_s
+
+RETRY_S = 0.2  # pause after a call that failed
+WAIT_S = 5.0  # how long one poll waits for a change
+
+
+class Feed:
+    """Reads a prefix once and then polls for its changes.
+
+    Args:
+        store: The platform's store.
+        prefix: Prefix to follow.
+        on_entry: Called with each entry that was written.
+        on_gone: Called with each key that was deleted.
+        wait_s: How long one poll waits for a change, seconds.
+        pace_s: Least time between two polls, so that changes come together.
+    """
+
+    def __init__(
+        self,
+        store: PolledStore,
+        prefix: str,
+        on_entry: Callable[[Entry], None],
+        on_gone: Callable[[str], None],
+        wait_s: float = WAIT_S,
+        pace_s: float = 0.0,
+    ):
+        self.store = store
+        self.prefix = prefix
+        self.on_entry = on_entry
+        self.on_gone = on_gone
+        self.wait_s = wait_s
+        self.pace_s = pace_s
+        self.revision = 0
+        self.known: dict[str, int] = {}
+        self.fresh_s = float("-inf")
+        self.failing_since_s = float("inf")
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Follow the prefix from here on."""
+        self.greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop following."""
+        if self.greenlet is not None:
+            self.greenlet.kill(block=False)
+            self.greenlet = None
+
+    def read(self) -> None:
+        """Read the prefix as a whole; what is gone since is reported too."""
+        asked_s = now_s()
+        snapshot = self.store.range(self.prefix)
+        found = {entry.key for entry in snapshot.entries}
+        for key in [key for key in self.known if key not in found]:
+            del self.known[key]
+            self.on_gone(key)
+        for entry in snapshot.entries:
+            self._take(entry)
+        self.revision = snapshot.revision
+        self._note_answer(asked_s)
+
+    def poll(self) -> None:
+        """Wait for the next changes and report them."""
+        asked_s = now_s()
+        changes = self.store.poll(self.prefix, self.revision, self.wait_s)
+        for event in changes.events:
+            if not event.deleted:
+                self._take(event.entry)
+            elif self.known.get(event.entry.key, 0) < event.entry.revision:
+                self.known.pop(event.entry.key, None)
+                self.on_gone(event.entry.key)
+        self.revision = max(self.revision, changes.revision)
+        self._note_answer(asked_s)
+
+    def _take(self, entry: Entry) -> None:
+        if self.known.get(entry.key, 0) < entry.revision:
+            self.known[entry.key] = entry.revision
+            self.on_entry(entry)
+
+    def _run(self) -> None:
+        while True:
+            begun_s = now_s()
+            try:
+                if self.revision:
+                    self.poll()
+                else:
+                    self.read()
+            except HistoryLostError:
+                self.revision = 0
+            except StoreError as error:
+                self._note_failure(error)
+                gevent.sleep(RETRY_S)
+            except Exception as error:  # a fault in a callback must not end the feed
+                log(Event.TASK_FAILED, task=f"feed {self.prefix}", error=repr(error))
+                gevent.sleep(RETRY_S)
+            gevent.sleep(max(0.0, begun_s + self.pace_s - now_s()))
+
+    def _note_answer(self, asked_s: float) -> None:
+        self.fresh_s = asked_s
+        if self.failing_since_s != float("inf"):
+            lost_s = round(now_s() - self.failing_since_s, 2)
+            log(Event.FEED_BACK, prefix=self.prefix, after_s=lost_s)
+            self.failing_since_s = float("inf")
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self.failing_since_s == float("inf"):
+            self.failing_since_s = now_s()
+            log(Event.FEED_LOST, prefix=self.prefix, error=str(error))
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -0,0 +1,267 @@
+"""Runs one pool for as long as this node has its claim."""
+
+import gevent
+from gevent.event import Event as Signal
+from gevent.pool import Pool as GreenletPool
+
+from heatherhatch_core.codec import decode_json
+from heatherhatch_core.coordination.scheduler import (
+    JobWrite,
+    Rules,
+    Scheduler,
+    StopOrder,
+)
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
+from heatherhatch_core.state.work import Job, Progress
+
+from ..events import Event, log
+from ..transport.store import Entry, PolledStore
+from .board import Board
+from .claims import Claims
+from .clock import now_s, wall_s
+from .committer import Committer
+from .directory import Directory
+from .feed import RETRY_S, Feed
+from .grant_keeper import GrantKeeper
+from .keys import CANCEL_SUFFIX, jobs_prefix, pool_role, runs_prefix
+from .operators import Operators
+from .pool_reports import PoolReports
+from .ports import DirectoryEntry, Outside
+from .worker_link import WorkerLink
+
+ROUND_S = 0.1  # longest time between two rounds of the scheduler
+GATHER_S = 0.004  # what arrives in this time is decided on together
+RENEW_ALONE_S = 6.0  # leases are renewed so long after the claim was last confirmed
+ORDERS_MOST = 64  # orders under way at a time
+
+
+class PoolHolder:
+    """Holds one pool: reads its records, runs its scheduler, orders its workers.
+
+    Args:
+        pool: The pool.
+        token: Fencing token of the claim.
+        claims: This node's claims.
+        store: The platform's store.
+        outside: Workers and the rest of the outside.
+        operators: The operators' records.
+        directory: The workers that are registered.
+        board: What other roles tell.
+        rules: Bounds of the scheduler.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        token: int,
+        claims: Claims,
+        store: PolledStore,
+        outside: Outside,
+        operators: Operators,
+        directory: Directory,
+        board: Board,
+        rules: Rules,
+    ):
+        self.pool = pool
+        self.role = pool_role(pool)
+        self.token = token
+        self.claims = claims
+        self.store = store
+        self.outside = outside
+        self.operators = operators
+        self.directory = directory
+        self.board = board
+        self.scheduler = Scheduler(pool, rules, now_s())
+        self.links: dict[str, WorkerLink] = {}
+        self.signal = Signal()
+        self.stopped = False
+        self.loaded = False
+        self.orders = GreenletPool(ORDERS_MOST)
+        self.jobs = Feed(store, jobs_prefix(pool), self._see_job, self._miss_job)
+        self.committer = Committer(
+            store, pool, self._claim, self.may_write, self._stored, self._conflict
+        )
+        self.grants = GrantKeeper(store, board, pool, self._claim, self.scheduler)
+        self.reports = PoolReports(store, board, self.scheduler, self._claim)
+        self.early: dict[str, Progress] = {}
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Take the pool over."""
+        self.greenlets.append(gevent.spawn(self._run))
+
+    def stop(self) -> None:
+        """Stop giving orders; what runs is left to the next holder."""
+        if self.stopped:
+            return
+        self.stopped = True
+        for link in self.links.values():
+            link.stop()
+        self.jobs.stop()
+        self.committer.stop()
+        self.orders.kill(block=False)
+        gevent.killall(self.greenlets, block=False)
+
+    def may_order(self) -> bool:
+        """Tell whether orders may be sent at this moment."""
+        return (
+            not self.stopped
+            and self.claims.token(self.role) == self.token
+            and self.claims.holds(self.role)
+        )
+
+    def may_write(self) -> bool:
+        """Tell whether records may still be written."""
+        return not self.stopped and self.claims.token(self.role) == self.token
+
+    def may_renew(self) -> bool:
+        """Tell whether leases may be renewed.
+
+        Without the store the claim can't be confirmed, but what runs is not
+        given up for a short outage. The next holder waits for that.
+        """
+        age_s = now_s() - self.claims.confirmed_s
+        return self.may_write() and self.loaded and age_s < RENEW_ALONE_S
+
+    def wake(self) -> None:
+        """Let the scheduler look at what has changed."""
+        self.signal.set()
+
+    def fenced(self, reason: str) -> None:
+        """Stop at once: a newer holder has given orders."""
+        log(Event.ROLE_FENCED, role=self.role, token=self.token, reason=reason)
+        self.claims.drop(self.role, reason)
+
+    def see_worker(self, entry: DirectoryEntry) -> None:
+        """Take in a worker's entry."""
+        if entry.info.pool != self.pool:
+            self.lose_worker(entry.info.worker_id)
+            return
+        self.scheduler.see_worker(entry.info, now_s())
+        link = self.links.get(entry.info.worker_id)
+        if link is not None and link.entry.address != entry.address:
+            self.unlink(entry.info.worker_id)
+            link = None
+        if link is None and self.loaded:
+            self.links[entry.info.worker_id] = WorkerLink(self, entry)
+
+    def lose_worker(self, worker_id: str) -> None:
+        """Note that a worker isn't registered any more."""
+        self.scheduler.lose_worker(worker_id)
+        self.wake()
+
+    def unlink(self, worker_id: str) -> None:
+        """Close the connection to a worker."""
+        link = self.links.pop(worker_id, None)
+        if link is not None:
+            link.stop()
+
+    def _claim(self):
+        return self.claims.expect(self.role)
+
+    def _run(self) -> None:
+        while not self._load():
+            gevent.sleep(RETRY_S)
+        for entry in list(self.directory.entries.values()):
+            self.see_worker(entry)
+        self.jobs.start()
+        self.greenlets.append(gevent.spawn(self._write_loop))
+        while True:
+            self.signal.wait(ROUND_S)
+            gevent.sleep(GATHER_S)
+            self.signal.clear()
+            try:
+                self._round()
+            except Exception as error:  # the pool must not stand still for one fault
+                log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
+                gevent.sleep(ROUND_S)
+
+    def _load(self) -> bool:
+        """Read what earlier holders stored; return False if that failed."""
+        try:
+            snapshot = self.store.range(runs_prefix(self.pool))
+            for entry in snapshot.entries:
+                self._see_progress(entry)
+            self.jobs.read()
+        except StoreError as error:
+            log(Event.FEED_LOST, prefix=runs_prefix(self.pool), error=str(error))
+            return False
+        self.loaded = True
+        log(
+            Event.POOL_LOADED,
+            pool=self.pool,
+            token=self.token,
+            jobs=len(self.scheduler.state.jobs),
+            begun=len(snapshot.entries),
+        )
+        return True
+
+    def _see_progress(self, entry: Entry) -> None:
+        job_id = entry.key.removeprefix(runs_prefix(self.pool))
+        self.early[job_id] = decode_json(entry.value, Progress)
+        self.committer.revisions[job_id] = entry.revision
+
+    def _see_job(self, entry: Entry) -> None:
+        job_id = entry.key.removeprefix(jobs_prefix(self.pool))
+        if job_id.endswith(CANCEL_SUFFIX):
+            job_id = job_id.removesuffix(CANCEL_SUFFIX)
+            self.committer.cancels.add(job_id)
+            self.scheduler.cancel(job_id, now_s())
+        else:
+            job = decode_json(entry.value, Job)
+            self.scheduler.add_job(job, self.early.pop(job_id, None), now_s())
+            if job_id in self.committer.cancels:
+                self.scheduler.cancel(job_id, now_s())
+        self.wake()
+
+    def _miss_job(self, key: str) -> None:
+        # Only this node deletes jobs of the pool, once they are final.
+        return
+
+    def _round(self) -> None:
+        config = self.operators.config
+        if config is None:
+            return
+        self.scheduler.configure(config)
+        plan = self.board.plan
+        self.scheduler.vacate(frozenset(plan.vacating), frozenset(plan.due))
+        if self.may_order() and self.board.read:
+            self.scheduler.decide(now_s(), wall_s())
+        self._flush()
+
+    def _flush(self) -> None:
+        writes = self.scheduler.take_writes(wall_s())
+        if writes:
+            self.committer.submit(writes)
+        for order in self.scheduler.take_orders():
+            link = self.links.get(order.worker_id)
+            if link is not None:
+                self.orders.spawn(link.send, order)
+            elif not isinstance(order, StopOrder):
+                log(Event.CALL_UNKNOWN, worker=order.worker_id, error="not registered")
+        for what, details in self.scheduler.take_notes():
+            log(Event.DECIDED, what=what, pool=self.pool, **details)
+
+    def _stored(self, writes: tuple[JobWrite, ...]) -> None:
+        for write in writes:
+            self.scheduler.stored(write.job_id, write.version, now_s())
+        self._flush()
+        self.wake()
+
+    def _conflict(self, reason: str) -> None:
+        self.claims.give_up(self.role, reason)
+
+    def _write_loop(self) -> None:
+        """Adjust the limits' parts and tell the fleet how the pool does."""
+        while True:
+            gevent.sleep(ROUND_S)
+            config = self.operators.config
+            if config is None or not self.may_order() or not self.board.read:
+                continue
+            try:
+                self.grants.step(config)
+                self.reports.step()
+            except HeatherhatchError as error:
+                if error.kind is not ErrorKind.STORE_UNAVAILABLE:
+                    raise
+                gevent.sleep(RETRY_S)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -84,11 +84,14 @@
 
     Attributes:
         succeeded: True if the conditions held and the writes happened.
-        revision: Store revision after the call.
+        revision: Store revision after the call; 0 if it was not told.
+        entries: If a condition failed, the keys of the conditions that exist,
+            where the store tells them.
     """
 
     succeeded: bool
     revision: int
+    entries: tuple[Entry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +107,51 @@
     deleted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What one poll of a prefix saw.
+
+    Attributes:
+        revision: Store revision to go on from.
+        events: Changes in their order.
+    """
+
+    revision: int
+    events: tuple[WatchEvent, ...]
+
+
+class PolledStore(Protocol):
+    """What pools, claims and feeds need of a store that is polled for changes.
+
+    Every method raises `StoreError` if the store gives no answer.
+    """
+
+    def get(self, key: str) -> Entry | None:
+        """Return one entry, or None."""
+
+    def range(self, prefix: str, serializable: bool = False) -> Snapshot:
+        """Return all entries under a prefix; perhaps seconds old if serializable."""
+
+    def transact(self, transaction: Transaction) -> Outcome:
+        """Carry out a transaction."""
+
+    def grant_lease(self, ttl_s: int) -> int:
+        """Return the id of a new lease."""
+
+    def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return False if it is gone."""
+
+    def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    def poll(self, prefix: str, revision: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first.
+
+        Raises:
+            HistoryLostError: If the store doesn't hold them any more.
+        """
+
+
 class Store(Protocol):
     """What the system needs of the platform's store.
 
