--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
@@ -37,14 +37,16 @@
 
 
 def cleared_machines(state: PoolState) -> set[str]:
-    """Return the machines to be emptied on which nothing is left."""
+    """Return the machines of this pool to be emptied on which nothing is left."""
     busy = set()
     known = set()
     for worker in state.workers.values():
-        known.add(worker.info.machine)
+        if worker.present and worker.fenced:
+            known.add(worker.info.machine)
         if worker.runs or worker.strays:
             busy.add(worker.info.machine)
-    return {machine for machine in state.vacating if machine not in busy}
+    # Machines of other pools are none of this pool's business.
+    return (state.vacating & known) - busy
 
 
 def _shall_stop(state: PoolState, worker: Worker, run: Run, waited_s: float) -> bool:
--- /dev/null
+++ b/tests/pool_model.py
@@ -0,0 +1,173 @@
+"""A scheduler with model workers: a store that always takes, clocks by hand."""
+
+from dataclasses import dataclass, field
+
+from heatherhatch_core.coordination.scheduler import (
+    Ending,
+    ListedEnd,
+    ListedRun,
+    PaceOrder,
+    Report,
+    Rules,
+    Scheduler,
+    StartOrder,
+    StartResult,
+    StopOrder,
+    WorkerInfo,
+)
+from heatherhatch_core.state.fleet_configuration import FleetConfiguration, Pool, Queue
+from heatherhatch_core.state.resources import Resources
+from heatherhatch_core.state.work import Job, Schedule, Step
+
+POOL = "till"
+QUEUE = Queue("q", "h", "/q/", POOL, attempts=3, stretch=1.6, target_s=0.6)
+CONFIG = FleetConfiguration(1, (QUEUE,), (Pool(POOL),))
+
+
+def job_of(*steps: Step, job_id: str = "j1", team: str = "", at_s: float = 0.0) -> Job:
+    """Return a job of the model's queue."""
+    return Job(job_id, QUEUE.name, POOL, team, "run", steps, Schedule(), at_s)
+
+
+def step_of(count: int = 1, cores: float = 1, **rest) -> Step:
+    """Return a step whose tasks need so many cores."""
+    return Step(
+        count=count,
+        need=Resources(int(cores * 1000), 100),
+        estimate_s=rest.pop("estimate_s", 1.0),
+        **rest,
+    )
+
+
+@dataclass
+class ModelWorker:
+    """A worker that obeys.
+
+    Attributes:
+        info: What it says of itself.
+        runs: What runs: name and number, with the share at which it works.
+        ends: What has ended and is not acknowledged.
+        figures: Response tail of a task by its name.
+    """
+
+    info: WorkerInfo
+    runs: dict = field(default_factory=dict)
+    ends: list[ListedEnd] = field(default_factory=list)
+    sequence: int = 0
+    refused: set = field(default_factory=set)
+    figures: dict = field(default_factory=dict)
+
+    def start(self, order: StartOrder) -> StartResult:
+        """Begin a run unless it was refused before."""
+        if (order.task, order.number) in self.refused:
+            return StartResult.REFUSED
+        self.runs[order.task, order.number] = 100
+        return StartResult.STARTED
+
+    def stop(self, task, number: int) -> None:
+        """End a run, and refuse it if it comes later."""
+        self.refused.add((task, number))
+        if (task, number) in self.runs:
+            self.end(task, number, Ending.STOPPED)
+
+    def end(self, task, number: int, ending: Ending = Ending.DONE) -> None:
+        """End a run."""
+        del self.runs[task, number]
+        self.refused.add((task, number))
+        self.sequence += 1
+        self.ends.append(ListedEnd(self.sequence, task, number, ending, ""))
+
+    def report(self, acked: int) -> Report:
+        """Return what it lists."""
+        self.ends = [end for end in self.ends if end.sequence > acked]
+        rows = tuple(
+            ListedRun(task, number, "", percent, self.figures.get(task, 0.0))
+            for (task, number), percent in self.runs.items()
+        )
+        return Report(self.info.born_ms, 1000.0, rows, tuple(self.ends))
+
+
+class PoolModel:
+    """A scheduler, its workers and the time."""
+
+    def __init__(self, workers: int = 2, cores: int = 8, config=CONFIG):
+        self.now_s = 100.0
+        self.scheduler = Scheduler(POOL, Rules(), self.now_s)
+        self.scheduler.configure(config)
+        self.workers: dict[str, ModelWorker] = {}
+        self.writes = []
+        self.orders = []
+        for number in range(workers):
+            self.add_worker(f"w{number}", f"m{number}", cores)
+
+    def add_worker(self, worker_id: str, machine: str, cores: int = 8, **rest) -> None:
+        """Let a worker join the pool and answer once."""
+        capacity = Resources(cores * 1000, 64_000)
+        rest.setdefault("born_ms", 1)
+        info = WorkerInfo(worker_id, machine, POOL, "dc", capacity=capacity, **rest)
+        self.workers[worker_id] = ModelWorker(info)
+        self.scheduler.see_worker(info, self.now_s)
+        self.listen(worker_id)
+
+    def listen(self, worker_id: str) -> None:
+        """Take in the report of one worker."""
+        held = self.scheduler.state.workers[worker_id]
+        report = self.workers[worker_id].report(held.acked)
+        self.scheduler.take_report(worker_id, report, self.now_s, self.now_s + 0.001)
+        self.now_s += 0.002
+
+    def listen_all(self) -> None:
+        """Take in the reports of all workers."""
+        for worker_id in self.workers:
+            self.listen(worker_id)
+
+    def round(self, seconds: float = 0.05) -> None:
+        """Let time pass; decide, store and carry out orders."""
+        self.now_s += seconds
+        self.scheduler.decide(self.now_s, self.now_s)
+        self.flush()
+
+    def flush(self) -> None:
+        """Store what changed and carry out the orders that follow."""
+        for write in self.scheduler.take_writes(self.now_s):
+            self.writes.append(write)
+            self.scheduler.stored(write.job_id, write.version, self.now_s)
+        for order in self.scheduler.take_orders():
+            self.orders.append(order)
+            self.carry_out(order)
+
+    def carry_out(self, order) -> None:
+        """Let a model worker obey an order."""
+        worker = self.workers[order.worker_id]
+        if isinstance(order, StartOrder):
+            result = worker.start(order)
+            self.scheduler.take_start(order, result, self.now_s)
+        elif isinstance(order, StopOrder):
+            worker.stop(order.task, order.number)
+            self.scheduler.take_stop(order, True, self.now_s)
+        else:
+            assert isinstance(order, PaceOrder)
+
+    def add(self, job: Job) -> None:
+        """Hand a job in and do a round."""
+        self.scheduler.add_job(job, None, self.now_s)
+        self.round()
+
+    def alive(self) -> list:
+        """Return what runs on all workers, as worker, name and number."""
+        return [
+            (worker_id, *run)
+            for worker_id, worker in self.workers.items()
+            for run in worker.runs
+        ]
+
+    def finish(self, ending: Ending = Ending.DONE) -> None:
+        """End everything that runs, and take the ends in."""
+        for worker_id, task, number in self.alive():
+            self.workers[worker_id].end(task, number, ending)
+        self.listen_all()
+        self.round()
+
+    def phases(self) -> list:
+        """Return the phases that callers were shown, in order."""
+        return [write.status.phase for write in self.writes if write.status]
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,181 @@
+"""The scheduler of one pool, event by event."""
+
+import pytest
+from pool_model import PoolModel, job_of, step_of
+
+from heatherhatch_core.coordination.scheduler import (
+    Ending,
+    Report,
+    StartOrder,
+    StartResult,
+    StopOrder,
+)
+from heatherhatch_core.state.resources import Resources
+from heatherhatch_core.state.work import Phase
+
+
+@pytest.fixture
+def model() -> PoolModel:
+    return PoolModel()
+
+
+def test_a_job_runs_its_steps_in_order(model):
+    model.add(job_of(step_of(2), step_of(3, after=(0,))))
+    assert {task.step for _worker, task, _run in model.alive()} == {0}
+    model.finish()
+    assert {task.step for _worker, task, _run in model.alive()} == {1}
+    model.finish()
+    assert model.phases() == [Phase.RUNNING, Phase.COMPLETED]
+
+
+def test_a_start_is_ordered_only_after_it_is_stored(model):
+    model.scheduler.add_job(job_of(step_of()), None, model.now_s)
+    model.scheduler.decide(model.now_s, model.now_s)
+    writes = model.scheduler.take_writes(model.now_s)
+    assert model.scheduler.take_orders() == []
+    model.scheduler.stored(writes[0].job_id, writes[0].version, model.now_s)
+    assert [type(order) for order in model.scheduler.take_orders()] == [StartOrder]
+
+
+def test_an_end_is_acknowledged_only_after_it_is_stored(model):
+    model.add(job_of(step_of(), step_of(after=(0,))))
+    worker_id, task, number = model.alive()[0]
+    model.workers[worker_id].end(task, number)
+    model.listen(worker_id)
+    held = model.scheduler.state.workers[worker_id]
+    assert held.acked == 0
+    model.flush()
+    assert held.acked == 1
+
+
+def test_a_worker_is_never_over_its_capacity(model):
+    model.add(job_of(step_of(20, cores=3)))
+    for worker_id in model.workers:
+        assert sum(1 for alive in model.alive() if alive[0] == worker_id) == 2
+
+
+def test_a_task_that_fails_too_often_fails_its_job(model):
+    model.add(job_of(step_of()))
+    for _attempt in range(3):
+        model.finish(Ending.FAILED)
+    assert model.phases()[-1] is Phase.FAILED
+    assert model.alive() == []
+
+
+def test_a_cancelled_job_is_stopped_and_starts_nothing_more(model):
+    model.add(job_of(step_of(2), step_of(after=(0,))))
+    model.scheduler.cancel("j1", model.now_s)
+    model.round()
+    assert model.alive() == []
+    model.listen_all()
+    model.round()
+    assert model.phases()[-1] is Phase.CANCELLED
+    assert model.alive() == []
+    assert model.scheduler.state.jobs == {}
+
+
+def test_a_start_without_an_answer_is_stopped_before_it_runs_elsewhere(model):
+    model.scheduler.add_job(job_of(step_of()), None, model.now_s)
+    model.scheduler.decide(model.now_s, model.now_s)
+    for write in model.scheduler.take_writes(model.now_s):
+        model.scheduler.stored(write.job_id, write.version, model.now_s)
+    order = model.scheduler.take_orders()[0]
+    model.scheduler.take_start(order, StartResult.UNKNOWN, model.now_s + 1)
+    model.now_s += 1.1
+    model.listen(order.worker_id)
+    stops = model.scheduler.take_orders()
+    assert [type(item) for item in stops] == [StopOrder]
+    model.round()
+    assert model.alive() == []
+    # The worker refuses the order from now on; only then the task runs again.
+    model.carry_out(stops[0])
+    model.now_s += 0.01
+    model.listen(order.worker_id)
+    model.round()
+    assert [run for _worker, _task, run in model.alive()] == [2]
+
+
+def test_a_silent_worker_keeps_its_tasks_until_its_lease_is_over(model):
+    model.add(job_of(step_of()))
+    worker_id = model.alive()[0][0]
+    state = model.scheduler.state.workers[worker_id]
+    state.note_deadline(state.next_deadline_ms(model.now_s))
+    model.scheduler.take_silence(worker_id, model.now_s)
+    model.round(4.0)
+    assert [run for _worker, _task, run in model.alive()] == [1]
+    model.round(2.0)
+    assert sorted(run for _worker, _task, run in model.alive()) == [1, 2]
+
+
+def test_a_worker_that_started_anew_has_lost_its_tasks(model):
+    model.add(job_of(step_of()))
+    worker_id = model.alive()[0][0]
+    model.workers[worker_id].runs.clear()
+    model.scheduler.take_report(
+        worker_id, Report(2, 5.0), model.now_s, model.now_s + 0.01
+    )
+    model.round()
+    assert [run for _worker, _task, run in model.alive()] == [2]
+
+
+def test_a_done_end_counts_although_the_run_was_taken_for_lost(model):
+    model.add(job_of(step_of()))
+    worker_id, task, number = model.alive()[0]
+    state = model.scheduler.state
+    run = state.workers[worker_id].runs[task, number]
+    state.end_run(run, Ending.LOST, "", model.now_s)
+    model.workers[worker_id].end(task, number)
+    model.listen(worker_id)
+    model.round()
+    assert model.phases()[-1] is Phase.COMPLETED
+    assert model.alive() == []
+
+
+def test_a_team_starts_nothing_beyond_its_allowance(model):
+    model.scheduler.allow({"a": Resources(2000, 0, 0)})
+    model.add(job_of(step_of(5), team="a"))
+    assert len(model.alive()) == 2
+    assert model.scheduler.state.short["a"].cpu_m >= 1000
+
+
+def test_members_of_a_gang_start_together_or_not_at_all():
+    model = PoolModel(workers=1, cores=4)
+    model.add(job_of(step_of(5, gang=True)))
+    assert model.alive() == []
+    model.add_worker("w9", "m9", 4)
+    model.round()
+    assert {run for _worker, _task, run in model.alive()} == {1}
+    assert len(model.alive()) == 5
+
+
+def test_no_more_tasks_of_a_step_on_a_worker_than_it_allows(model):
+    model.add(job_of(step_of(6, spread=2)))
+    for worker_id in model.workers:
+        assert sum(1 for alive in model.alive() if alive[0] == worker_id) == 2
+
+
+def test_only_machines_of_the_pool_are_reported_as_empty(model):
+    model.add(job_of(step_of(16)))
+    model.scheduler.vacate(frozenset({"m0", "of-another-pool"}), frozenset())
+    assert model.scheduler.cleared() == set()
+    model.finish()
+    assert model.scheduler.cleared() == {"m0"}
+
+
+def test_lasting_tasks_leave_a_machine_one_by_one():
+    model = PoolModel(workers=4, cores=4)
+    step = step_of(4, lasting=True, spread=2, may_miss=1)
+    model.add(job_of(step))
+    model.listen_all()
+    model.round()
+    busy = {
+        model.scheduler.state.workers[item[0]].info.machine for item in model.alive()
+    }
+    model.scheduler.vacate(frozenset(sorted(busy)[:2]), frozenset())
+    for _round in range(12):
+        before = len(model.alive())
+        model.round()
+        assert before - len(model.alive()) <= 1
+        model.listen_all()
+    assert model.scheduler.cleared() == set(sorted(busy)[:2])
+    assert len(model.alive()) == 4
