--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := packages tests bench
-export PYTHONPATH := $(CURDIR)/packages/heatherhatch-core/src:$(CURDIR)/packages/heatherhatch-daemon/src:$(CURDIR)/packages/heatherhatch-cli/src:$(CURDIR)/packages/heatherhatch-standins/src:$(CURDIR)
+SOURCES := packages platform tests bench
+export PYTHONPATH := $(CURDIR)/packages/heatherhatch-core/src:$(CURDIR)/packages/heatherhatch-daemon/src:$(CURDIR)/packages/heatherhatch-cli/src:$(CURDIR)/packages/heatherhatch-standins/src:$(CURDIR)/platform/src:$(CURDIR)
 SEED ?= 1
 JOBS ?= 4
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -134,10 +134,17 @@
         pace_fillers(self.state, now_s)
         place_tasks(self.state, now_s, wall_s)
 
-    def take_writes(self, wall_s: float) -> list[JobWrite]:
-        """Return the jobs to be stored, and count them as being stored."""
-        writes = []
+    def take_writes(self, wall_s: float, most: int | None = None) -> list[JobWrite]:
+        """Return the jobs to be stored, and count them as being stored.
+
+        Args:
+            wall_s: Seconds since the epoch.
+            most: Largest number of jobs; the others wait and gather changes.
+        """
+        writes: list[JobWrite] = []
         for job_id in list(self.state.changed):
+            if most is not None and len(writes) >= most:
+                break
             live = self.state.jobs[job_id]
             if live.writing:
                 continue
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/fleet_configuration.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/fleet_configuration.py
@@ -118,12 +118,12 @@
 
     def queue_at(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of a path on a host."""
-        best = None
-        for queue in self.queues:
-            if queue.host == host and path.startswith(queue.prefix):
-                if best is None or len(queue.prefix) > len(best.prefix):
-                    best = queue
-        return best
+        matching = [
+            queue
+            for queue in self.queues
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
     def team_with(self, key: str) -> Team | None:
         """Return the team that a key belongs to."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
@@ -15,6 +15,7 @@
 from .keys import cancel_key, job_key, run_key, status_key
 
 ENTRIES_MOST = 30  # the store takes 32 in one transaction; one is the claim's
+JOBS_IN_BATCH = 6  # fewest jobs that fill a transaction: five entries for each
 SIDE_BY_SIDE = 6  # transactions under way, so that a slow store delays less
 RETRY_S = 0.15  # pause before a write without an answer is repeated
 
@@ -68,10 +69,17 @@
         self.cancels: set[str] = set()
         self.greenlets = GreenletPool(SIDE_BY_SIDE)
 
+    def room(self) -> int:
+        """Return how many jobs' progress may be submitted now."""
+        return self.greenlets.free_count() * JOBS_IN_BATCH
+
     def submit(self, writes: list[JobWrite]) -> None:
-        """Store some jobs' progress; waits while too much is under way."""
+        """Store some jobs' progress; no more than there is room for.
+
+        This never waits: it is also called from a write that has just ended.
+        """
         for batch in self._batches(writes):
-            self.greenlets.spawn(self._commit, batch)
+            self.greenlets.start(gevent.Greenlet(self._commit, batch))
 
     def stop(self) -> None:
         """Give up what is under way."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -216,9 +216,9 @@
         plan = self.board.plan
         others = [order for order in plan.orders if order.machine != name]
         last = next((order for order in plan.orders if order.machine == name), None)
-        if last is not None and last.token != self.token:
-            if wall_s() - last.at_s < self.rules.turn_s:
-                return False
+        foreign = last is not None and last.token != self.token
+        if foreign and wall_s() - last.at_s < self.rules.turn_s:
+            return False
         orders = (*others, MachineOrder(name, self.token, wall_s()))
         return self._write(replace(plan, orders=orders))
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -2,7 +2,7 @@
 
 import gevent
 from gevent.event import Event as Signal
-from gevent.pool import Pool as GreenletPool
+from gevent.pool import Group
 
 from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.scheduler import (
@@ -32,7 +32,6 @@
 ROUND_S = 0.1  # longest time between two rounds of the scheduler
 GATHER_S = 0.004  # what arrives in this time is decided on together
 RENEW_ALONE_S = 6.0  # leases are renewed so long after the claim was last confirmed
-ORDERS_MOST = 64  # orders under way at a time
 
 
 class PoolHolder:
@@ -76,7 +75,7 @@
         self.signal = Signal()
         self.stopped = False
         self.loaded = False
-        self.orders = GreenletPool(ORDERS_MOST)
+        self.orders = Group()
         self.jobs = Feed(store, jobs_prefix(pool), self._see_job, self._miss_job)
         self.committer = Committer(
             store, pool, self._claim, self.may_write, self._stored, self._conflict
@@ -230,7 +229,8 @@
         self._flush()
 
     def _flush(self) -> None:
-        writes = self.scheduler.take_writes(wall_s())
+        room = self.committer.room()
+        writes = self.scheduler.take_writes(wall_s(), room) if room else []
         if writes:
             self.committer.submit(writes)
         for order in self.scheduler.take_orders():
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -4,12 +4,22 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+import gevent
+from gevent.event import Event as Signal
 from gevent.queue import Queue
 from sortedcontainers import SortedDict
 
-from heatherhatch_core.exceptions import StoreError
+from heatherhatch_core.exceptions import HistoryLostError, StoreError
 
-from .store import Entry, Outcome, Snapshot, Transaction, WatchEvent, prefix_end
+from .store import (
+    Changes,
+    Entry,
+    Outcome,
+    Snapshot,
+    Transaction,
+    WatchEvent,
+    prefix_end,
+)
 
 HISTORY_EVENTS = 10_000
 
@@ -42,6 +52,8 @@
         self.leases: dict[int, _Lease] = {}
         self.watchers: set[_Watcher] = set()
         self.next_lease = 1
+        self.dropped_revision = 0
+        self.changed = Signal()
         self.calls = 0
         self.bytes = 0
 
@@ -66,7 +78,9 @@
         for expect in transaction.expects:
             entry = self.entries.get(expect.key)
             if (entry.revision if entry else 0) != expect.revision:
-                return Outcome(False, self.revision)
+                keys = [item.key for item in transaction.expects]
+                found = [self.entries[key] for key in keys if key in self.entries]
+                return Outcome(False, self.revision, tuple(found))
         if any(put.lease and put.lease not in self.leases for put in transaction.puts):
             return Outcome(False, self.revision)
         self.revision += 1
@@ -119,6 +133,34 @@
         finally:
             self.watchers.discard(watcher)
 
+    def poll(self, prefix: str, revision: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first.
+
+        Raises:
+            HistoryLostError: If the changes from there on are no longer kept.
+        """
+        self._begin()
+        if revision < self.dropped_revision:
+            raise HistoryLostError(f"revision {revision} is compacted")
+        with gevent.Timeout(wait_s, False):
+            while not (found := self._since(prefix, revision)):
+                self.changed.clear()
+                self.changed.wait()
+            return Changes(self.revision, found)
+        return Changes(self.revision, ())
+
+    def drop_history(self) -> None:
+        """Forget all changes, as a store does that compacts."""
+        self.history.clear()
+        self.dropped_revision = self.revision
+
+    def _since(self, prefix, revision):
+        return tuple(
+            event
+            for event in self.history
+            if event.entry.revision > revision and event.entry.key.startswith(prefix)
+        )
+
     def expire_leases(self) -> None:
         """End every lease whose time is over."""
         now = self.clock()
@@ -158,7 +200,10 @@
             self.leases[entry.lease].keys.discard(key)
 
     def _publish(self, event):
+        if len(self.history) == HISTORY_EVENTS:
+            self.dropped_revision = self.history[0].entry.revision
         self.history.append(event)
+        self.changed.set()
         for watcher in self.watchers:
             self._tell(watcher, event)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -129,8 +129,8 @@
     def get(self, key: str) -> Entry | None:
         """Return one entry, or None."""
 
-    def range(self, prefix: str, serializable: bool = False) -> Snapshot:
-        """Return all entries under a prefix; perhaps seconds old if serializable."""
+    def range(self, prefix: str) -> Snapshot:
+        """Return all entries under a prefix."""
 
     def transact(self, transaction: Transaction) -> Outcome:
         """Carry out a transaction."""
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,7 +1,6 @@
 """The scheduler of one pool, event by event."""
 
 import pytest
-from pool_model import PoolModel, job_of, step_of
 
 from heatherhatch_core.coordination.scheduler import (
     Ending,
@@ -12,6 +11,7 @@
 )
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_core.state.work import Phase
+from pool_model import PoolModel, job_of, step_of
 
 
 @pytest.fixture
