--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -218,12 +218,24 @@
 
 def _score(state: PoolState, task: Task, worker: Worker) -> tuple:
     step = task.step
-    room = worker.room
     avoided = worker.worker_id in task.avoid
+    cold = worker.info.cold_s > 0
     if step.lasting:
-        # What stays long goes where no maintenance is due, and is spread out.
         due = worker.info.machine in state.upkeep_due
-        return (avoided, due, worker.info.cold_s > 0, -room.cpu_m, worker.worker_id)
+        return (avoided, due, cold, *_lasting_score(task, worker), worker.worker_id)
     remote = bool(step.rack) and step.rack not in worker.info.labels
-    # The tightest fit keeps room for wide tasks.
-    return (avoided, remote, worker.info.cold_s > 0, room.cpu_m, worker.worker_id)
+    # The tightest fit keeps room for wide tasks, and machines free.
+    return (avoided, remote, cold, worker.room.cpu_m, worker.worker_id)
+
+
+def _lasting_score(task: Task, worker: Worker) -> tuple:
+    step = task.step
+    if step.tail_target_ms or step.fills:
+        # Tasks that serve, and those that fill, slow each other down.
+        return (len(worker.runs), -worker.room.cpu_m)
+    # Few machines are kept busy, but none holds more than half of a step.
+    crowded = _beside(task, worker) >= (step.count + 1) // 2
+    lasting = any(
+        run.task is not None and run.task.step.lasting for run in worker.runs.values()
+    )
+    return (crowded, not lasting, worker.room.cpu_m)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -3,6 +3,7 @@
 from ...state.fleet_configuration import FleetConfiguration
 from ...state.resources import Resources
 from ...state.work import Job, JobStatus, Phase, Progress
+from .demand import Arrivals, needed_cpu_m
 from .evacuation import cleared_machines, step_evacuation
 from .live import LiveJob, RunState
 from .messages import (
@@ -40,6 +41,7 @@
     def __init__(self, pool: str, rules: Rules, now_s: float):
         self.state = PoolState(pool, rules, now_s)
         self.emptying_since_s: dict[str, float] = {}
+        self.arrivals = Arrivals()
 
     def configure(self, config: FleetConfiguration) -> None:
         """Take over a version of the configuration."""
@@ -54,6 +56,7 @@
         live = LiveJob(job)
         self.state.jobs[job.job_id] = live
         if progress is None:
+            self.arrivals.note(self.state, live, now_s)
             return
         live.restore(progress)
         if live.began:
@@ -188,6 +191,10 @@
                 counts[live.job.queue] = counts.get(live.job.queue, 0) + 1
         return counts
 
+    def needed_cpu_m(self, now_s: float) -> int:
+        """Return the thousandths of a core that the pool's work would use now."""
+        return needed_cpu_m(self.state, self.arrivals, now_s)
+
     def _worker(self, worker_id: str, born_ms: int) -> Worker:
         worker = self.state.workers.get(worker_id)
         if worker is None:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/wave_plan.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/wave_plan.py
@@ -17,6 +17,7 @@
         machines: Machines of the provider, by name.
         done: Machines that have had their turn.
         cleared: Machines that were to be emptied and are.
+        taken: Machines that are being moved to another pool.
         working: Pools whose machines run work.
         loads: What would have to move, by machine; less is better.
         down: Machines that may be down for this wave now.
@@ -26,6 +27,7 @@
     machines: Mapping[str, Machine]
     done: frozenset[str] = frozenset()
     cleared: frozenset[str] = frozenset()
+    taken: frozenset[str] = frozenset()
     working: frozenset[str] = frozenset()
     loads: Mapping[str, int] = field(default_factory=dict)
     down: frozenset[str] = frozenset()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -8,9 +8,10 @@
 from ..events import Event, log
 from ..transport.store import Entry, PolledStore
 from .feed import Feed
-from .keys import FLEET_PREFIX, GRANT_PREFIX, PLAN_KEY, REPORT_PREFIX
+from .keys import GRANT_PREFIX, PLAN_KEY, REPORT_PREFIX
 
 PACE_S = 0.1  # reports of several pools are read together
+GRANT_PACE_S = 0.25  # divisions of limits change seldom, and many at a time
 
 
 class MachineLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -18,12 +19,12 @@
 
     Attributes:
         machine: The machine.
-        used_cpu_m: Thousandths of a core in use.
-        lasting: Tasks that stay until their job is cancelled.
+        runs: Runs that may be alive there.
+        lasting: How many of them stay until their job is cancelled.
     """
 
     machine: str
-    used_cpu_m: int
+    runs: int
     lasting: int
 
 
@@ -32,21 +33,19 @@
 
     Attributes:
         pool: The pool.
+        token: Fencing token of the holder that wrote it.
         at_s: When it was written, seconds since the epoch.
         waiting: Jobs of each queue that have not begun.
-        wanted_cpu_m: Thousandths of a core that waiting tasks need.
-        used_cpu_m: Thousandths of a core in use.
-        capacity_cpu_m: Thousandths of a core of the usable workers.
+        needed_cpu_m: Thousandths of a core that the pool's work would use.
         loads: Load of each machine.
         cleared: Machines to be emptied that are empty.
     """
 
     pool: str
+    token: int
     at_s: float
     waiting: dict[str, int]
-    wanted_cpu_m: int
-    used_cpu_m: int
-    capacity_cpu_m: int
+    needed_cpu_m: int
     loads: tuple[MachineLoad, ...]
     cleared: tuple[str, ...]
 
@@ -93,14 +92,12 @@
     parts: dict[str, tuple[int, int, int]] = {}
 
 
-class Board:
-    """Follows the reports, the plan and the divisions of limits.
+class PlanBoard:
+    """Follows the coordinator's plan and the divisions of limits.
 
     Attributes:
         plan: The coordinator's plan.
         plan_revision: Its revision in the store.
-        reports: The last report of each pool.
-        report_revisions: Their revisions in the store.
         grants: Division of each team's limit.
         grant_revisions: Their revisions in the store.
     """
@@ -108,13 +105,11 @@
     def __init__(self, store: PolledStore):
         self.plan = FleetPlan()
         self.plan_revision = 0
-        self.reports: dict[str, PoolReport] = {}
-        self.report_revisions: dict[str, int] = {}
         self.grants: dict[str, Grant] = {}
         self.grant_revisions: dict[str, int] = {}
         self.feeds = [
-            Feed(store, FLEET_PREFIX, self._see_fleet, self._miss, pace_s=PACE_S),
-            Feed(store, GRANT_PREFIX, self.see_grant, self._miss, pace_s=PACE_S),
+            Feed(store, PLAN_KEY, self._see_plan, _note_gone, pace_s=PACE_S),
+            Feed(store, GRANT_PREFIX, self.see_grant, _note_gone, pace_s=GRANT_PACE_S),
         ]
 
     def start(self) -> None:
@@ -123,11 +118,6 @@
             if feed.greenlet is None:
                 feed.start()
 
-    def stop(self) -> None:
-        """Stop following them."""
-        for feed in self.feeds:
-            feed.stop()
-
     @property
     def read(self) -> bool:
         """True once everything was read."""
@@ -147,19 +137,31 @@
             self.plan = plan
             self.plan_revision = revision
 
-    def _see_fleet(self, entry: Entry) -> None:
-        if entry.key == PLAN_KEY:
-            plan = _decoded(entry, FleetPlan)
-            if plan is not None:
-                self.see_plan(plan, entry.revision)
-        elif entry.key.startswith(REPORT_PREFIX):
-            report = _decoded(entry, PoolReport)
-            if report is not None:
-                self.reports[report.pool] = report
-                self.report_revisions[report.pool] = entry.revision
-
-    def _miss(self, key: str) -> None:
-        log(Event.RECORD_SKIPPED, key=key, reason="a record of the fleet is gone")
+    def _see_plan(self, entry: Entry) -> None:
+        plan = _decoded(entry, FleetPlan)
+        if plan is not None:
+            self.see_plan(plan, entry.revision)
+
+
+class ReportBoard:
+    """Follows the reports of the pools.
+
+    Attributes:
+        reports: The last report of each pool.
+    """
+
+    def __init__(self, store: PolledStore):
+        self.reports: dict[str, PoolReport] = {}
+        self.feed = Feed(store, REPORT_PREFIX, self._see, _note_gone, pace_s=PACE_S)
+
+    def _see(self, entry: Entry) -> None:
+        report = _decoded(entry, PoolReport)
+        if report is not None:
+            self.reports[report.pool] = report
+
+
+def _note_gone(key: str) -> None:
+    log(Event.RECORD_SKIPPED, key=key, reason="a record of the fleet is gone")
 
 
 def _decoded(entry: Entry, kind: type):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -6,29 +6,32 @@
 from msgspec.structs import replace
 
 from heatherhatch_core.codec import encode_json
+from heatherhatch_core.coordination.pool_sizes import Fleet, PoolNeed, PoolSizer
 from heatherhatch_core.coordination.wave_plan import WaveState, next_machines
-from heatherhatch_core.exceptions import (
-    ErrorKind,
-    FencedError,
-    HeatherhatchError,
-    StoreError,
+from heatherhatch_core.exceptions import FencedError, StoreError
+from heatherhatch_core.state.maintenance import (
+    Machine,
+    MachineState,
+    Wave,
+    WaveProgress,
 )
-from heatherhatch_core.state.maintenance import Machine, Wave, WaveProgress
 
 from ..events import Event, log
 from ..transport.http import ExchangeError
 from ..transport.store import Expect, PolledStore, Put, Transaction
-from .board import Board, FleetPlan, MachineOrder
+from .board import FleetPlan, MachineOrder, PlanBoard, PoolReport, ReportBoard
 from .claims import Claims
 from .clock import now_s, wall_s
-from .keys import COORDINATOR, PLAN_KEY
+from .keys import COORDINATOR, PLAN_KEY, claim_key, pool_role
+from .machine_orders import MachineOrders, Maintain, Move
 from .operators import Operators
 from .ports import Outside
 
-ROUND_S = 0.2  # time between two rounds
+ROUND_S = 0.1  # time between two rounds
 LOOK_S = 1.0  # the machines are read this often while nothing is under way
 BUSY_LOOK_S = 0.4  # the same while machines are being moved or maintained
 RETRY_S = 0.5  # pause after a call that failed
+DOWN = (MachineState.MAINTENANCE, MachineState.DOWN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
 
 
 class Coordinator:
-    """Carries out waves while this node has the claim.
+    """Sizes the pools and carries out waves while this node has the claim.
 
     What it asks of the pools' holders, and what its successor has to know, is
     in the plan, which is stored before an order is given.
@@ -59,8 +62,8 @@
         claims: This node's claims.
         store: The platform's store.
         outside: The provider's interface.
-        operators: The announced waves.
-        board: The plan, and the reports of the pools.
+        operators: The configuration and the announced waves.
+        board: The plan.
         rules: Bounds.
     """
 
@@ -72,10 +75,9 @@
         store: PolledStore,
         outside: Outside,
         operators: Operators,
-        board: Board,
+        board: PlanBoard,
         rules: CoordinatorRules,
     ):
-        self.node = node
         self.token = token
         self.claims = claims
         self.store = store
@@ -83,25 +85,35 @@
         self.operators = operators
         self.board = board
         self.rules = rules
+        self.reports = ReportBoard(store)
+        self.sizer = PoolSizer()
+        self.orders = MachineOrders(outside.machines, node, token, self.may_act)
         self.machines: dict[str, Machine] = {}
         self.machines_s = float("-inf")
-        self.reported: dict[int, bool] = {}
-        self.since_s: dict[str, float] = {}
+        self.told: dict[int, bool] = {}
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Begin to coordinate."""
+        self.reports.feed.start()
         self.greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
         """Stop at once."""
+        self.reports.feed.stop()
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
 
+    def may_act(self) -> bool:
+        """Tell whether orders may be given at this moment."""
+        return self.claims.token(COORDINATOR) == self.token and self.claims.holds(
+            COORDINATOR
+        )
+
     def _run(self) -> None:
         while True:
             gevent.sleep(ROUND_S)
-            if not self._may_act() or not self.board.read:
+            if not self.may_act() or not self.board.read:
                 continue
             try:
                 self._round()
@@ -116,61 +128,78 @@
                 log(Event.TASK_FAILED, task="coordinator", error=repr(error))
                 gevent.sleep(RETRY_S)
 
-    def _may_act(self) -> bool:
-        return self.claims.token(COORDINATOR) == self.token and self.claims.holds(
-            COORDINATOR
-        )
-
     def _round(self) -> None:
-        waves = [
-            (wave, seen_s)
-            for wave, seen_s in self.operators.waves.values()
-            if wave.number not in self.board.plan.completed
-        ]
-        if not waves:
-            self._ask((), ())
-            return
         self._look()
-        vacating: list[str] = []
-        due: list[str] = []
-        for wave, _seen_s in sorted(waves, key=lambda item: item[0].number):
-            state = self._wave_state(wave)
+        reports = self._current_reports()
+        cleared = frozenset(
+            machine for report in reports.values() for machine in report.cleared
+        )
+        plan = self.board.plan
+        maintain: list[Maintain] = []
+        emptying: set[str] = set()
+        due: set[str] = set()
+        for wave in self._open_waves():
+            state = self._wave_state(wave, cleared, reports)
             self._tell(wave, False)
             if state.finished:
-                self._complete(wave)
+                plan = self._complete(wave, plan)
                 continue
-            ready, emptying = next_machines(state)
-            for machine in ready:
-                self._maintain(machine, wave)
-            vacating.extend(emptying)
-            due.extend(state.open)
-        self._ask(tuple(sorted(set(vacating))), tuple(sorted(set(due))))
+            ready, busy = next_machines(state)
+            maintain += [Maintain(name, wave.number) for name in ready]
+            emptying.update(busy)
+            due.update(state.open)
+        taken = {order.machine for order in maintain}
+        moves, giving = self._sizes(reports, cleared, emptying | taken, due)
+        plan = replace(
+            plan,
+            vacating=tuple(sorted(emptying | giving | taken)),
+            due=tuple(sorted(due)),
+            maintained=self._maintained(plan),
+        )
+        self._carry_out([*maintain, *moves], plan)
+
+    def _open_waves(self) -> list[Wave]:
+        waves = [wave for wave, _seen_s in self.operators.waves.values()]
+        waves.sort(key=lambda wave: wave.number)
+        return [wave for wave in waves if wave.number not in self.board.plan.completed]
+
+    def _current_reports(self) -> dict[str, PoolReport]:
+        """Return the reports of those who hold the pools now.
+
+        A machine that a former holder found empty may have got work since.
+        """
+        found = {}
+        for pool, report in self.reports.reports.items():
+            claim = self.claims.holders.get(pool_role(pool))
+            if claim is not None and claim.revision == report.token:
+                found[pool] = report
+        return found
 
     def _look(self) -> None:
-        busy = any(machine.worker_id == "" for machine in self.machines.values())
+        busy = any(item.state in DOWN for item in self.machines.values())
+        busy = busy or any(
+            item.state is MachineState.MOVING for item in self.machines.values()
+        )
         if now_s() - self.machines_s < (BUSY_LOOK_S if busy else LOOK_S):
             return
         self.machines = {item.name: item for item in self.outside.machines.machines()}
         self.machines_s = now_s()
 
-    def _wave_state(self, wave: Wave) -> WaveState:
-        plan = self.board.plan
-        done = set(plan.maintained.get(wave.number, ()))
-        pools = {pool.name for pool in self.operators.config.pools if not pool.standby}
-        cleared = {
-            machine
-            for report in self.board.reports.values()
-            for machine in report.cleared
-        }
+    def _wave_state(
+        self, wave: Wave, cleared: frozenset[str], reports: dict[str, PoolReport]
+    ) -> WaveState:
+        done = set(self.board.plan.maintained.get(wave.number, ()))
+        done |= self.orders.maintained.get(wave.number, set())
         return WaveState(
             wave=wave,
             machines=self.machines,
             done=frozenset(done),
-            cleared=frozenset(cleared),
-            working=frozenset(pools),
+            cleared=cleared,
+            taken=frozenset(self.orders.moving(self.machines)),
+            working=frozenset(self.operators.config.working_pools()),
             loads={
-                load.machine: load.lasting * 100_000 + load.used_cpu_m
-                for report in self.board.reports.values()
+                load.machine: load.lasting * 1000 + load.runs
+                for report in reports.values()
                 for load in report.loads
             },
             down=frozenset(self._down(done)),
@@ -186,57 +215,78 @@
             young = order is not None and (
                 wall_s() - order.at_s < self.rules.maintenance_s
             )
-            if machine is not None and (young or not machine.worker_id):
+            if machine is not None and (young or machine.state in DOWN):
                 down.add(name)
         return down
 
-    def _maintain(self, name: str, wave: Wave) -> None:
-        if not self._take_turn(name):
-            return
-        if not self._may_act():
-            return
-        done = self.outside.machines.maintain(name, wave.number, self.node, self.token)
-        log(
-            Event.MACHINE_ORDERED if done else Event.MACHINE_REFUSED,
-            order="maintenance",
-            machine=name,
-            wave=wave.number,
-            token=self.token,
+    def _sizes(
+        self,
+        reports: dict[str, PoolReport],
+        cleared: frozenset[str],
+        leaving: set[str],
+        due: set[str],
+    ) -> tuple[list[Move], set[str]]:
+        config = self.operators.config
+        standby = next((pool.name for pool in config.pools if pool.standby), None)
+        if standby is None or not self.machines:
+            return [], set()
+        needs = {
+            pool: PoolNeed(
+                pool,
+                report.needed_cpu_m,
+                frozenset(load.machine for load in report.loads if not load.runs),
+            )
+            for pool, report in reports.items()
+            if pool in config.working_pools()
+        }
+        fleet = Fleet(
+            self.orders.seen(self.machines),
+            needs,
+            standby,
+            frozenset(leaving),
+            cleared,
+            frozenset(due),
         )
-        self.machines_s = float("-inf")
-        if not done:
-            return
-        plan = self.board.plan
-        maintained = dict(plan.maintained)
-        maintained[wave.number] = (*maintained.get(wave.number, ()), name)
-        self._write(replace(plan, maintained=maintained))
+        change = self.sizer.change(fleet, now_s())
+        moves = [Move(name, pool) for name, pool in change.moves if name not in leaving]
+        return moves, set(change.emptying)
 
-    def _take_turn(self, name: str) -> bool:
-        """Store that an order for a machine follows; False if it is too early."""
-        plan = self.board.plan
-        others = [order for order in plan.orders if order.machine != name]
-        last = next((order for order in plan.orders if order.machine == name), None)
-        foreign = last is not None and last.token != self.token
-        if foreign and wall_s() - last.at_s < self.rules.turn_s:
-            return False
-        orders = (*others, MachineOrder(name, self.token, wall_s()))
-        return self._write(replace(plan, orders=orders))
-
-    def _ask(self, vacating: tuple[str, ...], due: tuple[str, ...]) -> None:
-        plan = self.board.plan
-        if plan.vacating == vacating and plan.due == due:
+    def _maintained(self, plan: FleetPlan) -> dict[int, tuple[str, ...]]:
+        found = {number: set(names) for number, names in plan.maintained.items()}
+        for number, names in self.orders.maintained.items():
+            found.setdefault(number, set()).update(names)
+        return {number: tuple(sorted(names)) for number, names in found.items()}
+
+    def _carry_out(self, orders: list[Maintain | Move], plan: FleetPlan) -> None:
+        """Store the plan and the orders, then give them."""
+        due = [order for order in orders if self._is_turn(order.machine)]
+        if due:
+            names = {order.machine for order in due}
+            kept = [order for order in plan.orders if order.machine not in names]
+            at_s = wall_s()
+            kept += [MachineOrder(name, self.token, at_s) for name in sorted(names)]
+            plan = replace(plan, orders=tuple(kept))
+        if plan != self.board.plan and not self._write(plan):
             return
-        self._write(replace(plan, vacating=vacating, due=due))
+        if due and self.orders.give(due):
+            self.machines_s = float("-inf")
+
+    def _is_turn(self, name: str) -> bool:
+        """Tell whether another coordinator's order is long enough ago."""
+        last = next(
+            (order for order in self.board.plan.orders if order.machine == name), None
+        )
+        if last is None or last.token == self.token:
+            return True
+        return wall_s() - last.at_s >= self.rules.turn_s
 
-    def _complete(self, wave: Wave) -> None:
+    def _complete(self, wave: Wave, plan: FleetPlan) -> FleetPlan:
         self._tell(wave, True)
-        plan = self.board.plan
-        completed = (*plan.completed, wave.number)
-        if self._write(replace(plan, completed=completed)):
-            log(Event.WAVE_COMPLETED, wave=wave.number, machines=len(wave.machines))
+        log(Event.WAVE_COMPLETED, wave=wave.number, machines=len(wave.machines))
+        return replace(plan, completed=(*plan.completed, wave.number))
 
     def _tell(self, wave: Wave, completed: bool) -> None:
-        if self.reported.get(wave.number) == completed:
+        if self.told.get(wave.number) == completed:
             return
         records = self.outside.records
         put = Put(
@@ -247,8 +297,8 @@
             Transaction((self.claims.expect(COORDINATOR),), (put,))
         )
         if not outcome.succeeded:
-            raise HeatherhatchError(ErrorKind.CONFLICT, "the claim is another node's")
-        self.reported[wave.number] = completed
+            raise StoreError(f"{claim_key(COORDINATOR)} is another node's")
+        self.told[wave.number] = completed
 
     def _write(self, plan: FleetPlan) -> bool:
         expects = (
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/grant_keeper.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/grant_keeper.py
@@ -10,7 +10,7 @@
 
 from ..events import Event, log
 from ..transport.store import Expect, PolledStore, Put, Transaction
-from .board import Board, Grant
+from .board import Grant, PlanBoard
 from .clock import now_s
 from .keys import grant_key
 
@@ -37,7 +37,7 @@
     def __init__(
         self,
         store: PolledStore,
-        board: Board,
+        board: PlanBoard,
         pool: str,
         claim: Callable[[], Expect],
         scheduler: Scheduler,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -6,7 +6,7 @@
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
 
 from ..transport.store import PolledStore
-from .board import Board
+from .board import PlanBoard
 from .claims import Claims
 from .clock import now_s
 from .coordinator import Coordinator, CoordinatorRules
@@ -51,7 +51,7 @@
         self.directory = Directory(
             store, outside.records, self._see_worker, self._lose_worker
         )
-        self.board = Board(store)
+        self.board = PlanBoard(store)
         self.intake = Intake(store, self.operators)
         self.holders: dict[str, PoolHolder] = {}
         self.coordinator: Coordinator | None = None
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -16,7 +16,7 @@
 
 from ..events import Event, log
 from ..transport.store import Entry, PolledStore
-from .board import Board
+from .board import PlanBoard
 from .claims import Claims
 from .clock import now_s, wall_s
 from .committer import Committer
@@ -58,7 +58,7 @@
         outside: Outside,
         operators: Operators,
         directory: Directory,
-        board: Board,
+        board: PlanBoard,
         rules: Rules,
     ):
         self.pool = pool
@@ -81,7 +81,7 @@
             store, pool, self._claim, self.may_write, self._stored, self._conflict
         )
         self.grants = GrantKeeper(store, board, pool, self._claim, self.scheduler)
-        self.reports = PoolReports(store, board, self.scheduler, self._claim)
+        self.reports = PoolReports(store, self.scheduler, self._claim, token)
         self.early: dict[str, Progress] = {}
         self.greenlets: list[gevent.Greenlet] = []
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reports.py
@@ -4,16 +4,16 @@
 
 from heatherhatch_core.codec import encode_json
 from heatherhatch_core.coordination.scheduler import Scheduler
-from heatherhatch_core.coordination.scheduler.demand import wanted_cpu_m
 from heatherhatch_core.exceptions import StoreError
 
 from ..events import Event, log
 from ..transport.store import Expect, PolledStore, Put, Transaction
-from .board import Board, MachineLoad, PoolReport
+from .board import MachineLoad, PoolReport
 from .clock import now_s, wall_s
 from .keys import report_key
 
-LEAST_S = 0.4  # least time between two reports, unless a machine became empty
+LEAST_S = 0.25  # least time between two reports, unless a machine became empty
+CHANGE_SHARE = 0.1  # a smaller change of the demand is no reason for a report
 MOST_S = 1.0  # a report is never older than this while the pool is held
 
 
@@ -22,22 +22,22 @@
 
     Args:
         store: The platform's store.
-        board: Knows the revision of the last report.
         scheduler: The pool's scheduler.
         claim: Returns the condition of the pool's claim.
+        token: Fencing token of the claim.
     """
 
     def __init__(
         self,
         store: PolledStore,
-        board: Board,
         scheduler: Scheduler,
         claim: Callable[[], Expect],
+        token: int,
     ):
         self.store = store
-        self.board = board
         self.scheduler = scheduler
         self.claim = claim
+        self.token = token
         self.written_s = float("-inf")
         self.cleared: tuple[str, ...] = ()
         self.last: PoolReport | None = None
@@ -64,16 +64,15 @@
 
     def _differs(self, report: PoolReport) -> bool:
         last = self.last
-        return (
-            last is None
-            or last.waiting != report.waiting
-            or last.cleared != report.cleared
-            or last.wanted_cpu_m != report.wanted_cpu_m
-        )
+        if last is None or last.waiting != report.waiting:
+            return True
+        if last.cleared != report.cleared:
+            return True
+        change = abs(last.needed_cpu_m - report.needed_cpu_m)
+        return change > CHANGE_SHARE * max(last.needed_cpu_m, report.needed_cpu_m)
 
     def _report(self, cleared: tuple[str, ...]) -> PoolReport:
         state = self.scheduler.state
-        usable = [worker for worker in state.workers.values() if worker.usable(now_s())]
         loads = []
         for worker in state.workers.values():
             lasting = sum(
@@ -81,14 +80,14 @@
                 for run in worker.runs.values()
                 if run.task is not None and run.task.step.lasting
             )
-            loads.append(MachineLoad(worker.info.machine, worker.used.cpu_m, lasting))
+            runs = len(worker.runs) + len(worker.strays)
+            loads.append(MachineLoad(worker.info.machine, runs, lasting))
         return PoolReport(
             pool=state.pool,
+            token=self.token,
             at_s=wall_s(),
             waiting=self.scheduler.waiting(),
-            wanted_cpu_m=wanted_cpu_m(state),
-            used_cpu_m=sum(load.used_cpu_m for load in loads),
-            capacity_cpu_m=sum(worker.info.capacity.cpu_m for worker in usable),
+            needed_cpu_m=self.scheduler.needed_cpu_m(now_s()),
             loads=tuple(loads),
             cleared=cleared,
         )
