--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -30,6 +30,7 @@
 ROUND_S = 0.1  # time between two rounds
 LOOK_S = 1.0  # the machines are read this often while nothing is under way
 BUSY_LOOK_S = 0.4  # the same while machines are being moved or maintained
+TELL_S = 1.0  # the sizes are logged as often, and with each move
 RETRY_S = 0.5  # pause after a call that failed
 DOWN = (MachineState.MAINTENANCE, MachineState.DOWN)
 
@@ -91,6 +92,7 @@
         self.machines: dict[str, Machine] = {}
         self.machines_s = float("-inf")
         self.told: dict[int, bool] = {}
+        self.told_s = float("-inf")
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -248,9 +250,32 @@
             frozenset(due),
         )
         change = self.sizer.change(fleet, now_s())
+        self._tell_sizes(fleet, len(change.moves), len(change.emptying))
         moves = [Move(name, pool) for name, pool in change.moves if name not in leaving]
         return moves, set(change.emptying)
 
+    def _tell_sizes(self, fleet: Fleet, moves: int, emptying: int) -> None:
+        if now_s() - self.told_s < TELL_S and not moves:
+            return
+        self.told_s = now_s()
+        sizes = {
+            pool: (
+                sum(1 for item in fleet.machines.values() if item.pool == pool),
+                len(need.idle),
+                need.cpu_m,
+            )
+            for pool, need in sorted(fleet.needs.items())
+        }
+        log(
+            Event.DECIDED,
+            what="sizes",
+            sizes=sizes,
+            moves=moves,
+            emptying=emptying,
+            leaving=len(fleet.leaving),
+            machines_age_s=round(now_s() - self.machines_s, 2),
+        )
+
     def _maintained(self, plan: FleetPlan) -> dict[int, tuple[str, ...]]:
         found = {number: set(names) for number, names in plan.maintained.items()}
         for number, names in self.orders.maintained.items():
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -111,8 +111,7 @@
                 gevent.sleep(IDLE_S)
                 continue
             sent_s = now_s()
-            deadline_ms = worker.next_deadline_ms(sent_s) if worker.fenced else 0
-            worker.note_deadline(deadline_ms)
+            deadline_ms = self._deadline_ms(worker, sent_s)
             wait_s = self._wait_s(worker) if worker.fenced else 0.0
             try:
                 report = self.control.renew(
@@ -140,6 +139,16 @@
             # An answer would come at once as long as ends are not acknowledged.
             gevent.sleep(0.01)
 
+    def _deadline_ms(self, worker, sent_s: float) -> int:
+        """Return the end of the lease to ask for; 0 to ask for none."""
+        if not worker.fenced or self.silent_since_s != float("inf"):
+            # Each renewal without an answer may have been taken: if they went on,
+            # the lease of a worker that is gone would never be over.
+            return 0
+        deadline_ms = worker.next_deadline_ms(sent_s)
+        worker.note_deadline(deadline_ms)
+        return deadline_ms
+
     def _wait_s(self, worker) -> float:
         serving = any(
             run.task is not None and run.task.step.tail_target_ms
