--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -139,12 +139,13 @@
 
 def _allowed(state: PoolState, task: Task, need: Resources) -> bool:
     team = task.job.job.team
-    allowance = state.allowances.get(team)
-    if allowance is None:
+    if team not in state.limited:
         return True
     if task.step.fills:
         need = Resources(0, need.memory_mb, need.accelerators)
-    if (state.team_used[team] + need).within(allowance):
+    # A new holder, or a new limit, has no allowance until one is stored.
+    allowance = state.allowances.get(team)
+    if allowance is not None and (state.team_used[team] + need).within(allowance):
         return True
     state.short[team] = state.short.get(team, Resources()) + need
     return False
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -1,7 +1,7 @@
 """The scheduler of one pool behind one interface."""
 
 from ...state.fleet_configuration import FleetConfiguration
-from ...state.resources import Resources
+from ...state.resources import NOTHING, Resources
 from ...state.work import Job, JobStatus, Phase, Progress
 from .demand import Arrivals, needed_cpu_m
 from .evacuation import cleared_machines, step_evacuation
@@ -46,6 +46,9 @@
     def configure(self, config: FleetConfiguration) -> None:
         """Take over a version of the configuration."""
         self.state.queues = {queue.name: queue for queue in config.queues}
+        self.state.limited = frozenset(
+            team.name for team in config.teams if team.limit != NOTHING
+        )
         pool = config.pool_named(self.state.pool)
         self.state.guards = pool is not None and pool.guards_capacity
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -32,7 +32,8 @@
         jobs: Jobs that are not final, or whose end is not stored yet.
         workers: Workers by identifier.
         team_used: What each team has running here.
-        allowances: What each team may have running here; absent for no bound.
+        limited: Teams that have a limit.
+        allowances: What each of them may have running here; nothing if absent.
         short: Teams that were kept back by their allowance, with the need.
         vacating: Machines that shall become empty.
         upkeep_due: Machines that a wave will take down.
@@ -53,6 +54,7 @@
     team_used: dict[str, Resources] = field(
         default_factory=lambda: defaultdict(Resources)
     )
+    limited: frozenset[str] = frozenset()
     allowances: dict[str, Resources] = field(default_factory=dict)
     short: dict[str, Resources] = field(default_factory=dict)
     vacating: frozenset[str] = frozenset()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,6 +9,7 @@
     StartResult,
     StopOrder,
 )
+from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_core.state.work import Phase
 from pool_model import PoolModel, job_of, step_of
@@ -131,7 +132,20 @@
     assert model.alive() == []
 
 
+LIMITED = dataclasses.replace(CONFIG, teams=(Team("a", limit=Resources(9000, 0, 0)),))
+
+
+def test_a_team_with_a_limit_starts_nothing_before_its_part_is_known(model):
+    model.scheduler.configure(LIMITED)
+    model.add(job_of(step_of(5), team="a"))
+    assert model.alive() == []
+    model.scheduler.allow({"a": Resources(2000, 0, 0)})
+    model.round()
+    assert len(model.alive()) == 2
+
+
 def test_a_team_starts_nothing_beyond_its_allowance(model):
+    model.scheduler.configure(LIMITED)
     model.scheduler.allow({"a": Resources(2000, 0, 0)})
     model.add(job_of(step_of(5), team="a"))
     assert len(model.alive()) == 2
