--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
@@ -24,7 +24,7 @@
     reserve_cpu_m: int = 32_000
     fill: float = 0.9
     least: int = 2
-    give_s: float = 3.0
+    give_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
@@ -36,7 +36,7 @@
                 state.stop_run(run, now_s)
 
 
-def cleared_machines(state: PoolState) -> set[str]:
+def cleared_machines(state: PoolState) -> dict[str, int]:
     """Return the machines of this pool to be emptied on which nothing is left."""
     busy = set()
     known = set()
@@ -46,7 +46,8 @@
         if worker.runs or worker.strays:
             busy.add(worker.info.machine)
     # Machines of other pools are none of this pool's business.
-    return (state.vacating & known) - busy
+    asked = {**state.resting, **state.vacating}
+    return {name: asked[name] for name in asked if name in known - busy}
 
 
 def _shall_stop(state: PoolState, worker: Worker, run: Run, waited_s: float) -> bool:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -36,7 +36,8 @@
 def place_tasks(state: PoolState, now_s: float, wall_s: float) -> int:
     """Place ready tasks on workers; return how many."""
     workers = [worker for worker in state.workers.values() if worker.usable(now_s)]
-    workers = [item for item in workers if item.info.machine not in state.vacating]
+    closed = state.vacating.keys() | state.resting.keys()
+    workers = [item for item in workers if item.info.machine not in closed]
     state.short.clear()
     this = Round(state, workers, now_s, wall_s)
     for job in list(state.jobs.values()):
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -1,5 +1,7 @@
 """The scheduler of one pool behind one interface."""
 
+from collections.abc import Mapping
+
 from ...state.fleet_configuration import FleetConfiguration
 from ...state.resources import NOTHING, Resources
 from ...state.work import Job, JobStatus, Phase, Progress
@@ -124,13 +126,25 @@
         """Set what each team may have running in this pool."""
         self.state.allowances = allowances
 
-    def vacate(self, machines: frozenset[str], upkeep_due: frozenset[str]) -> None:
-        """Set the machines to be emptied, and those that a wave takes down."""
+    def vacate(
+        self,
+        machines: Mapping[str, int],
+        resting: Mapping[str, int],
+        upkeep_due: frozenset[str] = frozenset(),
+    ) -> None:
+        """Set the machines to be emptied, each with the number of the request.
+
+        Args:
+            machines: What can be moved off these is moved.
+            resting: These get nothing new; what runs there ends by itself.
+            upkeep_due: These will be taken down by a wave.
+        """
         self.state.vacating = machines
+        self.state.resting = resting
         self.state.upkeep_due = upkeep_due
 
-    def cleared(self) -> set[str]:
-        """Return the machines to be emptied that are empty."""
+    def cleared(self) -> dict[str, int]:
+        """Return the machines to be emptied that are, with the request's number."""
         return cleared_machines(self.state)
 
     def decide(self, now_s: float, wall_s: float) -> None:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -1,6 +1,7 @@
 """What the scheduler of one pool knows, and the changes that runs bring."""
 
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ...state.fleet_configuration import Queue
@@ -35,7 +36,9 @@
         limited: Teams that have a limit.
         allowances: What each of them may have running here; nothing if absent.
         short: Teams that were kept back by their allowance, with the need.
-        vacating: Machines that shall become empty.
+        vacating: Machines that shall become empty soon, with the number of the
+            request; what can move is moved.
+        resting: The same for machines on which what runs ends by itself.
         upkeep_due: Machines that a wave will take down.
         changed: Jobs with changes that are not being stored.
         orders: Orders to be sent.
@@ -57,7 +60,8 @@
     limited: frozenset[str] = frozenset()
     allowances: dict[str, Resources] = field(default_factory=dict)
     short: dict[str, Resources] = field(default_factory=dict)
-    vacating: frozenset[str] = frozenset()
+    vacating: Mapping[str, int] = field(default_factory=dict)
+    resting: Mapping[str, int] = field(default_factory=dict)
     upkeep_due: frozenset[str] = frozenset()
     changed: set[str] = field(default_factory=set)
     orders: list[Order] = field(default_factory=list)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -1,6 +1,7 @@
 """What holders of roles tell each other through the store."""
 
 import msgspec
+from msgspec.structs import replace
 
 from heatherhatch_core.codec import decode_json
 from heatherhatch_core.exceptions import HeatherhatchError
@@ -38,7 +39,8 @@
         waiting: Jobs of each queue that have not begun.
         needed_cpu_m: Thousandths of a core that the pool's work would use.
         loads: Load of each machine.
-        cleared: Machines to be emptied that are empty.
+        cleared: Machines to be emptied that are, with the number of the request:
+            an answer to an earlier request says nothing of what runs there now.
     """
 
     pool: str
@@ -47,7 +49,7 @@
     waiting: dict[str, int]
     needed_cpu_m: int
     loads: tuple[MachineLoad, ...]
-    cleared: tuple[str, ...]
+    cleared: dict[str, int]
 
 
 class MachineOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -68,20 +70,55 @@
     """What the coordinator asks of the holders, and keeps for its successor.
 
     Attributes:
-        vacating: Machines to be emptied.
+        vacating: Machines to be emptied soon, each with the number of the request.
+        resting: Machines that shall get nothing new until they are empty.
+        requests: Number of the last request.
         due: Machines that a wave will take down.
         maintained: Machines of each wave that have had their turn.
         completed: Waves that were reported as completed.
         orders: Last order for each machine that was given one.
     """
 
-    vacating: tuple[str, ...] = ()
+    vacating: dict[str, int] = {}
+    resting: dict[str, int] = {}
+    requests: int = 0
     due: tuple[str, ...] = ()
     maintained: dict[int, tuple[str, ...]] = {}
     completed: tuple[int, ...] = ()
     orders: tuple[MachineOrder, ...] = ()
 
 
+def with_requests(plan: FleetPlan, vacating: set[str], resting: set[str]) -> FleetPlan:
+    """Return a plan that asks for these machines to be emptied.
+
+    A request that goes on keeps its number; one that is made anew gets a new one.
+    """
+    known = {**plan.resting, **plan.vacating}
+    last = plan.requests
+    numbers = {}
+    for machine in sorted(vacating | resting):
+        if machine not in known:
+            last += 1
+        numbers[machine] = known.get(machine, last)
+    return replace(
+        plan,
+        vacating={name: numbers[name] for name in sorted(vacating)},
+        resting={name: numbers[name] for name in sorted(resting - vacating)},
+        requests=last,
+    )
+
+
+def cleared_machines(plan: FleetPlan, reports: list[PoolReport]) -> frozenset[str]:
+    """Return the machines that were found empty on the request that stands."""
+    asked = {**plan.resting, **plan.vacating}
+    return frozenset(
+        machine
+        for report in reports
+        for machine, number in report.cleared.items()
+        if asked.get(machine) == number
+    )
+
+
 class Grant(msgspec.Struct, frozen=True):
     """The division of one team's limit over the pools.
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -19,7 +19,15 @@
 from ..events import Event, log
 from ..transport.http import ExchangeError
 from ..transport.store import Expect, PolledStore, Put, Transaction
-from .board import FleetPlan, MachineOrder, PlanBoard, PoolReport, ReportBoard
+from .board import (
+    FleetPlan,
+    MachineOrder,
+    PlanBoard,
+    PoolReport,
+    ReportBoard,
+    cleared_machines,
+    with_requests,
+)
 from .claims import Claims
 from .clock import now_s, wall_s
 from .keys import COORDINATOR, PLAN_KEY, claim_key, pool_role
@@ -133,10 +141,8 @@
     def _round(self) -> None:
         self._look()
         reports = self._current_reports()
-        cleared = frozenset(
-            machine for report in reports.values() for machine in report.cleared
-        )
         plan = self.board.plan
+        cleared = cleared_machines(plan, list(reports.values()))
         maintain: list[Maintain] = []
         emptying: set[str] = set()
         due: set[str] = set()
@@ -153,8 +159,7 @@
         taken = {order.machine for order in maintain}
         moves, giving = self._sizes(reports, cleared, emptying | taken, due)
         plan = replace(
-            plan,
-            vacating=tuple(sorted(emptying | giving | taken)),
+            with_requests(plan, emptying | taken, giving),
             due=tuple(sorted(due)),
             maintained=self._maintained(plan),
         )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -223,7 +223,7 @@
             return
         self.scheduler.configure(config)
         plan = self.board.plan
-        self.scheduler.vacate(frozenset(plan.vacating), frozenset(plan.due))
+        self.scheduler.vacate(plan.vacating, plan.resting, frozenset(plan.due))
         if self.may_order() and self.board.read:
             self.scheduler.decide(now_s(), wall_s())
         self._flush()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reports.py
@@ -39,12 +39,12 @@
         self.claim = claim
         self.token = token
         self.written_s = float("-inf")
-        self.cleared: tuple[str, ...] = ()
+        self.cleared: dict[str, int] = {}
         self.last: PoolReport | None = None
 
     def step(self) -> None:
         """Write a report if one is due."""
-        cleared = tuple(sorted(self.scheduler.cleared()))
+        cleared = self.scheduler.cleared()
         age_s = now_s() - self.written_s
         if age_s < (0.0 if cleared != self.cleared else LEAST_S):
             return
@@ -71,7 +71,7 @@
         change = abs(last.needed_cpu_m - report.needed_cpu_m)
         return change > CHANGE_SHARE * max(last.needed_cpu_m, report.needed_cpu_m)
 
-    def _report(self, cleared: tuple[str, ...]) -> PoolReport:
+    def _report(self, cleared: dict[str, int]) -> PoolReport:
         state = self.scheduler.state
         loads = []
         for worker in state.workers.values():
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """The scheduler of one pool, event by event."""
 
+import dataclasses
+
 import pytest
 
 from heatherhatch_core.coordination.scheduler import (
@@ -12,7 +14,7 @@
 from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_core.state.work import Phase
-from pool_model import PoolModel, job_of, step_of
+from pool_model import CONFIG, PoolModel, job_of, step_of
 
 
 @pytest.fixture
@@ -170,10 +172,10 @@
 
 def test_only_machines_of_the_pool_are_reported_as_empty(model):
     model.add(job_of(step_of(16)))
-    model.scheduler.vacate(frozenset({"m0", "of-another-pool"}), frozenset())
-    assert model.scheduler.cleared() == set()
+    model.scheduler.vacate({"m0": 1, "of-another-pool": 2}, {})
+    assert model.scheduler.cleared() == {}
     model.finish()
-    assert model.scheduler.cleared() == {"m0"}
+    assert model.scheduler.cleared() == {"m0": 1}
 
 
 def test_lasting_tasks_leave_a_machine_one_by_one():
@@ -185,11 +187,11 @@
     busy = {
         model.scheduler.state.workers[item[0]].info.machine for item in model.alive()
     }
-    model.scheduler.vacate(frozenset(sorted(busy)[:2]), frozenset())
+    model.scheduler.vacate(dict.fromkeys(sorted(busy)[:2], 1), {})
     for _round in range(12):
         before = len(model.alive())
         model.round()
         assert before - len(model.alive()) <= 1
         model.listen_all()
-    assert model.scheduler.cleared() == set(sorted(busy)[:2])
+    assert set(model.scheduler.cleared()) == set(sorted(busy)[:2])
     assert len(model.alive()) == 4
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -2,7 +2,6 @@
 
 import gevent
 import pytest
-from pool_model import PoolModel, job_of, step_of
 
 from heatherhatch_core.exceptions import ErrorKind, FencedError
 from heatherhatch_daemon.pools import clock
@@ -10,6 +9,7 @@
 from heatherhatch_daemon.pools.worker_link import WorkerLink
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.http import ExchangeError
+from pool_model import PoolModel, job_of, step_of
 
 
 class Control:
