--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -39,12 +39,12 @@
 
 def objective_s(state: PoolState, job: LiveJob, occurrence: int) -> float:
     """Return how long an occurrence may take to be on time, seconds."""
-    queue = state.queue_of(job)
-    return queue.stretch * chain_s(state, job, occurrence, False) + queue.target_s
+    terms = job.job.terms
+    return terms.stretch * chain_s(state, job, occurrence, False) + terms.target_s
 
 
 def _key(state: PoolState, job: LiveJob, wall_s: float) -> tuple:
-    priority = state.queue_of(job).priority
+    priority = job.job.terms.priority
     if any(step.lasting for step in job.job.steps):
         return (-1, priority, job.job.accepted_s, job.job.job_id)
     occurrence = min(job.expanded, default=0)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -199,8 +199,7 @@
         return False
     if step.spread and count + _beside(task, worker) >= step.spread:
         return False
-    queue = this.state.queue_of(task.job)
-    if queue.advice is not None:
+    if task.job.job.queue in this.state.advice:
         name = step_of(task.name)
         if not this.state.permits.allows(name, worker.worker_id, this.now_s):
             this.state.permits.wanted.add(name)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -47,7 +47,9 @@
 
     def configure(self, config: FleetConfiguration) -> None:
         """Take over a version of the configuration."""
-        self.state.queues = {queue.name: queue for queue in config.queues}
+        self.state.advice = {
+            queue.name: queue.advice for queue in config.queues if queue.advice
+        }
         self.state.limited = frozenset(
             team.name for team in config.teams if team.limit != NOTHING
         )
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ...state.fleet_configuration import Queue
+from ...state.fleet_configuration import AdviceRules
 from ...state.resources import Resources
 from ...state.work import Phase
 from .live import LiveJob, Run, RunState, Task
@@ -17,7 +17,6 @@
 LASTING_PAUSE_S = 0.25  # pause before a lasting task that keeps failing is retried
 LASTING_PAUSE_MOST_S = 2.0  # well inside the 6 s in which it has to be back
 STOP_AGAIN_S = 0.6  # a stop without effect is repeated after stop_s and a trip
-PLAIN_QUEUE = Queue("", "", "/", "")
 
 
 @dataclass(slots=True, eq=False)
@@ -29,7 +28,7 @@
         rules: Bounds.
         claimed_s: When this holder took the pool over.
         guards: True if the workers refuse what does not fit.
-        queues: Queues by name.
+        advice: Rules of the policy service, by queue; absent without any.
         jobs: Jobs that are not final, or whose end is not stored yet.
         workers: Workers by identifier.
         team_used: What each team has running here.
@@ -51,7 +50,7 @@
     rules: Rules
     claimed_s: float
     guards: bool = False
-    queues: dict[str, Queue] = field(default_factory=dict)
+    advice: dict[str, AdviceRules] = field(default_factory=dict)
     jobs: dict[str, LiveJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     team_used: dict[str, Resources] = field(
@@ -69,10 +68,6 @@
     permits: Permits = field(default_factory=Permits)
     notes: list[tuple[str, dict]] = field(default_factory=list)
 
-    def queue_of(self, job: LiveJob) -> Queue:
-        """Return the queue of a job, with defaults if it was removed."""
-        return self.queues.get(job.job.queue, PLAIN_QUEUE)
-
     def note(self, what: str, **details: object) -> None:
         """Keep a decision for the log."""
         self.notes.append((what, details))
@@ -260,7 +255,7 @@
         for member in members:
             member.failures += 1
         task.avoid.add(run.worker_id)
-        if task.failures >= self.queue_of(task.job).attempts:
+        if task.failures >= task.job.job.terms.attempts:
             task.job.phase = Phase.FAILED
 
     def _lasting_ended(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/wave_plan.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/wave_plan.py
@@ -55,7 +55,11 @@
     """
     most = max(1, state.wave.at_once)
     free = max(0, most - len(state.down))
-    up = [name for name in state.open if state.machines[name].state is MachineState.UP]
+    up = [
+        name
+        for name in state.open
+        if state.machines[name].state is MachineState.UP and name not in state.taken
+    ]
     empty = [
         name
         for name in up
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -80,6 +80,25 @@
     count: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the queue promised when a job was accepted.
+
+    They stay with the job, whatever becomes of its queue.
+
+    Attributes:
+        attempts: Failed runs after which a task fails its job.
+        priority: 0 goes first.
+        stretch: Objective, in lengths of the longest chain of work.
+        target_s: Time that the objective adds to the chain, seconds.
+    """
+
+    attempts: int = 1
+    priority: int = 0
+    stretch: float = 1.0
+    target_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """A job as it was accepted; never changes.
@@ -93,6 +112,7 @@
         steps: Its steps.
         schedule: When they run.
         accepted_s: When it was accepted, seconds since the epoch.
+        terms: What its queue promised.
     """
 
     job_id: str
@@ -103,6 +123,7 @@
     steps: tuple[Step, ...]
     schedule: Schedule = Schedule()
     accepted_s: float = 0.0
+    terms: Terms = Terms()
 
 
 class JobStatus(msgspec.Struct, frozen=True):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -96,9 +96,12 @@
         self.rules = rules
         self.reports = ReportBoard(store)
         self.sizer = PoolSizer()
-        self.orders = MachineOrders(outside.machines, node, token, self.may_act)
+        self.orders = MachineOrders(
+            outside.machines, node, token, self.may_act, rules.maintenance_s
+        )
         self.machines: dict[str, Machine] = {}
         self.machines_s = float("-inf")
+        self.asked_s = float("-inf")
         self.told: dict[int, bool] = {}
         self.told_s = float("-inf")
         self.greenlet: gevent.Greenlet | None = None
@@ -189,7 +192,9 @@
         )
         if now_s() - self.machines_s < (BUSY_LOOK_S if busy else LOOK_S):
             return
+        asked_s = now_s()
         self.machines = {item.name: item for item in self.outside.machines.machines()}
+        self.asked_s = asked_s
         self.machines_s = now_s()
 
     def _wave_state(
@@ -209,22 +214,29 @@
                 for report in reports.values()
                 for load in report.loads
             },
-            down=frozenset(self._down(done)),
+            down=frozenset(self._down(wave)),
         )
 
-    def _down(self, done: set[str]) -> set[str]:
+    def _down(self, wave: Wave) -> set[str]:
         """Return the machines that may be down for their maintenance."""
-        orders = {order.machine: order for order in self.board.plan.orders}
-        down = set()
-        for name in done:
-            machine = self.machines.get(name)
-            order = orders.get(name)
-            young = order is not None and (
-                wall_s() - order.at_s < self.rules.maintenance_s
+        return {
+            name
+            for name in wave.machines
+            if name in self.machines
+            and (
+                self.machines[name].state in DOWN
+                or self.orders.may_be_down(name, self.asked_s)
+                or self._was_ordered(name)
             )
-            if machine is not None and (young or machine.state in DOWN):
-                down.add(name)
-        return down
+        }
+
+    def _was_ordered(self, name: str) -> bool:
+        """Tell whether an earlier coordinator's order may still be under way."""
+        order = self._last_order(name)
+        if order is None or order.token == self.token:
+            return False
+        age_s = wall_s() - order.at_s
+        return age_s < self.rules.turn_s + self.rules.maintenance_s
 
     def _sizes(
         self,
@@ -303,13 +315,15 @@
 
     def _is_turn(self, name: str) -> bool:
         """Tell whether another coordinator's order is long enough ago."""
-        last = next(
-            (order for order in self.board.plan.orders if order.machine == name), None
-        )
+        last = self._last_order(name)
         if last is None or last.token == self.token:
             return True
         return wall_s() - last.at_s >= self.rules.turn_s
 
+    def _last_order(self, name: str) -> MachineOrder | None:
+        orders = self.board.plan.orders
+        return next((order for order in orders if order.machine == name), None)
+
     def _complete(self, wave: Wave, plan: FleetPlan) -> FleetPlan:
         self._tell(wave, True)
         log(Event.WAVE_COMPLETED, wave=wave.number, machines=len(wave.machines))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration, Queue
-from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step
+from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step, Terms
 
 from ..events import Event, log
 from ..transport.store import Expect, PolledStore, Put, Transaction
@@ -97,6 +97,7 @@
                 steps,
                 schedule,
                 wall_s(),
+                _terms(caller.queue),
             )
             if self._store(job):
                 return
@@ -228,6 +229,10 @@
         return status, entry.revision
 
 
+def _terms(queue: Queue) -> Terms:
+    return Terms(queue.attempts, queue.priority, queue.stretch, queue.target_s)
+
+
 def _identify(config: FleetConfiguration, host: str, path: str, key: str) -> Caller:
     queue = config.queue_at(host, path)
     if queue is None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/machine_orders.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/machine_orders.py
@@ -16,6 +16,8 @@
 from .ports import MachineControl
 
 SEEN_S = 3.0  # by then the provider's list shows a move that was accepted
+UNKNOWN_S = 15.0  # an order without an answer may be carried out 12 s later
+MARGIN_S = 0.25  # a machine may come up a little after its time
 PAUSE_S = 0.5  # a machine that refused an order is asked again after this time
 
 
@@ -53,6 +55,7 @@
         holder: Name of the node, as the provider is told.
         token: Fencing token of the coordinator's claim.
         may_act: Tells whether orders may be given at this moment.
+        maintenance_s: How long a machine is down for its maintenance, seconds.
     """
 
     def __init__(
@@ -61,12 +64,15 @@
         holder: str,
         token: int,
         may_act: Callable[[], bool],
+        maintenance_s: float,
     ):
+        self.maintenance_s = maintenance_s
         self.control = control
         self.holder = holder
         self.token = token
         self.may_act = may_act
         self.maintained: dict[int, set[str]] = {}
+        self.down_until_s: dict[str, float] = {}
         self.moved: dict[str, tuple[str, float]] = {}
         self.paused_s: dict[str, float] = {}
 
@@ -106,6 +112,15 @@
                 )
         return found
 
+    def may_be_down(self, name: str, list_s: float) -> bool:
+        """Tell whether a machine may be down for its maintenance.
+
+        Args:
+            name: The machine.
+            list_s: When the provider was asked for its list of machines.
+        """
+        return list_s < self.down_until_s.get(name, float("-inf"))
+
     def _give(self, order: Maintain | Move) -> bool | FencedError:
         if not self.may_act():
             return False
@@ -133,7 +148,13 @@
 
     @_send.register
     def _maintain(self, order: Maintain) -> bool:
+        # Until an answer comes it may begin at any time.
+        self.down_until_s[order.machine] = now_s() + UNKNOWN_S
         done = self.control.maintain(order.machine, order.wave, self.holder, self.token)
+        # It is down from some moment before the answer on. Only a list that was
+        # asked for after it must be up again tells that it is.
+        lasts_s = self.maintenance_s + MARGIN_S if done else 0.0
+        self.down_until_s[order.machine] = now_s() + lasts_s
         if done:
             self.maintained.setdefault(order.wave, set()).add(order.machine)
         return done
--- a/tests/pool_model.py
+++ b/tests/pool_model.py
@@ -17,7 +17,7 @@
 )
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration, Pool, Queue
 from heatherhatch_core.state.resources import Resources
-from heatherhatch_core.state.work import Job, Schedule, Step
+from heatherhatch_core.state.work import Job, Schedule, Step, Terms
 
 POOL = "till"
 QUEUE = Queue("q", "h", "/q/", POOL, attempts=3, stretch=1.6, target_s=0.6)
@@ -26,7 +26,8 @@
 
 def job_of(*steps: Step, job_id: str = "j1", team: str = "", at_s: float = 0.0) -> Job:
     """Return a job of the model's queue."""
-    return Job(job_id, QUEUE.name, POOL, team, "run", steps, Schedule(), at_s)
+    terms = Terms(QUEUE.attempts, QUEUE.priority, QUEUE.stretch, QUEUE.target_s)
+    return Job(job_id, QUEUE.name, POOL, team, "run", steps, Schedule(), at_s, terms)
 
 
 def step_of(count: int = 1, cores: float = 1, **rest) -> Step:
--- /dev/null
+++ b/tests/test_machine_orders.py
@@ -0,0 +1,138 @@
+"""Orders for machines, and which machines of a wave may be down."""
+
+import pytest
+
+from heatherhatch_core.coordination.wave_plan import WaveState, next_machines
+from heatherhatch_core.exceptions import ErrorKind, FencedError
+from heatherhatch_core.state.maintenance import Machine, MachineState, Wave
+from heatherhatch_daemon.pools import machine_orders
+from heatherhatch_daemon.pools.machine_orders import MachineOrders, Maintain, Move
+from heatherhatch_daemon.transport.http import ExchangeError
+
+DOWN_S = 2.0
+
+
+class Provider:
+    """The provider's interface, with the next answer set by the test."""
+
+    def __init__(self):
+        self.calls = []
+        self.error = None
+
+    def maintain(self, machine, wave, holder, token):
+        return self._answer(("maintain", machine, wave, holder, token))
+
+    def move(self, machine, pool, holder, token):
+        return self._answer(("move", machine, pool, holder, token))
+
+    def _answer(self, call):
+        self.calls.append(call)
+        if self.error is not None:
+            raise self.error
+        return True
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock that a test sets by hand."""
+    now = [1000.0]
+    monkeypatch.setattr(machine_orders, "now_s", lambda: now[0])
+    return now
+
+
+@pytest.fixture
+def provider() -> Provider:
+    return Provider()
+
+
+@pytest.fixture
+def orders(provider, clock) -> MachineOrders:
+    return MachineOrders(provider, "me", 5, lambda: True, DOWN_S)
+
+
+def test_a_machine_is_up_again_only_by_a_list_asked_for_after_its_time(orders, clock):
+    """The list of machines is a moment old when it is used."""
+    assert orders.give([Maintain("m1", 1)]) == 1
+    assert orders.may_be_down("m1", clock[0] - 0.3)
+    assert orders.may_be_down("m1", clock[0] + DOWN_S)
+    assert not orders.may_be_down("m1", clock[0] + DOWN_S + 1)
+    assert not orders.may_be_down("m2", clock[0])
+
+
+def test_an_order_without_an_answer_may_take_the_machine_down_later(
+    orders, provider, clock
+):
+    provider.error = ExchangeError(ErrorKind.BACKEND_TIMEOUT, "no answer", True)
+    assert orders.give([Maintain("m1", 1)]) == 0
+    assert orders.may_be_down("m1", clock[0] + 12)
+    assert orders.maintained == {}
+
+
+def test_a_machine_without_an_answer_is_not_asked_again_at_once(
+    orders, provider, clock
+):
+    provider.error = ExchangeError(ErrorKind.BACKEND_TIMEOUT, "no answer", True)
+    orders.give([Maintain("m1", 1)])
+    orders.give([Maintain("m1", 1)])
+    assert len(provider.calls) == 1
+    clock[0] += 1
+    orders.give([Maintain("m1", 1)])
+    assert len(provider.calls) == 2
+
+
+def test_a_refusal_by_a_newer_coordinator_is_passed_on(orders, provider):
+    provider.error = FencedError("newer")
+    with pytest.raises(FencedError):
+        orders.give([Move("m1", "red")])
+
+
+def test_a_move_counts_until_the_list_shows_it(orders, clock):
+    machine = Machine("m1", "blue", MachineState.UP)
+    orders.give([Move("m1", "red")])
+    assert orders.seen({"m1": machine})["m1"].pool == "red"
+    shown = Machine("m1", "red", MachineState.UP)
+    assert orders.seen({"m1": shown}) == {"m1": shown}
+
+
+def wave_of(count: int, at_once: int, **known) -> WaveState:
+    names = tuple(f"m{number}" for number in range(count))
+    machines = {name: Machine(name, "red", MachineState.UP) for name in names}
+    known.setdefault("working", frozenset({"red"}))
+    return WaveState(Wave(1, names, 20.0, at_once), machines, **known)
+
+
+def test_no_more_machines_go_down_than_the_wave_allows():
+    state = wave_of(6, 2, cleared=frozenset({"m0", "m1", "m2"}), down=frozenset({"m5"}))
+    ready, _emptying = next_machines(state)
+    assert ready == ["m0"]
+
+
+def test_an_empty_machine_stays_reserved_until_its_turn():
+    state = wave_of(6, 1, cleared=frozenset({"m0", "m1"}))
+    ready, emptying = next_machines(state)
+    assert ready == ["m0"]
+    assert {"m0", "m1"} <= set(emptying)
+
+
+def test_machines_that_are_off_need_not_be_emptied():
+    state = wave_of(3, 3, working=frozenset())
+    ready, emptying = next_machines(state)
+    assert ready == ["m0", "m1", "m2"]
+    assert emptying == []
+
+
+def test_a_machine_on_its_way_to_another_pool_waits():
+    state = wave_of(2, 2, working=frozenset(), taken=frozenset({"m0"}))
+    assert next_machines(state)[0] == ["m1"]
+
+
+def test_what_has_least_to_move_is_emptied_first():
+    state = wave_of(5, 1, loads={"m0": 9, "m1": 0, "m2": 3, "m3": 9, "m4": 9})
+    assert next_machines(state) == ([], ["m1", "m2"])
+
+
+def test_a_wave_is_finished_when_every_machine_that_stays_had_its_turn():
+    state = wave_of(2, 1, done=frozenset({"m0"}))
+    assert not state.finished
+    gone = WaveState(state.wave, {"m0": state.machines["m0"]}, frozenset({"m0"}))
+    assert gone.finished
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,6 +7,8 @@
 from heatherhatch_core.coordination.scheduler import (
     Ending,
     Report,
+    Rules,
+    Scheduler,
     StartOrder,
     StartResult,
     StopOrder,
@@ -14,7 +16,7 @@
 from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_core.state.work import Phase
-from pool_model import CONFIG, PoolModel, job_of, step_of
+from pool_model import CONFIG, POOL, PoolModel, job_of, step_of
 
 
 @pytest.fixture
@@ -65,6 +67,18 @@
     assert model.alive() == []
 
 
+def test_a_failed_run_counts_by_the_terms_that_the_job_was_accepted_with(model):
+    """Also before the new holder has seen a configuration, or without the queue."""
+    model.scheduler = Scheduler(POOL, Rules(), model.now_s)
+    for worker in model.workers.values():
+        model.scheduler.see_worker(worker.info, model.now_s)
+    model.listen_all()
+    model.add(job_of(step_of()))
+    model.finish(Ending.FAILED)
+    assert [run for _worker, _task, run in model.alive()] == [2]
+    assert Phase.FAILED not in model.phases()
+
+
 def test_a_cancelled_job_is_stopped_and_starts_nothing_more(model):
     model.add(job_of(step_of(2), step_of(after=(0,))))
     model.scheduler.cancel("j1", model.now_s)
