--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
@@ -13,8 +13,9 @@
     """Bounds of the sizes of pools.
 
     Attributes:
-        reserve_cpu_m: Thousandths of a core that each pool keeps free for what
-            comes before another machine can be brought in.
+        reserve_cpu_m: Least thousandths of a core that each pool keeps free for
+            what comes before another machine can be brought in.
+        reserve_share: The same as a part of the pool's even share of the fleet.
         fill: Part of a machine that tasks fill in practice; what is left is too
             small for the next one.
         least: Machines that a pool keeps, so that one may be lost.
@@ -22,6 +23,7 @@
     """
 
     reserve_cpu_m: int = 32_000
+    reserve_share: float = 0.15
     fill: float = 0.9
     least: int = 2
     give_s: float = 1.0
@@ -119,9 +121,12 @@
             tuple(moves), frozenset(self.giving - {name for name, _pool in moves})
         )
 
-    def wanted_cpu_m(self, need: PoolNeed) -> int:
+    def wanted_cpu_m(self, fleet: Fleet, pool: str) -> int:
         """Return the thousandths of a core that a pool should have."""
-        return int((need.cpu_m + self.rules.reserve_cpu_m) / self.rules.fill)
+        total = sum(machine.capacity.cpu_m for machine in fleet.machines.values())
+        share = self.rules.reserve_share * total / len(fleet.needs)
+        reserve = max(self.rules.reserve_cpu_m, share)
+        return int((fleet.needs[pool].cpu_m + reserve) / self.rules.fill)
 
     def _members(self, fleet: Fleet, pool: str) -> list[Machine]:
         return [
@@ -140,7 +145,7 @@
             if machine.name not in fleet.leaving
         ]
         have = sum(machine.capacity.cpu_m for machine in staying)
-        lacking = self.wanted_cpu_m(fleet.needs[pool]) - have
+        lacking = self.wanted_cpu_m(fleet, pool) - have
         if len(staying) < self.rules.least:
             lacking = max(lacking, 1)
         return lacking
