--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -14,8 +14,8 @@
 from .feed import Feed
 from .keys import CLAIM_PREFIX, claim_key
 
-TTL_S = 3  # a lost holder's roles are free after this time
-RENEW_S = 0.6  # five renewals in the life of the lease
+TTL_S = 2  # a lost holder's roles are free after this time
+RENEW_S = 0.5  # four renewals in the life of the lease
 LOOK_S = 0.1  # pause between two looks at free roles
 STAGGER_S = 0.25  # a node waits this long more for each role that it holds
 SPREAD_S = 0.12  # nodes with equally many roles are spread over this time
