--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -158,7 +158,7 @@
     @property
     def read(self) -> bool:
         """True once everything was read."""
-        return all(feed.revision for feed in self.feeds)
+        return all(feed.loaded for feed in self.feeds)
 
     def see_grant(self, entry: Entry) -> None:
         """Take in the division of a team's limit."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -14,7 +14,7 @@
 from .feed import Feed
 from .keys import CLAIM_PREFIX, claim_key
 
-TTL_S = 2  # a lost holder's roles are free after this time
+TTL_S = 2.5  # a lost holder's roles are free after this time
 RENEW_S = 0.5  # four renewals in the life of the lease
 LOOK_S = 0.1  # pause between two looks at free roles
 STAGGER_S = 0.25  # a node waits this long more for each role that it holds
@@ -54,6 +54,7 @@
         self.lease = 0
         self.confirmed_s = float("-inf")
         self.held: dict[str, int] = {}
+        self.dropped: dict[str, int] = {}
         self.holders: dict[str, Entry] = {}
         self.free_since_s: dict[str, float] = {}
         self.ending = False
@@ -82,6 +83,7 @@
         """Let go of a role that another node has taken."""
         token = self.held.pop(role, None)
         if token is not None:
+            self.dropped[role] = token
             log(Event.ROLE_LOST, role=role, token=token, reason=reason)
             self.on_lost(role)
 
@@ -151,7 +153,7 @@
     def _look_loop(self) -> None:
         while True:
             gevent.sleep(LOOK_S)
-            if not self.lease or not self.feed.revision:
+            if not self.lease or not self.feed.loaded:
                 continue
             for role in self.roles():
                 if self.ending:
@@ -165,29 +167,40 @@
     def _is_due(self, role: str) -> bool:
         holder = self.holders.get(role)
         if holder is not None:
-            # An earlier process of this node is surely gone.
-            former = holder.value.rpartition(b"/")[0] == self.node.encode()
-            return former and holder.value != self.value
+            # An earlier process of this node is surely gone. And a claim that this
+            # process gave up, but could not delete, lives as long as its lease.
+            return holder.value.rpartition(b"/")[0] == self.node.encode()
         since_s = self.free_since_s.setdefault(role, now_s())
         share = zlib.crc32(f"{role}@{self.node}".encode()) / 2**32
         wait_s = STAGGER_S * len(self.held) + SPREAD_S * share
         return now_s() - since_s >= wait_s
 
     def _take(self, role: str) -> None:
+        lease = self.lease
+        if not lease:
+            # Lost since this round began; a claim without a lease would stay.
+            return
         key = claim_key(role)
         holder = self.holders.get(role)
         expect = Expect(key, holder.revision if holder else 0)
-        put = Put(key, self.value, self.lease)
+        put = Put(key, self.value, lease)
         try:
             outcome = self.store.transact(Transaction((expect,), (put,)))
         except LeaseGoneError:
-            self.lease = 0
+            if self.lease == lease:
+                self.lease = 0
             return
         if outcome.succeeded:
             self._hold(role, outcome.revision)
+            return
+        # The feed is behind; what the store shows instead is as good.
+        for entry in outcome.entries:
+            self._see(entry)
 
     def _hold(self, role: str, token: int) -> None:
-        if self.ending or self.held.get(role, 0) >= token:
+        # Orders under a token that was dropped may still be on their way.
+        known = max(self.held.get(role, 0), self.dropped.get(role, 0))
+        if self.ending or known >= token:
             return
         self.held[role] = token
         log(Event.ROLE_TAKEN, role=role, token=token)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
@@ -155,7 +155,7 @@
                 found = {entry.key: entry.revision for entry in outcome.entries}
                 self._note_stored(batch, 0, found)
             else:
-                self.on_conflict("a record of the pool was written by another node")
+                self.on_conflict(_differences(batch, outcome.entries))
             return
 
     def _was_applied(self, batch: Batch, entries: tuple[Entry, ...]) -> bool:
@@ -180,3 +180,13 @@
             else:
                 self.revisions[write.job_id] = found[key] if found else revision
         self.on_stored(batch.writes)
+
+
+def _differences(batch: Batch, entries: tuple[Entry, ...]) -> str:
+    """Return which conditions of a batch failed."""
+    found = {entry.key: entry.revision for entry in entries}
+    return "; ".join(
+        f'"{expect.key}" is at {found.get(expect.key, 0)}, not {expect.revision}'
+        for expect in batch.transaction.expects
+        if found.get(expect.key, 0) != expect.revision
+    )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -42,6 +42,7 @@
         self.wait_s = wait_s
         self.pace_s = pace_s
         self.revision = 0
+        self.loaded = False
         self.known: dict[str, int] = {}
         self.fresh_s = float("-inf")
         self.failing_since_s = float("inf")
@@ -68,6 +69,7 @@
         for entry in snapshot.entries:
             self._take(entry)
         self.revision = snapshot.revision
+        self.loaded = True
         self._note_answer(asked_s)
 
     def poll(self) -> None:
@@ -92,12 +94,12 @@
         while True:
             begun_s = now_s()
             try:
-                if self.revision:
+                if self.loaded:
                     self.poll()
                 else:
                     self.read()
             except HistoryLostError:
-                self.revision = 0
+                self.loaded = False
             except StoreError as error:
                 self._note_failure(error)
                 gevent.sleep(RETRY_S)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -135,7 +135,7 @@
     def transact(self, transaction: Transaction) -> Outcome:
         """Carry out a transaction."""
 
-    def grant_lease(self, ttl_s: int) -> int:
+    def grant_lease(self, ttl_s: float) -> int:
         """Return the id of a new lease."""
 
     def keep_lease(self, lease: int) -> bool:
--- /dev/null
+++ b/tests/test_pool_claims.py
@@ -0,0 +1,151 @@
+"""Roles pass from node to node, and never stay without a holder."""
+
+import time
+
+import gevent
+import pytest
+
+from heatherhatch_core.exceptions import StoreError
+from heatherhatch_daemon.pools.claims import Claims
+from heatherhatch_daemon.pools.keys import claim_key
+from heatherhatch_daemon.transport.memory_store import MemoryStore
+
+
+class LossyStore(MemoryStore):
+    """A store that can refuse or lose chosen calls."""
+
+    def __init__(self):
+        super().__init__(time.monotonic)
+        self.down = set()
+        self.refuse_deletes = False
+        self.lost = 0
+
+    def transact(self, transaction):
+        if self.refuse_deletes and transaction.deletes:
+            raise StoreError("refused")
+        outcome = super().transact(transaction)
+        if self.lost:
+            self.lost -= 1
+            raise StoreError("the answer was lost", True)
+        return outcome
+
+
+class Instance:
+    """A node's claims, and what they reported."""
+
+    def __init__(self, store, name, life="1", roles=("a", "b")):
+        self.taken = []
+        self.lost = []
+        self.claims = Claims(
+            store,
+            name,
+            life,
+            lambda: list(roles),
+            lambda role, token: self.taken.append((role, token)),
+            self.lost.append,
+        )
+        self.claims.start()
+
+    def stop(self):
+        """End without a word, as a killed process does."""
+        self.claims.feed.stop()
+        gevent.killall(self.claims.greenlets)
+
+
+@pytest.fixture
+def store() -> LossyStore:
+    return LossyStore()
+
+
+@pytest.fixture
+def start(store):
+    running = []
+
+    def begin(*args, **rest):
+        running.append(Instance(store, *args, **rest))
+        return running[-1]
+
+    yield begin
+    for instance in running:
+        instance.stop()
+
+
+def wait_for(condition, seconds=8):
+    with gevent.Timeout(seconds):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def test_roles_are_spread_and_each_has_one_holder(start):
+    nodes = [start(f"n{number}") for number in range(3)]
+    wait_for(lambda: sum(len(node.claims.held) for node in nodes) == 2)
+    assert sorted(len(node.claims.held) for node in nodes) == [0, 1, 1]
+
+
+def test_a_node_that_ends_hands_its_roles_over_at_once(start):
+    first = start("n1")
+    wait_for(lambda: len(first.claims.held) == 2)
+    second = start("n2")
+    first.claims.release_all()
+    wait_for(lambda: len(second.claims.held) == 2, seconds=2)
+    assert all(
+        token > old
+        for (_role, token), (_same, old) in zip(
+            sorted(second.taken), sorted(first.taken), strict=True
+        )
+    )
+
+
+def test_a_killed_node_loses_its_roles_to_another(start):
+    first = start("n1")
+    wait_for(lambda: len(first.claims.held) == 2)
+    first.stop()
+    second = start("n2")
+    wait_for(lambda: len(second.claims.held) == 2)
+
+
+def test_a_new_process_takes_the_roles_of_its_former_life_at_once(start):
+    first = start("n1", life="1")
+    wait_for(lambda: len(first.claims.held) == 2)
+    first.stop()
+    second = start("n1", life="2")
+    wait_for(lambda: len(second.claims.held) == 2, seconds=2)
+
+
+def test_a_claim_that_could_not_be_given_up_is_taken_anew(start, store):
+    """The delete is refused, the lease lives on: nobody else could take it."""
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    store.refuse_deletes = True
+    node.claims.give_up("a", "a record was written by another node")
+    assert node.lost == ["a"]
+    wait_for(lambda: "a" in node.claims.held, seconds=3)
+    assert node.taken[1][1] > node.taken[0][1]
+
+
+def test_a_claim_is_never_written_without_a_lease(start, store):
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    node.claims.drop("a", "as if another had it")
+    node.claims.lease = 0
+    store.transact_count = store.revision
+    node.claims._take("a")
+    assert store.revision == store.transact_count
+    assert store.entries[claim_key("a")].lease != 0
+
+
+def test_a_take_whose_answer_was_lost_is_seen_by_the_feed(start, store):
+    store.lost = 1
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    assert len(node.taken) == 1
+    assert node.taken[0][1] == store.entries[claim_key("a")].revision
+
+
+def test_a_role_that_another_has_taken_is_let_go(start, store):
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    store.revoke_lease(node.claims.lease)
+    wait_for(lambda: node.lost == ["a"])
+    wait_for(lambda: "a" in node.claims.held)
+    assert len(node.taken) == 2
