--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -194,6 +194,8 @@
             self._hold(role, outcome.revision)
             return
         # The feed is behind; what the store shows instead is as good.
+        if not outcome.entries:
+            self._miss(key)
         for entry in outcome.entries:
             self._see(entry)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -11,7 +11,7 @@
 from .clock import now_s
 
 RETRY_S = 0.2  # pause after a call that failed
-WAIT_S = 5.0  # how long one poll waits for a change
+WAIT_S = 1.5  # how long one poll waits; a connection may fall silent meanwhile
 
 
 class Feed:
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -149,3 +149,14 @@
     wait_for(lambda: node.lost == ["a"])
     wait_for(lambda: "a" in node.claims.held)
     assert len(node.taken) == 2
+
+
+def test_a_free_role_is_taken_although_the_feed_has_not_told(start, store):
+    """The claims lapsed while the store was away, and the feed hangs."""
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    node.claims.feed.stop()
+    gevent.sleep(0.05)
+    store.revoke_lease(node.claims.lease)
+    wait_for(lambda: node.lost == ["a"])
+    wait_for(lambda: "a" in node.claims.held, seconds=3)
