--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
@@ -43,7 +43,8 @@
     for worker in state.workers.values():
         if worker.present and worker.fenced:
             known.add(worker.info.machine)
-        if worker.runs or worker.strays:
+        if worker.runs or worker.strays or worker.pending:
+            # Ends that are not stored are lost with the worker's life.
             busy.add(worker.info.machine)
     # Machines of other pools are none of this pool's business.
     asked = {**state.resting, **state.vacating}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -209,3 +209,16 @@
         model.listen_all()
     assert set(model.scheduler.cleared()) == set(sorted(busy)[:2])
     assert len(model.alive()) == 4
+
+
+def test_a_machine_with_ends_that_are_not_stored_is_not_empty(model):
+    """Its worker's list would be lost with its life, and the task run again."""
+    model.add(job_of(step_of()))
+    worker_id, task, number = model.alive()[0]
+    machine = model.workers[worker_id].info.machine
+    model.scheduler.vacate({machine: 1}, {})
+    model.workers[worker_id].end(task, number)
+    model.listen(worker_id)
+    assert model.scheduler.cleared() == {}
+    model.flush()
+    assert model.scheduler.cleared() == {machine: 1}
