--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -16,6 +16,7 @@
 
 TTL_S = 2.5  # a lost holder's roles are free after this time
 RENEW_S = 0.5  # four renewals in the life of the lease
+TURNED_AWAY_S = 1.5  # a node whose polls fail for so long gives its roles up
 LOOK_S = 0.1  # pause between two looks at free roles
 STAGGER_S = 0.25  # a node waits this long more for each role that it holds
 SPREAD_S = 0.12  # nodes with equally many roles are spread over this time
@@ -142,6 +143,11 @@
 
     def _renew(self) -> None:
         asked_s = now_s()
+        if asked_s - self.feed.failing_since_s > TURNED_AWAY_S:
+            # A node whose lease is renewed while its other calls are refused
+            # would keep roles that it can't fill.
+            self._leave("the store turns this node away")
+            return
         if self.lease and not self.store.keep_lease(self.lease):
             self.lease = 0
             for role in list(self.held):
@@ -150,6 +156,18 @@
             self.lease = self.store.grant_lease(TTL_S)
         self.confirmed_s = asked_s
 
+    def _leave(self, reason: str) -> None:
+        lease, self.lease = self.lease, 0
+        for role in list(self.held):
+            self.drop(role, reason)
+        if not lease:
+            return
+        try:
+            self.store.revoke_lease(lease)
+        except StoreError as error:
+            # It lapses by itself.
+            log(Event.WRITE_FAILED, what="end of the lease", error=str(error))
+
     def _look_loop(self) -> None:
         while True:
             gevent.sleep(LOOK_S)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -69,11 +69,10 @@
 
     def ready(self) -> bool:
         """Tell whether callers should come here."""
-        fresh_s = max(self.operators.feed.fresh_s, self.claims.confirmed_s)
         return (
             not self.ending
             and self.operators.config is not None
-            and now_s() - fresh_s < READY_AGE_S
+            and now_s() - self.operators.feed.fresh_s < READY_AGE_S
         )
 
     def _configured(self, config: FleetConfiguration) -> None:
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -16,10 +16,15 @@
 
     def __init__(self):
         super().__init__(time.monotonic)
-        self.down = set()
         self.refuse_deletes = False
+        self.refuse_polls = False
         self.lost = 0
 
+    def poll(self, prefix, revision, wait_s):
+        if self.refuse_polls:
+            raise StoreError("turned away")
+        return super().poll(prefix, revision, wait_s)
+
     def transact(self, transaction):
         if self.refuse_deletes and transaction.deletes:
             raise StoreError("refused")
@@ -160,3 +165,14 @@
     store.revoke_lease(node.claims.lease)
     wait_for(lambda: node.lost == ["a"])
     wait_for(lambda: "a" in node.claims.held, seconds=3)
+
+
+def test_a_node_that_is_turned_away_gives_its_roles_up(start, store):
+    """Its lease is renewed, but nothing else that it asks for is done."""
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    store.refuse_polls = True
+    wait_for(lambda: node.lost == ["a"])
+    assert claim_key("a") not in store.entries
+    store.refuse_polls = False
+    wait_for(lambda: "a" in node.claims.held)
