--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -5,6 +5,8 @@
 from .state import PoolState
 
 LATE_FACTOR = 3.0  # up to so many times the objective a late job is worth something
+ROUGHNESS = 1.2  # by so much a chain may take longer than is expected of it
+HANDLING_S = 0.1  # time to store, order and report the tasks of a chain
 ON_TIME, LATE, OVERDUE = 0, 1, 2
 
 
@@ -51,7 +53,7 @@
     due_s = job.due_s(occurrence)
     objective = objective_s(state, job, occurrence)
     left = chain_s(state, job, occurrence, True)
-    if wall_s + left <= due_s + objective:
+    if wall_s + left * ROUGHNESS + HANDLING_S <= due_s + objective:
         lateness = ON_TIME
     elif wall_s + left <= due_s + LATE_FACTOR * objective:
         lateness = LATE
