--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/log_queue.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/log_queue.py
@@ -8,6 +8,7 @@
 from gevent.os import make_nonblocking, nb_write
 
 from .events import LOG, Event
+from .metrics import METER, Metric
 
 QUEUE_LINES = 2_000  # about 0.5 MB; what comes on top is counted and dropped
 ROUTINE_PER_S = 150  # routine lines a second; role changes and refusals always pass
@@ -67,6 +68,7 @@
         self.routine = 0
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
+            METER.sink.count(Metric.LINES_DROPPED, dropped)
             self._append(Event.LINES_DROPPED, {"lines": dropped})
 
     def _append(self, event: Event, details: dict) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/machine_orders.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/machine_orders.py
@@ -11,6 +11,7 @@
 from heatherhatch_core.state.maintenance import Machine, MachineState
 
 from ..events import Event, log
+from ..metrics import METER, Metric
 from ..transport.http import ExchangeError
 from .clock import now_s
 from .ports import MachineControl
@@ -132,6 +133,9 @@
             log(Event.CALL_UNKNOWN, order=repr(order), error=str(error))
             self.paused_s[order.machine] = now_s() + PAUSE_S
             return False
+        kind = type(order).__name__.lower()
+        answer = "done" if done else "refused"
+        METER.sink.count(Metric.MACHINE_ORDERS, label=f"{kind}_{answer}")
         log(
             Event.MACHINE_ORDERED if done else Event.MACHINE_REFUSED,
             machine=order.machine,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -5,6 +5,7 @@
 from heatherhatch_core.coordination.scheduler import Rules
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
 
+from ..metrics import METER, Metric
 from ..transport.store import PolledStore
 from .board import PlanBoard
 from .claims import Claims
@@ -75,6 +76,21 @@
             and now_s() - self.operators.feed.fresh_s < READY_AGE_S
         )
 
+    def sample(self) -> None:
+        """Set the gauges."""
+        sink = METER.sink
+        sink.gauge(Metric.CLAIM_AGE_S, now_s() - self.claims.confirmed_s)
+        sink.gauge(Metric.CONFIG_AGE_S, now_s() - self.operators.feed.fresh_s)
+        if self.operators.config is not None:
+            sink.gauge(Metric.CONFIG_VERSION, self.operators.config.version)
+        for role in self._roles():
+            sink.gauge(Metric.ROLES_HELD, int(role in self.claims.held), role)
+        for holder in self.holders.values():
+            state = holder.scheduler.state
+            usable = sum(1 for item in state.workers.values() if item.usable(now_s()))
+            sink.gauge(Metric.JOBS_OPEN, len(state.jobs), holder.pool)
+            sink.gauge(Metric.WORKERS_USABLE, usable, holder.pool)
+
     def _configured(self, config: FleetConfiguration) -> None:
         for holder in self.holders.values():
             holder.wake()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -15,6 +15,7 @@
 from heatherhatch_core.state.work import Job, Progress
 
 from ..events import Event, log
+from ..metrics import METER, Metric
 from ..transport.store import Entry, PolledStore
 from .board import PlanBoard
 from .claims import Claims
@@ -241,6 +242,18 @@
                 log(Event.CALL_UNKNOWN, worker=order.worker_id, error="not registered")
         for what, details in self.scheduler.take_notes():
             log(Event.DECIDED, what=what, pool=self.pool, **details)
+            self._measure(what, details)
+
+    def _measure(self, what: str, details: dict) -> None:
+        if what == "run ended":
+            METER.sink.count(Metric.RUN_ENDS, label=details["ending"])
+        elif what == "start answered":
+            METER.sink.count(Metric.START_RESULTS, label=details["result"])
+        elif what == "placed" and details["version"] == 1:
+            job = self.scheduler.state.jobs.get(details["task"].job_id)
+            if job is not None:
+                delay_ms = (wall_s() - job.job.accepted_s) * 1000.0
+                METER.sink.time(Metric.START_DELAY_MS, max(0.0, delay_ms))
 
     def _stored(self, writes: tuple[JobWrite, ...]) -> None:
         for write in writes:
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/scraped_metrics.py
@@ -0,0 +1,77 @@
+"""Metrics that scrapers read over HTTP, in their text format."""
+
+from collections.abc import Callable, Iterable
+
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from .metrics import Metric
+
+PREFIX = "heatherhatch"
+# Upper bounds in milliseconds, from one trip to the store to the longest deadline.
+BUCKETS_MS = (2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000)
+
+
+class ScrapedMetrics:
+    """Keeps counters, histograms and gauges until they are read."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.known: dict[Metric, Counter | Gauge | Histogram] = {}
+
+    def count(self, metric: Metric, amount: int = 1, label: str = "") -> None:
+        """Add to a counter."""
+        self._get(metric, Counter).labels(label).inc(amount)
+
+    def time(self, metric: Metric, milliseconds: float) -> None:
+        """Record a duration."""
+        self._get(metric, Histogram, buckets=BUCKETS_MS).labels("").observe(
+            milliseconds
+        )
+
+    def gauge(self, metric: Metric, value: float, label: str = "") -> None:
+        """Set a gauge."""
+        self._get(metric, Gauge).labels(label).set(value)
+
+    def text(self) -> bytes:
+        """Return everything in the scrapers' text format."""
+        return generate_latest(self.registry)
+
+    def _get(self, metric: Metric, kind: type, **options):
+        found = self.known.get(metric)
+        if found is None:
+            name = f"{PREFIX}_{metric.name.lower()}"
+            found = kind(
+                name, metric.value, ["label"], registry=self.registry, **options
+            )
+            self.known[metric] = found
+        return found
+
+
+class MetricsApp:
+    """A WSGI application that serves the metrics.
+
+    Args:
+        metrics: What is served.
+        sample: Sets the gauges; called before each answer.
+    """
+
+    def __init__(self, metrics: ScrapedMetrics, sample: Callable[[], None]):
+        self.metrics = metrics
+        self.sample = sample
+
+    def __call__(self, _environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one call."""
+        self.sample()
+        data = self.metrics.text()
+        start_response(
+            "200 OK",
+            [("Content-Type", CONTENT_TYPE_LATEST), ("Content-Length", str(len(data)))],
+        )
+        return [data]
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/pages.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/pages.py
@@ -23,8 +23,11 @@
 EVENTS_INTRO = """\
 # Log events
 
-The daemon writes one JSON object a line, in the form of the `eliot` library, to
-`log_file` or standard error. `event` is the number below.
+Each is one JSON object a line; `event` is the number below. `heatherhatchd` writes
+them in the form of the `eliot` library to `log_file` or standard error. The program of
+the pools writes them to standard output through a bounded queue: at most 150 lines a
+second of `decided` and `job_accepted`, all of the others, and `lines_dropped` says how
+many were left out.
 
 | number | name | meaning |
 |---|---|---|
@@ -32,8 +35,10 @@
 METRICS_INTRO = """\
 # Metrics
 
-The daemon sends these by statsd to `platform.statsd`; a statsd that is down costs
-nothing. Names carry the prefix `heatherhatch.`.
+`heatherhatchd` sends these by statsd to `platform.statsd`; a statsd that is down costs
+nothing. Names carry the prefix `heatherhatch.`. The program of the pools serves them
+over HTTP in the scrapers' text format, with the prefix `heatherhatch_` and the label
+`label`.
 
 | name | what it counts |
 |---|---|
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -34,7 +34,11 @@
 
 @pytest.mark.parametrize("kind", [Event, Metric, ErrorKind])
 def test_pages_promise_nothing_that_no_code_sends(kind):
-    sources = SOURCES.parent.parent.glob("heatherhatch-*/src/**/*.py")
+    packages = SOURCES.parent.parent
+    sources = [
+        *packages.glob("heatherhatch-*/src/**/*.py"),
+        *(packages.parent / "platform").glob("src/**/*.py"),
+    ]
     text = "\n".join(path.read_text(encoding="utf-8") for path in sources)
     # The table of answers names every kind, so only further uses count.
     least = 2 if kind is ErrorKind else 1
