--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 export PYTHONPATH := $(CURDIR)/packages/heatherhatch-core/src:$(CURDIR)/packages/heatherhatch-daemon/src:$(CURDIR)/packages/heatherhatch-cli/src:$(CURDIR)/packages/heatherhatch-standins/src:$(CURDIR)/platform/src:$(CURDIR)
 SEED ?= 1
 JOBS ?= 4
+COUNT ?= 5
 
-.PHONY: help setup demo test format lint check-format unit pages bench capacity proof clean
+.PHONY: help setup demo test format lint check-format unit pages bench capacity proof soak clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
@@ -39,6 +40,9 @@
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
 
+soak: setup  ## play random faults on real instances; SEED=n COUNT=n
+	$(BIN)/python -m gevent.monkey --module heatherhatch_platform_standin.soak --seed $(SEED) --count $(COUNT)
+
 pages: setup  ## write the pages of docs/ that are made from the code
 	$(BIN)/python -m heatherhatch_standins.pages
 
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,96 @@
+"""Real instances against the platform's stand-in, end to end and under faults."""
+
+import random
+import signal
+
+import gevent
+import pytest
+
+from heatherhatch_platform_standin.deployment import Deployment
+from heatherhatch_platform_standin.load import Callers
+from heatherhatch_platform_standin.soak import Soak
+from heatherhatch_platform_standin.store import StoreMode
+
+READY_S = 30  # a bound against hanging, far above what a start takes
+SETTLE_S = 60  # the same for the end of all jobs
+
+
+@pytest.fixture
+def deployment():
+    with Deployment() as running:
+        yield running
+
+
+@pytest.fixture
+def callers(deployment):
+    found = Callers(deployment, random.Random(1))
+    with gevent.Timeout(READY_S):
+        while found.hand_in() is None:
+            gevent.sleep(0.1)
+    return found
+
+
+def test_every_accepted_job_runs_each_task_once(deployment, callers):
+    for _number in range(10):
+        assert callers.hand_in() is not None
+    assert callers.wait_until_final(SETTLE_S) == []
+    ledger = deployment.ledger
+    assert ledger.broken == []
+    assert ledger.starts
+    assert set(ledger.starts.values()) == {1}
+
+
+def test_jobs_end_although_every_instance_is_killed_once(deployment, callers):
+    for instance in deployment.instances:
+        for _number in range(5):
+            callers.hand_in()
+        instance.signal(signal.SIGKILL)
+        instance.process.wait()
+        instance.start()
+    assert callers.wait_until_final(SETTLE_S) == []
+    assert deployment.ledger.broken == []
+
+
+def test_a_job_handed_in_twice_is_one_job(deployment, callers):
+    job_id = callers.hand_in()
+    body = {"spec": "done 0.1", "steps": [{"count": 4, "cpu": 1000}]}
+    assert callers.call("POST", callers.paths[job_id], body)[0] == 200
+    assert callers.wait_until_final(SETTLE_S) == []
+    tasks = [task for task in deployment.ledger.starts if task.startswith(job_id)]
+    assert all(deployment.ledger.starts[task] == 1 for task in tasks)
+
+
+def test_without_the_store_nothing_is_accepted_and_nothing_is_denied(
+    deployment, callers
+):
+    deployment.store.mode = StoreMode.BUSY
+    body = {"spec": "done 0.1", "steps": [{"count": 1, "cpu": 1000}]}
+    path = f"/till/{callers.random.getrandbits(64):016x}"
+    assert callers.call("POST", path, body)[0] == 503
+    assert callers.call("GET", path)[0] == 503
+    deployment.store.mode = StoreMode.UP
+    with gevent.Timeout(READY_S):
+        while callers.call("POST", path, body)[0] != 200:
+            gevent.sleep(0.1)
+
+
+def test_a_withdrawn_key_is_refused_by_every_instance(deployment, callers):
+    deployment.configure(keys=("another",))
+    body = {"spec": "done 0.1", "steps": [{"count": 1, "cpu": 1000}]}
+    for number in range(6):
+        assert callers.call("POST", f"/till/{number:016x}", body)[0] == 401
+
+
+def test_an_unknown_job_and_an_unknown_queue_are_told_apart(callers):
+    assert callers.call("GET", f"/till/{5:016x}")[0] == 410
+    assert callers.call("GET", "/nowhere/1")[0] == 404
+    with gevent.Timeout(READY_S):
+        while (answer := callers.call("GET", "/till/"))[0] == 503:
+            gevent.sleep(0.1)
+    assert answer == (200, {"numWaiting": 0})
+
+
+def test_a_short_soak_breaks_no_promise():
+    verdict = Soak(seed=1, seconds=6.0).run()
+    assert verdict.broken == ()
+    assert verdict.accepted > 0
