--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -8,13 +8,15 @@
 from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step, Terms
 
 from ..events import Event, log
-from ..transport.store import Expect, PolledStore, Put, Transaction
+from ..transport.store import Expect, Outcome, PolledStore, Put, Transaction
 from .board import PoolReport
-from .clock import now_s, wall_s
+from .clock import now_s, pause, wall_s
 from .keys import cancel_key, job_key, report_key, status_key
 from .operators import Operators
 
 STORE_RETRY_S = 1.0  # when a caller may come back after the store was away
+STORE_TRIES = 4  # a short spell of the store costs a caller no second attempt
+STORE_PAUSE_S = 0.1  # pause between two tries
 REPORT_AGE_S = 3.0  # a pool's report older than this says nothing of its queue
 FRESH_TRIES = 4  # a storm of configurations may overtake a write so often
 
@@ -117,14 +119,7 @@
             ),
         )
         asked_s = now_s()
-        try:
-            outcome = self.store.transact(transaction)
-        except StoreError as error:
-            if not error.maybe_applied:
-                raise HeatherhatchError(
-                    ErrorKind.STORE_UNAVAILABLE, error.detail, STORE_RETRY_S
-                ) from error
-            return self._settle(job, error)
+        outcome = self._transact(transaction)
         known = any(entry.key == status_key(job.job_id) for entry in outcome.entries)
         if outcome.succeeded or known:
             log(
@@ -140,18 +135,25 @@
         self.operators.refresh()
         return False
 
-    def _settle(self, job: Job, lost: StoreError) -> bool:
-        """Find out whether a write without an answer was done.
+    def _transact(self, transaction: Transaction) -> Outcome:
+        """Carry out the creation of a job; it may be sent more than once.
 
         Raises:
-            HeatherhatchError: ``CHANGE_UNKNOWN`` if that stays unknown.
+            HeatherhatchError: ``STORE_UNAVAILABLE`` if it was surely not done,
+                ``CHANGE_UNKNOWN`` if it may have been, or may still be.
         """
-        try:
-            if self.store.get(status_key(job.job_id)) is not None:
-                return True
-        except StoreError as error:
-            lost = error
-        # It may still be done later, so this must not be called a refusal.
+        lost: StoreError | None = None
+        for _try in range(STORE_TRIES):
+            try:
+                return self.store.transact(transaction)
+            except StoreError as error:
+                if lost is None and not error.maybe_applied:
+                    raise HeatherhatchError(
+                        ErrorKind.STORE_UNAVAILABLE, error.detail, STORE_RETRY_S
+                    ) from error
+                lost = error
+                pause(STORE_PAUSE_S)
+        # An earlier try may still be done, so this must not be called a refusal.
         raise HeatherhatchError(ErrorKind.CHANGE_UNKNOWN, lost.detail) from lost
 
     def status(self, host: str, path: str, key: str) -> JobStatus:
