--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -1,5 +1,6 @@
 """Takes jobs in, and tells callers how they stand."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from heatherhatch_core.codec import decode_json, encode_json
@@ -44,11 +45,18 @@
     Args:
         store: The platform's store.
         operators: The operators' records.
+        store_lost: Tells whether the store is known not to answer this node.
     """
 
-    def __init__(self, store: PolledStore, operators: Operators):
+    def __init__(
+        self,
+        store: PolledStore,
+        operators: Operators,
+        store_lost: Callable[[], bool] = lambda: False,
+    ):
         self.store = store
         self.operators = operators
+        self.store_lost = store_lost
 
     def identify(self, host: str, path: str, key: str) -> Caller:
         """Return who calls.
@@ -56,8 +64,14 @@
         Raises:
             HeatherhatchError: ``NOT_FOUND`` without such a queue,
                 ``UNAUTHENTICATED`` without a valid key, ``NO_STANDING`` if this
-                node can't tell.
+                node can't tell, ``STORE_UNAVAILABLE`` if it need not try.
         """
+        if self.store_lost():
+            raise HeatherhatchError(
+                ErrorKind.STORE_UNAVAILABLE,
+                "the store doesn't answer this node",
+                STORE_RETRY_S,
+            )
         config = self.operators.config
         if config is not None:
             try:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -18,6 +18,7 @@
 from .pool_holder import PoolHolder
 from .ports import DirectoryEntry, Outside
 
+STORE_LOST_S = 1.5  # two renewals of the claims without an answer
 READY_AGE_S = 2.5  # evidence of the store older than this takes a node out of rotation
 
 
@@ -53,7 +54,7 @@
             store, outside.records, self._see_worker, self._lose_worker
         )
         self.board = PlanBoard(store)
-        self.intake = Intake(store, self.operators)
+        self.intake = Intake(store, self.operators, self.store_lost)
         self.holders: dict[str, PoolHolder] = {}
         self.coordinator: Coordinator | None = None
         self.ending = False
@@ -68,6 +69,11 @@
         self.ending = True
         self.claims.release_all()
 
+    def store_lost(self) -> bool:
+        """Tell whether the store is known not to answer this node."""
+        failing = self.operators.feed.failing_since_s != float("inf")
+        return failing or now_s() - self.claims.confirmed_s > STORE_LOST_S
+
     def ready(self) -> bool:
         """Tell whether callers should come here."""
         return (
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -160,3 +160,11 @@
     desk.intake.cancel("h", "/q/j1", "k1")
     assert cancel_key("till", "j1") in desk.store.entries
     assert kind_of(desk.intake.cancel, "h", "/q/j2", "k1") is ErrorKind.NO_SUCH_JOB
+
+
+def test_while_the_store_is_known_to_be_away_callers_are_refused_at_once(desk):
+    """Nothing is tried, so that the refusal is quick and true."""
+    desk.intake.store_lost = lambda: True
+    calls = desk.store.calls
+    assert kind_of(desk.submit) is ErrorKind.STORE_UNAVAILABLE
+    assert desk.store.calls == calls
