--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -50,13 +50,18 @@
 
 
 def begin_life(state: PoolState, worker: Worker, born_ms: int, now_s: float) -> None:
-    """Note that a worker started anew: nothing of before runs or counts."""
+    """Note that a worker started anew: nothing of before runs or counts.
+
+    An order that was sent before this was known may have reached the new life,
+    which goes by the same name. So the first list of the new life decides what
+    became of the runs.
+    """
     state.note(
         "worker reborn",
         worker=worker.worker_id,
         born_ms=born_ms,
         before_ms=worker.info.born_ms,
-        runs_lost=len(worker.runs),
+        runs=len(worker.runs),
     )
     worker.info = dataclasses.replace(worker.info, born_ms=born_ms)
     worker.heard_end = 0
@@ -65,9 +70,7 @@
     worker.deadline_ms = 0.0
     worker.strays.clear()
     worker.fenced = False
-    for run in list(worker.runs.values()):
-        if run.born_ms != born_ms:
-            state.end_run(run, Ending.LOST, "", now_s)
+    worker.claimed_s = now_s
 
 
 def _take_end(state: PoolState, worker: Worker, end: ListedEnd, now_s: float) -> None:
@@ -113,6 +116,7 @@
             state.orders.append(StopOrder(worker.worker_id, row.task, row.number))
             continue
         run.state = RunState.ALIVE
+        run.born_ms = worker.info.born_ms
         run.seen_s = sent_s
         run.begun_s = min(run.begun_s, now_s)
         _take_work(run, row, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -71,7 +71,7 @@
     Attributes:
         info: What it says of itself.
         rules: Bounds.
-        claimed_s: When this holder took the pool over.
+        claimed_s: When this holder took the pool over, or this life was seen.
         present: True while the directory lists it.
         fenced: True once it answered this holder.
         silent_since_s: Since when it does not answer; inf while it does.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -128,6 +128,7 @@
     model.add(job_of(step_of()))
     worker_id = model.alive()[0][0]
     model.workers[worker_id].runs.clear()
+    model.now_s += 0.1
     model.scheduler.take_report(
         worker_id, Report(2, 5.0), model.now_s, model.now_s + 0.01
     )
@@ -135,6 +136,22 @@
     assert [run for _worker, _task, run in model.alive()] == [2]
 
 
+def test_a_run_that_reached_a_new_life_is_not_started_again(model):
+    """The order was sent when the directory still showed the former life."""
+    model.add(job_of(step_of()))
+    worker_id = model.alive()[0][0]
+    worker = model.workers[worker_id]
+    worker.info = dataclasses.replace(worker.info, born_ms=2)
+    model.scheduler.see_worker(worker.info, model.now_s)
+    model.round()
+    assert [run for _worker, _task, run in model.alive()] == [1]
+    model.listen(worker_id)
+    model.round()
+    assert [run for _worker, _task, run in model.alive()] == [1]
+    model.finish()
+    assert model.phases()[-1] is Phase.COMPLETED
+
+
 def test_a_done_end_counts_although_the_run_was_taken_for_lost(model):
     model.add(job_of(step_of()))
     worker_id, task, number = model.alive()[0]
