--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/rules.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/rules.py
@@ -25,8 +25,8 @@
         harm_s: How long a serving task may be over its target.
     """
 
-    lease_s: float = 5.0
-    unfenced_s: float = 11.5
+    lease_s: float = 4.0
+    unfenced_s: float = 4.9
     lease_margin_s: float = 0.25
     stop_s: float = 0.4
     checkpoint_s: float = 2.0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -32,7 +32,7 @@
 
 ROUND_S = 0.1  # longest time between two rounds of the scheduler
 GATHER_S = 0.004  # what arrives in this time is decided on together
-RENEW_ALONE_S = 6.0  # leases are renewed so long after the claim was last confirmed
+RENEW_ALONE_S = 3.0  # leases are renewed so long after the claim was last confirmed
 
 
 class PoolHolder:
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -5,9 +5,11 @@
 import gevent
 import pytest
 
+from heatherhatch_core.coordination.scheduler.rules import CLOCK_DRIFT, Rules
 from heatherhatch_core.exceptions import StoreError
-from heatherhatch_daemon.pools.claims import Claims
+from heatherhatch_daemon.pools.claims import TTL_S, Claims
 from heatherhatch_daemon.pools.keys import claim_key
+from heatherhatch_daemon.pools.pool_holder import RENEW_ALONE_S
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 
 
@@ -176,3 +178,13 @@
     assert claim_key("a") not in store.entries
     store.refuse_polls = False
     wait_for(lambda: "a" in node.claims.held)
+
+
+def test_a_new_holder_waits_until_a_former_one_can_keep_nothing_alive():
+    """The former one may renew leases alone for a while after its claim lapsed."""
+    rules = Rules()
+    alone_s = RENEW_ALONE_S - TTL_S
+    lease_s = rules.lease_s / (1 - CLOCK_DRIFT) + rules.lease_margin_s
+    assert rules.unfenced_s >= alone_s + lease_s
+    # A lasting task has to run again within 6 s.
+    assert rules.unfenced_s < 6.0
