--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -34,6 +34,7 @@
 from .machine_orders import MachineOrders, Maintain, Move
 from .operators import Operators
 from .ports import Outside
+from .sweeper import Sweeper
 
 ROUND_S = 0.1  # time between two rounds
 LOOK_S = 1.0  # the machines are read this often while nothing is under way
@@ -52,11 +53,13 @@
             apart, seconds.
         maintenance_s: How long a machine is down for its maintenance, seconds.
         move_s: How long a machine is down for a move, seconds.
+        keep_s: How long callers may ask for a job that ended, seconds.
     """
 
     turn_s: float = 3.0
     maintenance_s: float = 2.0
     move_s: float = 1.5
+    keep_s: float = 120.0
 
 
 class Coordinator:
@@ -99,6 +102,7 @@
         self.orders = MachineOrders(
             outside.machines, node, token, self.may_act, rules.maintenance_s
         )
+        self.sweeper = Sweeper(store, self._claim, rules.keep_s)
         self.machines: dict[str, Machine] = {}
         self.machines_s = float("-inf")
         self.asked_s = float("-inf")
@@ -109,11 +113,13 @@
     def start(self) -> None:
         """Begin to coordinate."""
         self.reports.feed.start()
+        self.sweeper.start()
         self.greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
         """Stop at once."""
         self.reports.feed.stop()
+        self.sweeper.stop()
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
 
@@ -123,6 +129,9 @@
             COORDINATOR
         )
 
+    def _claim(self) -> Expect:
+        return self.claims.expect(COORDINATOR)
+
     def _run(self) -> None:
         while True:
             gevent.sleep(ROUND_S)
@@ -337,16 +346,14 @@
             f"{records.wave_status_prefix}{wave.number}",
             records.write_wave_progress(WaveProgress(wave.number, completed)),
         )
-        outcome = self.store.transact(
-            Transaction((self.claims.expect(COORDINATOR),), (put,))
-        )
+        outcome = self.store.transact(Transaction((self._claim(),), (put,)))
         if not outcome.succeeded:
             raise StoreError(f"{claim_key(COORDINATOR)} is another node's")
         self.told[wave.number] = completed
 
     def _write(self, plan: FleetPlan) -> bool:
         expects = (
-            self.claims.expect(COORDINATOR),
+            self._claim(),
             Expect(PLAN_KEY, self.board.plan_revision),
         )
         put = Put(PLAN_KEY, encode_json(plan))
