--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -0,0 +1,100 @@
+"""What the end of a run means for its task, its job and its worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...state.work import Phase
+from .live import Run, Task
+from .messages import Ending
+
+if TYPE_CHECKING:
+    from .state import PoolState
+
+LASTING_PAUSE_S = 0.25  # pause before a lasting task that keeps failing is retried
+LASTING_PAUSE_MOST_S = 2.0  # well inside the 6 s in which it has to be back
+
+
+def settle(
+    state: PoolState, run: Run, ending: Ending, checkpoint: str, now_s: float
+) -> None:
+    """Draw the consequences of a run that has ended."""
+    task = run.task
+    if checkpoint:
+        _save(task, checkpoint)
+    _judge_worker(state, run, ending, now_s)
+    if task.step.lasting:
+        _lasting_ended(task, ending, run, now_s)
+    elif ending is Ending.DONE:
+        _done(state, task, now_s)
+    elif ending is Ending.FAILED:
+        _failed(run, task)
+    if task.step.gang and ending is not Ending.DONE:
+        _break_gang(state, task, run.number, now_s)
+
+
+def _members(task: Task) -> list[Task]:
+    """Return the tasks that share a task's fate."""
+    if not task.step.gang:
+        return [task]
+    return task.job.step_tasks(task.name.occurrence, task.name.step)
+
+
+def _save(task: Task, checkpoint: str) -> None:
+    # What one member of a gang saved holds for all, and all must carry it.
+    for member in _members(task):
+        member.checkpoint = checkpoint
+
+
+def _judge_worker(state: PoolState, run: Run, ending: Ending, now_s: float) -> None:
+    worker = state.workers.get(run.worker_id)
+    if worker is None or run.stopping:
+        return
+    if ending is Ending.DONE:
+        worker.trust.good()
+        worker.unwell_pause_s = 0.0
+        if run.begun_s < now_s and not run.task.checkpoint:
+            state.times.learn(run.task, now_s - run.begun_s)
+    elif ending is Ending.FAILED and worker.trust.bad(run.name.job_id, now_s):
+        state.note(
+            "worker distrusted",
+            worker=worker.worker_id,
+            pause_s=worker.trust.pause_s,
+        )
+
+
+def _done(state: PoolState, task: Task, now_s: float) -> None:
+    for member in _members(task):
+        member.done = True
+    for copy in list(task.runs.values()):
+        if not task.step.gang:
+            state.let_go(copy, now_s)
+    task.job.note_done(task)
+
+
+def _failed(run: Run, task: Task) -> None:
+    for member in _members(task):
+        member.failures += 1
+    task.avoid.add(run.worker_id)
+    if task.failures >= task.job.job.terms.attempts:
+        task.job.phase = Phase.FAILED
+
+
+def _lasting_ended(task: Task, ending: Ending, run: Run, now_s: float) -> None:
+    task.away_since_s = now_s
+    task.ordered_away = run.stopping or ending is Ending.STOPPED
+    if ending is Ending.FAILED:
+        task.failures += 1
+        task.avoid = {run.worker_id}
+        pause_s = LASTING_PAUSE_S * min(task.failures - 1, 8)
+        task.not_before_s = now_s + min(pause_s, LASTING_PAUSE_MOST_S)
+
+
+def _break_gang(state: PoolState, task: Task, number: int, now_s: float) -> None:
+    job = task.job
+    if (task.name.occurrence, task.name.step, 0) not in job.tasks:
+        return
+    for member in _members(task):
+        run = member.runs.get(number)
+        if run is not None:
+            state.let_go(run, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -9,13 +9,12 @@
 from ...state.work import Phase
 from .live import LiveJob, Run, RunState, Task
 from .messages import Ending, Order, StartOrder, StopOrder
+from .outcomes import settle
 from .permits import Permits, step_of
 from .rules import Rules
 from .run_times import RunTimes
 from .worker import Worker
 
-LASTING_PAUSE_S = 0.25  # pause before a lasting task that keeps failing is retried
-LASTING_PAUSE_MOST_S = 2.0  # well inside the 6 s in which it has to be back
 STOP_AGAIN_S = 0.6  # a stop without effect is repeated after stop_s and a trip
 
 
@@ -128,26 +127,17 @@
         job = task.job
         if job.phase.final or task.settled:
             return
-        if checkpoint:
-            self._save(task, checkpoint)
-        self._judge(run, worker, ending, now_s)
-        if ending is Ending.DONE and not task.step.lasting:
-            self._done(task, now_s)
-        elif ending is Ending.FAILED and not task.step.lasting:
-            self._failed(run, task, now_s)
-        elif task.step.lasting:
-            self._lasting_ended(task, ending, run, now_s)
-        if task.step.gang and ending is not Ending.DONE:
-            self._break_gang(task, run.number, now_s)
+        settle(self, run, ending, checkpoint, now_s)
         self.touch(job)
         if job.phase.final:
             self.retire(job, now_s)
 
     def retire(self, job: LiveJob, now_s: float) -> None:
         """Let go of a job that is final; what still runs is stopped."""
+        self.permits.forget_job(job.job.job_id)
         for task in job.tasks.values():
             for run in list(task.runs.values()):
-                self._let_go(run, job, now_s)
+                self.let_go(run, now_s)
         self.touch(job)
         self.note(
             "job ended", job=job.job.job_id, phase=job.phase.value, queue=job.job.queue
@@ -202,78 +192,10 @@
             )
         )
 
-    def _let_go(self, run: Run, job: LiveJob, now_s: float) -> None:
+    def let_go(self, run: Run, now_s: float) -> None:
+        """End a run that nobody waits for any more."""
         if run.state is RunState.RECORDING:
             # Never ordered: the write that would have allowed it is replaced.
             self.end_run(run, Ending.LOST, "", now_s)
             return
         self.stop_run(run, now_s)
-
-    def _save(self, task: Task, checkpoint: str) -> None:
-        if not task.step.gang:
-            task.checkpoint = checkpoint
-            return
-        # What one member of a gang saved holds for all, and all must carry it.
-        job = task.job
-        for other in job.step_tasks(task.name.occurrence, task.name.step):
-            other.checkpoint = checkpoint
-
-    def _judge(
-        self, run: Run, worker: Worker | None, ending: Ending, now_s: float
-    ) -> None:
-        if worker is None or run.stopping:
-            return
-        if ending is Ending.DONE:
-            worker.trust.good()
-            worker.unwell_pause_s = 0.0
-            if run.begun_s < now_s and not run.task.checkpoint:
-                self.times.learn(run.task, now_s - run.begun_s)
-        elif ending is Ending.FAILED and worker.trust.bad(run.name.job_id, now_s):
-            self.note(
-                "worker distrusted",
-                worker=worker.worker_id,
-                pause_s=worker.trust.pause_s,
-            )
-
-    def _done(self, task: Task, now_s: float) -> None:
-        job = task.job
-        members = [task]
-        if task.step.gang:
-            # One member that ended well stands for all.
-            members = job.step_tasks(task.name.occurrence, task.name.step)
-        for member in members:
-            member.done = True
-            for other in list(member.runs.values()):
-                if not member.step.gang:
-                    self._let_go(other, job, now_s)
-        job.note_done(task)
-
-    def _failed(self, run: Run, task: Task, now_s: float) -> None:
-        members = [task]
-        if task.step.gang:
-            members = task.job.step_tasks(task.name.occurrence, task.name.step)
-        for member in members:
-            member.failures += 1
-        task.avoid.add(run.worker_id)
-        if task.failures >= task.job.job.terms.attempts:
-            task.job.phase = Phase.FAILED
-
-    def _lasting_ended(
-        self, task: Task, ending: Ending, run: Run, now_s: float
-    ) -> None:
-        task.away_since_s = now_s
-        task.ordered_away = run.stopping or ending is Ending.STOPPED
-        if ending is Ending.FAILED:
-            task.failures += 1
-            task.avoid = {run.worker_id}
-            pause = LASTING_PAUSE_S * min(task.failures - 1, 8)
-            task.not_before_s = now_s + min(pause, LASTING_PAUSE_MOST_S)
-
-    def _break_gang(self, task: Task, number: int, now_s: float) -> None:
-        job = task.job
-        if (task.name.occurrence, task.name.step, 0) not in job.tasks:
-            return
-        for other in job.step_tasks(task.name.occurrence, task.name.step):
-            run = other.runs.get(number)
-            if run is not None:
-                self._let_go(run, job, now_s)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -26,6 +26,7 @@
     STOPPING = EventInfo(1002, "A graceful shutdown has begun.")
     STOPPED = EventInfo(1003, "The daemon has ended; no request was cut.")
     STOP_FORCED = EventInfo(1004, "The grace time ran out with requests open.")
+    PORT_BUSY = EventInfo(1005, "A port is still in use; listening is tried again.")
     REGISTERED = EventInfo(1101, "The node wrote its entry in the store.")
     REGISTRATION_LOST = EventInfo(1102, "The node's entry or lease has lapsed.")
     NODE_FORGOTTEN = EventInfo(1103, "A member that is gone left the registry.")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -87,6 +87,10 @@
     completed: tuple[int, ...] = ()
     orders: tuple[MachineOrder, ...] = ()
 
+    def last_order(self, machine: str) -> MachineOrder | None:
+        """Return the last order for a machine."""
+        return next((item for item in self.orders if item.machine == machine), None)
+
 
 def with_requests(plan: FleetPlan, vacating: set[str], resting: set[str]) -> FleetPlan:
     """Return a plan that asks for these machines to be emptied.
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -1,16 +1,15 @@
 """Takes jobs in, and tells callers how they stand."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
-from heatherhatch_core.state.fleet_configuration import FleetConfiguration, Queue
-from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step, Terms
+from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step
 
 from ..events import Event, log
 from ..transport.store import Expect, Outcome, PolledStore, Put, Transaction
 from .board import PoolReport
+from .callers import Caller, identify
 from .clock import now_s, pause, wall_s
 from .keys import cancel_key, job_key, report_key, status_key
 from .operators import Operators
@@ -22,19 +21,6 @@
 FRESH_TRIES = 4  # a storm of configurations may overtake a write so often
 
 
-@dataclass(frozen=True, slots=True)
-class Caller:
-    """Who calls, and for which queue.
-
-    Attributes:
-        queue: The queue that is addressed.
-        team: Team of the key; empty on a public queue without a key.
-    """
-
-    queue: Queue
-    team: str
-
-
 class Intake:
     """The callers' side of the pools; every instance serves it.
 
@@ -75,7 +61,7 @@
         config = self.operators.config
         if config is not None:
             try:
-                return _identify(config, host, path, key)
+                return identify(config, host, path, key)
             except HeatherhatchError as error:
                 log(
                     Event.DECIDED,
@@ -83,7 +69,7 @@
                     kind=error.kind.value,
                     version=config.version,
                 )
-        return _identify(self.operators.confirm(), host, path, key)
+        return identify(self.operators.confirm(), host, path, key)
 
     def submit(
         self,
@@ -113,7 +99,7 @@
                 steps,
                 schedule,
                 wall_s(),
-                _terms(caller.queue),
+                caller.terms(),
             )
             if self._store(job):
                 return
@@ -243,17 +229,3 @@
                 ErrorKind.FORBIDDEN, f'job "{job_id}" belongs to another team'
             )
         return status, entry.revision
-
-
-def _terms(queue: Queue) -> Terms:
-    return Terms(queue.attempts, queue.priority, queue.stretch, queue.target_s)
-
-
-def _identify(config: FleetConfiguration, host: str, path: str, key: str) -> Caller:
-    queue = config.queue_at(host, path)
-    if queue is None:
-        raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no queue at "{host}{path}"')
-    team = config.team_with(key) if key else None
-    if team is None and not queue.public:
-        raise HeatherhatchError(ErrorKind.UNAUTHENTICATED, "the key is not valid")
-    return Caller(queue, team.name if team else "")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -10,7 +10,8 @@
 from .board import PlanBoard
 from .claims import Claims
 from .clock import now_s
-from .coordinator import Coordinator, CoordinatorRules
+from .coordinator import Coordinator
+from .coordinator_rules import CoordinatorRules
 from .directory import Directory
 from .intake import Intake
 from .keys import COORDINATOR, pool_role
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -26,6 +26,7 @@
 from .grant_keeper import GrantKeeper
 from .keys import CANCEL_SUFFIX, jobs_prefix, pool_role, runs_prefix
 from .operators import Operators
+from .permit_desk import PermitDesk
 from .pool_reports import PoolReports
 from .ports import DirectoryEntry, Outside
 from .worker_link import WorkerLink
@@ -83,6 +84,7 @@
         )
         self.grants = GrantKeeper(store, board, pool, self._claim, self.scheduler)
         self.reports = PoolReports(store, self.scheduler, self._claim, token)
+        self.permits = PermitDesk(outside.policy, self.scheduler, self.wake)
         self.early: dict[str, Progress] = {}
         self.greenlets: list[gevent.Greenlet] = []
 
@@ -98,6 +100,7 @@
         for link in self.links.values():
             link.stop()
         self.jobs.stop()
+        self.permits.stop()
         self.committer.stop()
         self.orders.kill(block=False)
         gevent.killall(self.greenlets, block=False)
@@ -166,6 +169,7 @@
             self.see_worker(entry)
         self.jobs.start()
         self.greenlets.append(gevent.spawn(self._write_loop))
+        self.permits.start()
         while True:
             self.signal.wait(ROUND_S)
             gevent.sleep(GATHER_S)
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/size_keeper.py
@@ -0,0 +1,91 @@
+"""Keeps the sizes of pools in step with their demand."""
+
+from heatherhatch_core.coordination.pool_sizes import Fleet, PoolNeed, PoolSizer
+from heatherhatch_core.state.maintenance import Machine
+
+from ..events import Event, log
+from .board import PoolReport
+from .clock import now_s
+from .machine_orders import MachineOrders, Move
+from .operators import Operators
+
+TELL_S = 1.0  # the sizes are logged as often, and with each move
+
+
+class SizeKeeper:
+    """Turns the reports of the pools into moves of machines.
+
+    Args:
+        operators: The configuration.
+        orders: Moves that are under way.
+    """
+
+    def __init__(self, operators: Operators, orders: MachineOrders):
+        self.operators = operators
+        self.orders = orders
+        self.sizer = PoolSizer()
+        self.told_s = float("-inf")
+
+    def work(
+        self,
+        machines: dict[str, Machine],
+        cleared: frozenset[str],
+        reports: dict[str, PoolReport],
+        leaving: set[str],
+        due: set[str],
+    ) -> tuple[list[Move], set[str]]:
+        """Return the moves to order, and the machines that shall rest.
+
+        Args:
+            machines: Machines of the provider, by name.
+            cleared: Machines that are empty on request.
+            reports: Reports of those who hold the pools now.
+            leaving: Machines that are being emptied for a wave.
+            due: Machines that a wave will take down.
+        """
+        config = self.operators.config
+        standby = next((pool.name for pool in config.pools if pool.standby), None)
+        needs = {
+            pool: PoolNeed(
+                pool,
+                report.needed_cpu_m,
+                frozenset(load.machine for load in report.loads if not load.runs),
+            )
+            for pool, report in reports.items()
+            if pool in config.working_pools()
+        }
+        if standby is None or not machines or not needs:
+            return [], set()
+        fleet = Fleet(
+            self.orders.seen(machines),
+            needs,
+            standby,
+            frozenset(leaving),
+            cleared,
+            frozenset(due),
+        )
+        change = self.sizer.change(fleet, now_s())
+        self._tell(fleet, len(change.moves), len(change.emptying))
+        moves = [Move(name, pool) for name, pool in change.moves if name not in leaving]
+        return moves, set(change.emptying)
+
+    def _tell(self, fleet: Fleet, moves: int, emptying: int) -> None:
+        if now_s() - self.told_s < TELL_S and not moves:
+            return
+        self.told_s = now_s()
+        sizes = {
+            pool: (
+                sum(1 for item in fleet.machines.values() if item.pool == pool),
+                len(need.idle),
+                need.cpu_m,
+            )
+            for pool, need in sorted(fleet.needs.items())
+        }
+        log(
+            Event.DECIDED,
+            what="sizes",
+            sizes=sizes,
+            moves=moves,
+            emptying=emptying,
+            leaving=len(fleet.leaving),
+        )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -11,6 +11,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from ..events import Event, log
 from ..settings import Address, LimitSettings
 from .syn_filter import drop_new_connections
 
@@ -127,6 +128,7 @@
         if kind is not None and issubclass(kind, OSError):
             self.close_connection = True
             return
+        log(Event.REQUEST_FAILED, error=repr(value), where=repr(self.requestline))
         super().handle_error(kind, value, traceback)
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -25,6 +25,7 @@
 def callers(deployment):
     found = Callers(deployment, random.Random(1))
     with gevent.Timeout(READY_S):
+        found.wait_until_ready()
         while found.hand_in() is None:
             gevent.sleep(0.1)
     return found
