--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -4,29 +4,28 @@
 from gevent.event import Event as Signal
 from gevent.pool import Group
 
-from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.scheduler import (
     JobWrite,
     Rules,
     Scheduler,
     StopOrder,
 )
-from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
-from heatherhatch_core.state.work import Job, Progress
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 from ..events import Event, log
 from ..metrics import METER, Metric
-from ..transport.store import Entry, PolledStore
+from ..transport.store import PolledStore
 from .board import PlanBoard
 from .claims import Claims
 from .clock import now_s, wall_s
 from .committer import Committer
 from .directory import Directory
-from .feed import RETRY_S, Feed
+from .feed import RETRY_S
 from .grant_keeper import GrantKeeper
-from .keys import CANCEL_SUFFIX, jobs_prefix, pool_role, runs_prefix
+from .keys import pool_role
 from .operators import Operators
 from .permit_desk import PermitDesk
+from .pool_records import PoolRecords
 from .pool_reports import PoolReports
 from .ports import DirectoryEntry, Outside
 from .worker_link import WorkerLink
@@ -78,14 +77,15 @@
         self.stopped = False
         self.loaded = False
         self.orders = Group()
-        self.jobs = Feed(store, jobs_prefix(pool), self._see_job, self._miss_job)
         self.committer = Committer(
             store, pool, self._claim, self.may_write, self._stored, self._conflict
         )
+        self.records = PoolRecords(
+            store, pool, self.scheduler, self.committer, self.wake
+        )
         self.grants = GrantKeeper(store, board, pool, self._claim, self.scheduler)
         self.reports = PoolReports(store, self.scheduler, self._claim, token)
         self.permits = PermitDesk(outside.policy, self.scheduler, self.wake)
-        self.early: dict[str, Progress] = {}
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -99,7 +99,7 @@
         self.stopped = True
         for link in self.links.values():
             link.stop()
-        self.jobs.stop()
+        self.records.stop()
         self.permits.stop()
         self.committer.stop()
         self.orders.kill(block=False)
@@ -163,11 +163,12 @@
         return self.claims.expect(self.role)
 
     def _run(self) -> None:
-        while not self._load():
+        while not self.records.load(self.token):
             gevent.sleep(RETRY_S)
+        self.loaded = True
         for entry in list(self.directory.entries.values()):
             self.see_worker(entry)
-        self.jobs.start()
+        self.records.start()
         self.greenlets.append(gevent.spawn(self._write_loop))
         self.permits.start()
         while True:
@@ -180,48 +181,6 @@
                 log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
                 gevent.sleep(ROUND_S)
 
-    def _load(self) -> bool:
-        """Read what earlier holders stored; return False if that failed."""
-        try:
-            snapshot = self.store.range(runs_prefix(self.pool))
-            for entry in snapshot.entries:
-                self._see_progress(entry)
-            self.jobs.read()
-        except StoreError as error:
-            log(Event.FEED_LOST, prefix=runs_prefix(self.pool), error=str(error))
-            return False
-        self.loaded = True
-        log(
-            Event.POOL_LOADED,
-            pool=self.pool,
-            token=self.token,
-            jobs=len(self.scheduler.state.jobs),
-            begun=len(snapshot.entries),
-        )
-        return True
-
-    def _see_progress(self, entry: Entry) -> None:
-        job_id = entry.key.removeprefix(runs_prefix(self.pool))
-        self.early[job_id] = decode_json(entry.value, Progress)
-        self.committer.revisions[job_id] = entry.revision
-
-    def _see_job(self, entry: Entry) -> None:
-        job_id = entry.key.removeprefix(jobs_prefix(self.pool))
-        if job_id.endswith(CANCEL_SUFFIX):
-            job_id = job_id.removesuffix(CANCEL_SUFFIX)
-            self.committer.cancels.add(job_id)
-            self.scheduler.cancel(job_id, now_s())
-        else:
-            job = decode_json(entry.value, Job)
-            self.scheduler.add_job(job, self.early.pop(job_id, None), now_s())
-            if job_id in self.committer.cancels:
-                self.scheduler.cancel(job_id, now_s())
-        self.wake()
-
-    def _miss_job(self, key: str) -> None:
-        # Only this node deletes jobs of the pool, once they are final.
-        return
-
     def _round(self) -> None:
         config = self.operators.config
         if config is None:
