--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -217,7 +217,7 @@
     avoided = worker.worker_id in task.avoid
     cold = worker.info.cold_s > 0
     if step.lasting:
-        due = worker.info.machine in state.upkeep_due
+        due = worker.info.machine in state.maintenance_due
         return (avoided, due, cold, *_lasting_score(task, worker), worker.worker_id)
     remote = bool(step.rack) and step.rack not in worker.info.labels
     # The tightest fit keeps room for wide tasks, and machines free.
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/rules.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/rules.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-CLOCK_DRIFT = 0.02  # a worker's clock may be this much slow (platform's page)
+CLOCK_DRIFT = 0.02  # a worker's clock may be slow by this much, as the platform states
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -130,18 +130,18 @@
         self,
         machines: Mapping[str, int],
         resting: Mapping[str, int],
-        upkeep_due: frozenset[str] = frozenset(),
+        maintenance_due: frozenset[str] = frozenset(),
     ) -> None:
         """Set the machines to be emptied, each with the number of the request.
 
         Args:
             machines: What can be moved off these is moved.
             resting: These get nothing new; what runs there ends by itself.
-            upkeep_due: These will be taken down by a wave.
+            maintenance_due: These will be taken down by a wave.
         """
         self.state.vacating = machines
         self.state.resting = resting
-        self.state.upkeep_due = upkeep_due
+        self.state.maintenance_due = maintenance_due
 
     def cleared(self) -> dict[str, int]:
         """Return the machines to be emptied that are, with the request's number."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -36,7 +36,7 @@
         vacating: Machines that shall become empty soon, with the number of the
             request; what can move is moved.
         resting: The same for machines on which what runs ends by itself.
-        upkeep_due: Machines that a wave will take down.
+        maintenance_due: Machines that a wave will take down.
         changed: Jobs with changes that are not being stored.
         orders: Orders to be sent.
         times: Learned run times.
@@ -58,7 +58,7 @@
     short: dict[str, Resources] = field(default_factory=dict)
     vacating: Mapping[str, int] = field(default_factory=dict)
     resting: Mapping[str, int] = field(default_factory=dict)
-    upkeep_due: frozenset[str] = frozenset()
+    maintenance_due: frozenset[str] = frozenset()
     changed: set[str] = field(default_factory=set)
     orders: list[Order] = field(default_factory=list)
     times: RunTimes = field(default_factory=RunTimes)
