--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -251,3 +251,29 @@
     assert model.alive() == []
     model.round(1.0)
     assert [number for _worker, _task, number in model.alive()] == [2]
+
+
+def test_a_run_that_stands_still_is_stopped_and_started_elsewhere(model):
+    model.add(job_of(step_of(estimate_s=0.5)))
+    first = model.alive()[0][0]
+    model.round(2.0)
+    assert [run for _worker, _task, run in model.alive()] == [1]
+    model.round(2.0)
+    model.listen_all()
+    model.round()
+    assert [run for _worker, _task, run in model.alive()] == [2]
+    assert model.alive()[0][0] != first
+
+
+def test_a_worker_that_fails_the_tasks_of_several_jobs_gets_no_more(model):
+    for number in range(6):
+        model.add(job_of(step_of(), job_id=f"j{number}"))
+    bad = model.alive()[0][0]
+    for worker_id, task, number in model.alive():
+        if worker_id == bad:
+            model.workers[bad].end(task, number, Ending.FAILED)
+    model.listen_all()
+    model.round()
+    assert {worker_id for worker_id, _task, _run in model.alive()} == {"w0", "w1"} - {
+        bad
+    }
