--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -15,6 +15,7 @@
 from .operators import Operators
 
 STORE_RETRY_S = 1.0  # when a caller may come back after the store was away
+RETRY_MOST_S = 4.0  # nobody is sent away for longer, as nobody knows the end
 STORE_TRIES = 4  # a short spell of the store costs a caller no second attempt
 STORE_PAUSE_S = 0.1  # pause between two tries
 REPORT_AGE_S = 3.0  # a pool's report older than this says nothing of its queue
@@ -31,18 +32,19 @@
     Args:
         store: The platform's store.
         operators: The operators' records.
-        store_lost: Tells whether the store is known not to answer this node.
+        store_lost_s: Returns for how long the store is known not to answer this
+            node; 0 while it answers.
     """
 
     def __init__(
         self,
         store: PolledStore,
         operators: Operators,
-        store_lost: Callable[[], bool] = lambda: False,
+        store_lost_s: Callable[[], float] = lambda: 0.0,
     ):
         self.store = store
         self.operators = operators
-        self.store_lost = store_lost
+        self.store_lost_s = store_lost_s
 
     def identify(self, host: str, path: str, key: str) -> Caller:
         """Return who calls.
@@ -52,11 +54,14 @@
                 ``UNAUTHENTICATED`` without a valid key, ``NO_STANDING`` if this
                 node can't tell, ``STORE_UNAVAILABLE`` if it need not try.
         """
-        if self.store_lost():
+        lost_s = self.store_lost_s()
+        if lost_s:
+            # An outage that has lasted so long may last as long again.
+            retry_s = min(RETRY_MOST_S, max(STORE_RETRY_S, lost_s))
             raise HeatherhatchError(
                 ErrorKind.STORE_UNAVAILABLE,
-                "the store doesn't answer this node",
-                STORE_RETRY_S,
+                f"the store hasn't answered this node for {lost_s:.1f} s",
+                retry_s,
             )
         config = self.operators.config
         if config is not None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -20,6 +20,7 @@
 from .ports import DirectoryEntry, Outside
 
 STORE_LOST_S = 1.5  # two renewals of the claims without an answer
+POLLS_LOST_S = 0.5  # polls are cut now and then; the next one works at once
 READY_AGE_S = 2.5  # evidence of the store older than this takes a node out of rotation
 
 
@@ -55,7 +56,7 @@
             store, outside.records, self._see_worker, self._lose_worker
         )
         self.board = PlanBoard(store)
-        self.intake = Intake(store, self.operators, self.store_lost)
+        self.intake = Intake(store, self.operators, self.store_lost_s)
         self.holders: dict[str, PoolHolder] = {}
         self.coordinator: Coordinator | None = None
         self.ending = False
@@ -70,10 +71,13 @@
         self.ending = True
         self.claims.release_all()
 
-    def store_lost(self) -> bool:
-        """Tell whether the store is known not to answer this node."""
-        failing = self.operators.feed.failing_since_s != float("inf")
-        return failing or now_s() - self.claims.confirmed_s > STORE_LOST_S
+    def store_lost_s(self) -> float:
+        """Return for how long the store is known not to answer; 0 if it does."""
+        failing_s = now_s() - self.operators.feed.failing_since_s
+        silent_s = now_s() - self.claims.confirmed_s
+        if failing_s <= POLLS_LOST_S and silent_s <= STORE_LOST_S:
+            return 0.0
+        return max(failing_s, silent_s)
 
     def ready(self) -> bool:
         """Tell whether callers should come here."""
