--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -12,6 +12,7 @@
     StartOrder,
     StartResult,
     StopOrder,
+    TaskName,
 )
 from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import Resources
@@ -212,6 +213,7 @@
 def test_lasting_tasks_leave_a_machine_one_by_one():
     model = PoolModel(workers=4, cores=4)
     step = step_of(4, lasting=True, spread=2, may_miss=1)
+    model.now_s += 2.0
     model.add(job_of(step))
     model.listen_all()
     model.round()
@@ -277,3 +279,26 @@
     assert {worker_id for worker_id, _task, _run in model.alive()} == {"w0", "w1"} - {
         bad
     }
+
+
+def test_a_new_holder_moves_no_lasting_task_before_earlier_stops_have_shown(model):
+    """The former holder has just told a worker to stop one task of the step."""
+    runs = [RunRecord(1, "w0", 1), RunRecord(1, "w1", 1)]
+    tasks = [
+        TaskRecord(0, 0, index, 1, 0, False, "", (run,))
+        for index, run in enumerate(runs)
+    ]
+    job = job_of(step_of(2, lasting=True, may_miss=1))
+    for index, worker in enumerate(("w0", "w1")):
+        model.workers[worker].runs[TaskName("j1", 0, 0, index), 1] = 100
+    model.scheduler = Scheduler(POOL, Rules(), model.now_s)
+    for worker in model.workers.values():
+        model.scheduler.see_worker(worker.info, model.now_s)
+    model.scheduler.add_job(job, Progress(tuple(tasks)), model.now_s)
+    model.scheduler.vacate({"m0": 1, "m1": 2}, {})
+    model.listen_all()
+    model.round(0.3)
+    assert len(model.alive()) == 2
+    model.listen_all()
+    model.round(0.8)
+    assert len(model.alive()) == 1
