--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/messages.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/messages.py
@@ -75,7 +75,7 @@
     """A run that a worker lists as alive.
 
     Attributes:
-        task: Its task; None if the name can't be read.
+        task: Its task.
         number: Its run number.
         checkpoint: Last saved progress.
         percent: Share at which it works; 100 when it is fully at work.
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -20,7 +20,6 @@
         state: The pool.
         workers: Workers that may get new runs.
         now_s: Monotonic time.
-        wall_s: Seconds since the epoch.
         placed: Tasks placed so far.
         full: Needs that found no room in this round.
     """
@@ -28,22 +27,21 @@
     state: PoolState
     workers: list[Worker]
     now_s: float
-    wall_s: float
     placed: int = 0
     full: set[tuple] = field(default_factory=set)
 
 
-def place_tasks(state: PoolState, now_s: float, wall_s: float) -> int:
-    """Place ready tasks on workers; return how many."""
+def place_tasks(state: PoolState, now_s: float, wall_s: float) -> None:
+    """Place ready tasks on workers."""
     workers = [worker for worker in state.workers.values() if worker.usable(now_s)]
     closed = state.vacating.keys() | state.resting.keys()
     workers = [item for item in workers if item.info.machine not in closed]
     state.short.clear()
-    this = Round(state, workers, now_s, wall_s)
+    this = Round(state, workers, now_s)
     for job in list(state.jobs.values()):
         _expand_due(state, job, wall_s)
     if not workers:
-        return 0
+        return
     for job in sort_jobs(state, wall_s):
         if this.placed >= STARTS_MOST:
             break
@@ -51,7 +49,6 @@
             for number in range(len(job.job.steps)):
                 if job.ready(occurrence, number):
                     _place_step(this, job, occurrence, number)
-    return this.placed
 
 
 def _expand_due(state: PoolState, job: LiveJob, wall_s: float) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -37,7 +37,7 @@
         self.config: FleetConfiguration | None = None
         self.revision = 0
         self.confirmed_s = float("-inf")
-        self.waves: dict[int, tuple[Wave, float]] = {}
+        self.waves: dict[int, Wave] = {}
         self.feed = Feed(store, records.prefix, self._see, self._miss, WAIT_S)
 
     def start(self) -> None:
@@ -87,8 +87,7 @@
             if wave is None:
                 log(Event.RECORD_SKIPPED, key=entry.key, revision=entry.revision)
             else:
-                seen_s = self.waves.get(wave.number, (wave, now_s()))[1]
-                self.waves[wave.number] = (wave, seen_s)
+                self.waves[wave.number] = wave
                 log(
                     Event.WAVE_SEEN,
                     wave=wave.number,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -10,7 +10,6 @@
     Scheduler,
     StopOrder,
 )
-from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 from ..events import Event, log
 from ..metrics import METER, Metric
@@ -234,10 +233,6 @@
             config = self.operators.config
             if config is None or not self.may_order() or not self.board.read:
                 continue
-            try:
-                self.grants.step(config)
-                self.reports.step()
-            except HeatherhatchError as error:
-                if error.kind is not ErrorKind.STORE_UNAVAILABLE:
-                    raise
-                gevent.sleep(RETRY_S)
+            # Both log a store that does not answer, and try again the next time.
+            self.grants.step(config)
+            self.reports.step()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/wave_keeper.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/wave_keeper.py
@@ -121,9 +121,8 @@
         return found
 
     def _open_waves(self, plan: FleetPlan) -> list[Wave]:
-        waves = [wave for wave, _seen_s in self.operators.waves.values()]
-        waves.sort(key=lambda wave: wave.number)
-        return [wave for wave in waves if wave.number not in plan.completed]
+        waves = self.operators.waves
+        return [waves[number] for number in sorted(waves.keys() - set(plan.completed))]
 
     def _done(self, plan: FleetPlan, wave: Wave) -> tuple[str, ...]:
         return self.maintained(plan).get(wave.number, ())
