--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -10,6 +10,7 @@
 
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
+from .capacity import PLAIN_NODE, NodeCapacity
 from .clock import now_s
 from .feed import Feed
 from .keys import CLAIM_PREFIX, claim_key
@@ -19,8 +20,7 @@
 RENEW_S = 0.5  # four renewals in the life of the lease
 TURNED_AWAY_S = 1.5  # a node whose polls fail for so long gives its roles up
 LOOK_S = 0.1  # pause between two looks at free roles
-STAGGER_S = 0.25  # a node waits this long more for each role that it holds
-SPREAD_S = 0.12  # nodes with equally many roles are spread over this time
+SPREAD_S = 0.05  # nodes that are loaded alike are spread over this time
 
 
 class Claims:
@@ -36,6 +36,7 @@
         roles: Returns the roles that exist now.
         on_taken: Called with a role and its token.
         on_lost: Called with a role.
+        capacity: What this node can carry; those that carry more come first.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         roles: Callable[[], list[str]],
         on_taken: Callable[[str, int], None],
         on_lost: Callable[[str], None],
+        capacity: NodeCapacity = PLAIN_NODE,
     ):
         self.store = store
         self.node = node
@@ -53,6 +55,7 @@
         self.roles = roles
         self.on_taken = on_taken
         self.on_lost = on_lost
+        self.capacity = capacity
         self.lease = 0
         self.confirmed_s = float("-inf")
         self.held: dict[str, int] = {}
@@ -170,29 +173,38 @@
             log(Event.WRITE_FAILED, what="end of the lease", error=str(error))
 
     def _look_loop(self) -> None:
+        pause_s = LOOK_S
         while True:
-            gevent.sleep(LOOK_S)
+            gevent.sleep(pause_s)
+            pause_s = LOOK_S
             if not self.lease or not self.feed.loaded:
                 continue
             for role in self.roles():
                 if self.ending:
                     return
-                if role not in self.held and self._is_due(role):
-                    try:
-                        self._take(role)
-                    except StoreError:
-                        gevent.sleep(LOOK_S)
-
-    def _is_due(self, role: str) -> bool:
+                if role in self.held:
+                    continue
+                left_s = self._due_s(role) - now_s()
+                if left_s > 0:
+                    # The order of the nodes must not depend on when each looks.
+                    pause_s = min(pause_s, left_s)
+                    continue
+                try:
+                    self._take(role)
+                except StoreError:
+                    gevent.sleep(LOOK_S)
+
+    def _due_s(self, role: str) -> float:
+        """Return when this node may take a role; inf while another has it."""
         holder = self.holders.get(role)
         if holder is not None:
             # An earlier process of this node is surely gone. And a claim that this
             # process gave up, but could not delete, lives as long as its lease.
-            return holder.value.rpartition(b"/")[0] == self.node.encode()
+            own = holder.value.rpartition(b"/")[0] == self.node.encode()
+            return float("-inf") if own else float("inf")
         since_s = self.free_since_s.setdefault(role, now_s())
         share = zlib.crc32(f"{role}@{self.node}".encode()) / 2**32
-        wait_s = STAGGER_S * len(self.held) + SPREAD_S * share
-        return now_s() - since_s >= wait_s
+        return since_s + self.capacity.wait_s(len(self.held)) + SPREAD_S * share
 
     def _take(self, role: str) -> None:
         lease = self.lease
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -8,6 +8,7 @@
 from ..metrics import METER, Metric
 from ..transport.store import PolledStore
 from .board import PlanBoard
+from .capacity import PLAIN_NODE, NodeCapacity
 from .claims import Claims
 from .clock import now_s
 from .coordinator import Coordinator
@@ -34,6 +35,7 @@
         outside: Workers and the rest of the outside.
         rules: Bounds of the schedulers.
         coordinator_rules: Bounds of the coordinator.
+        capacity: What the instance has for itself.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         outside: Outside,
         rules: Rules,
         coordinator_rules: CoordinatorRules,
+        capacity: NodeCapacity = PLAIN_NODE,
     ):
         self.name = name
         self.store = store
@@ -51,7 +54,9 @@
         self.rules = rules
         self.coordinator_rules = coordinator_rules
         self.operators = Operators(store, outside.records, self._configured)
-        self.claims = Claims(store, name, life, self._roles, self._taken, self._lost)
+        self.claims = Claims(
+            store, name, life, self._roles, self._taken, self._lost, capacity
+        )
         self.directory = Directory(
             store, outside.records, self._see_worker, self._lose_worker
         )
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -7,7 +7,8 @@
 
 from heatherhatch_core.coordination.scheduler.rules import CLOCK_DRIFT, Rules
 from heatherhatch_core.exceptions import StoreError
-from heatherhatch_daemon.pools.claims import TTL_S, Claims
+from heatherhatch_daemon.pools.capacity import STAGGER_MOST_S, NodeCapacity
+from heatherhatch_daemon.pools.claims import SPREAD_S, TTL_S, Claims
 from heatherhatch_daemon.pools.keys import claim_key
 from heatherhatch_daemon.pools.pool_holder import RENEW_ALONE_S
 from heatherhatch_daemon.transport.memory_store import MemoryStore
@@ -92,6 +93,23 @@
     assert sorted(len(node.claims.held) for node in nodes) == [0, 1, 1]
 
 
+def test_a_role_goes_to_the_node_that_it_fills_least():
+    """A pool in its turn takes a core; half of one made most of its jobs late."""
+    strong = NodeCapacity(cores=2.15, link_mbps=200.0)
+    weak = NodeCapacity(cores=0.516, link_mbps=10.0)
+    assert strong.wait_s(0) + SPREAD_S < strong.wait_s(1)
+    assert strong.wait_s(1) + SPREAD_S < weak.wait_s(0)
+    assert weak.wait_s(0) + SPREAD_S < weak.wait_s(1)
+
+
+def test_a_slow_link_weighs_as_much_as_a_slow_processor():
+    assert NodeCapacity(2.0, 10.0).roles == NodeCapacity(0.5, 200.0).roles
+
+
+def test_a_node_that_can_carry_next_to_nothing_still_takes_a_free_role():
+    assert NodeCapacity(0.0, 0.0).wait_s(5) == STAGGER_MOST_S
+
+
 def test_a_node_that_ends_hands_its_roles_over_at_once(start, store):
     store.leases_last = True
     first = start("n1")
