--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -139,7 +139,9 @@
         writing: Version that is being stored; 0 if none.
         stored: Version that is stored.
         began: True once a task has started.
-        order_key: Place in the queue; computed at each round.
+        order_key: Place in the queue.
+        order_key_s: When that was computed.
+        placed_version: Version at which none of its tasks waited for a worker.
     """
 
     job: Job
@@ -155,6 +157,8 @@
     stored: int = 0
     began: bool = False
     order_key: tuple = ()
+    order_key_s: float = float("-inf")
+    placed_version: int = -1
 
     @property
     def occurrences(self) -> int:
@@ -198,6 +202,7 @@
         if not all(item.done for item in self.step_tasks(occurrence, number)):
             return
         self.open_steps[occurrence].discard(number)
+        self.order_key_s = float("-inf")
         if not self.open_steps[occurrence]:
             self.occurrences_done.add(occurrence)
             self.expanded.discard(occurrence)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -7,6 +7,7 @@
 LATE_FACTOR = 3.0  # up to so many times the objective a late job is worth something
 ROUGHNESS = 1.2  # by so much a chain may take longer than is expected of it
 HANDLING_S = 0.1  # time to store, order and report the tasks of a chain
+KEY_S = 0.1  # a place in the queue is good for so long, unless a step is done
 ON_TIME, LATE, OVERDUE = 0, 1, 2
 
 
@@ -14,7 +15,9 @@
     """Return the jobs that may start tasks, the most pressing first."""
     jobs = [job for job in state.jobs.values() if not job.phase.final]
     for job in jobs:
-        job.order_key = _key(state, job, wall_s)
+        if wall_s - job.order_key_s >= KEY_S:
+            job.order_key = _key(state, job, wall_s)
+            job.order_key_s = wall_s
     jobs.sort(key=lambda job: job.order_key)
     return jobs
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -6,6 +6,7 @@
 from .live import LiveJob, Task
 from .ordering import sort_jobs
 from .permits import step_of
+from .room_index import RoomIndex
 from .state import PoolState
 from .worker import Worker
 
@@ -19,6 +20,7 @@
     Attributes:
         state: The pool.
         workers: Workers that may get new runs.
+        rooms: The same by their room.
         now_s: Monotonic time.
         placed: Tasks placed so far.
         full: Needs that found no room in this round.
@@ -26,6 +28,7 @@
 
     state: PoolState
     workers: list[Worker]
+    rooms: RoomIndex
     now_s: float
     placed: int = 0
     full: set[tuple] = field(default_factory=set)
@@ -37,7 +40,7 @@
     closed = state.vacating.keys() | state.resting.keys()
     workers = [item for item in workers if item.info.machine not in closed]
     state.short.clear()
-    this = Round(state, workers, now_s)
+    this = Round(state, workers, RoomIndex(workers), now_s)
     for job in list(state.jobs.values()):
         _expand_due(state, job, wall_s)
     if not workers:
@@ -45,10 +48,16 @@
     for job in sort_jobs(state, wall_s):
         if this.placed >= STARTS_MOST:
             break
+        if job.placed_version == job.version:
+            continue
+        waiting = 0
         for occurrence in sorted(job.expanded):
             for number in range(len(job.job.steps)):
                 if job.ready(occurrence, number):
-                    _place_step(this, job, occurrence, number)
+                    waiting += _place_step(this, job, occurrence, number)
+        if not waiting:
+            # Nothing to do for it until one of its runs ends.
+            job.placed_version = job.version
 
 
 def _expand_due(state: PoolState, job: LiveJob, wall_s: float) -> None:
@@ -62,38 +71,39 @@
         ):
             break
         job.expand(occurrence)
+        job.placed_version = -1
 
 
-def _place_step(this: Round, job: LiveJob, occurrence: int, number: int) -> None:
+def _place_step(this: Round, job: LiveJob, occurrence: int, number: int) -> int:
+    """Place what can be placed of a step; return how many tasks still wait."""
     tasks = job.step_tasks(occurrence, number)
     step = job.job.steps[number]
-    waiting = [task for task in tasks if _wants_run(task, this.now_s)]
+    unserved = [task for task in tasks if not task.settled and not task.runs]
+    waiting = [task for task in unserved if this.now_s >= task.not_before_s]
     if not waiting:
-        return
+        return len(unserved)
     if step.gang:
         if len(waiting) == len(tasks) and not any(task.runs for task in tasks):
             _place_gang(this, tasks)
-        return
+        return sum(1 for task in waiting if not task.runs)
     need = (step.need, step.label, step.fills)
     if need in this.full and not step.lasting:
-        return
-    for task in waiting:
+        return len(unserved)
+    for done, task in enumerate(waiting):
         if not _allowed(this.state, task, step.occupies):
-            return
+            return len(unserved) - done
         worker = choose_worker(this, task, {})
         if worker is None:
             if not step.spread and not task.avoid:
                 this.full.add(need)
-            return
+            return len(unserved) - done
         _start(this, task, worker, task.last_run + 1)
-
-
-def _wants_run(task: Task, now_s: float) -> bool:
-    return not task.settled and not task.runs and now_s >= task.not_before_s
+    return len(unserved) - len(waiting)
 
 
 def _start(this: Round, task: Task, worker: Worker, number: int) -> None:
     this.state.add_run(task, worker, number, this.now_s)
+    this.rooms.update(worker)
     this.placed += 1
     this.state.note(
         "placed",
@@ -163,10 +173,20 @@
     """
     best = None
     best_score: tuple = ()
-    for worker in this.workers:
+    lasting = task.step.lasting
+    for worker in (
+        this.workers if lasting else this.rooms.tightest(task.step.occupies.cpu_m)
+    ):
         if not _may_run(this, task, worker, taken, rack):
             continue
-        score = _score(this.state, task, worker)
+        score = (
+            _lasting_score(this.state, task, worker)
+            if lasting
+            else _flaws(task, worker)
+        )
+        if not lasting and not any(score):
+            # The tightest fit keeps room for wide tasks, and machines free.
+            return worker
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -209,19 +229,20 @@
     )
 
 
-def _score(state: PoolState, task: Task, worker: Worker) -> tuple:
+def _flaws(task: Task, worker: Worker) -> tuple[bool, bool, bool]:
+    """Return what speaks against a worker, the worst first."""
     step = task.step
-    avoided = worker.worker_id in task.avoid
-    cold = worker.info.cold_s > 0
-    if step.lasting:
-        due = worker.info.machine in state.maintenance_due
-        return (avoided, due, cold, *_lasting_score(task, worker), worker.worker_id)
     remote = bool(step.rack) and step.rack not in worker.info.labels
-    # The tightest fit keeps room for wide tasks, and machines free.
-    return (avoided, remote, cold, worker.room.cpu_m, worker.worker_id)
+    return (worker.worker_id in task.avoid, remote, worker.info.cold_s > 0)
+
+
+def _lasting_score(state: PoolState, task: Task, worker: Worker) -> tuple:
+    avoided, _remote, cold = _flaws(task, worker)
+    due = worker.info.machine in state.maintenance_due
+    return (avoided, due, cold, *_company(task, worker), worker.worker_id)
 
 
-def _lasting_score(task: Task, worker: Worker) -> tuple:
+def _company(task: Task, worker: Worker) -> tuple:
     step = task.step
     if step.tail_target_ms or step.fills:
         # Tasks that serve, and those that fill, slow each other down.
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -26,6 +26,8 @@
 from .watchdog import watch_runs
 from .worker import Worker
 
+WATCH_S = 0.05  # what runs is looked after so often; its bounds are ten times that
+
 
 class Scheduler:
     """Decides which task runs where; the caller stores, sends and listens.
@@ -43,6 +45,7 @@
     def __init__(self, pool: str, rules: Rules, now_s: float):
         self.state = PoolState(pool, rules, now_s)
         self.emptying_since_s: dict[str, float] = {}
+        self.watched_s = float("-inf")
         self.arrivals = Arrivals()
 
     def configure(self, config: FleetConfiguration) -> None:
@@ -149,9 +152,11 @@
 
     def decide(self, now_s: float, wall_s: float) -> None:
         """Do one round: look after what runs, and place what waits."""
-        watch_runs(self.state, now_s)
-        step_evacuation(self.state, self.emptying_since_s, now_s)
-        pace_fillers(self.state, now_s)
+        if now_s - self.watched_s >= WATCH_S:
+            self.watched_s = now_s
+            watch_runs(self.state, now_s)
+            step_evacuation(self.state, self.emptying_since_s, now_s)
+            pace_fillers(self.state, now_s)
         place_tasks(self.state, now_s, wall_s)
 
     def take_writes(self, wall_s: float, most: int | None = None) -> list[JobWrite]:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -37,6 +37,7 @@
             request; what can move is moved.
         resting: The same for machines on which what runs ends by itself.
         maintenance_due: Machines that a wave will take down.
+        unstored_ends: Workers that listed ends of each job which are not stored.
         changed: Jobs with changes that are not being stored.
         orders: Orders to be sent.
         times: Learned run times.
@@ -59,6 +60,7 @@
     vacating: Mapping[str, int] = field(default_factory=dict)
     resting: Mapping[str, int] = field(default_factory=dict)
     maintenance_due: frozenset[str] = frozenset()
+    unstored_ends: dict[str, set[str]] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     orders: list[Order] = field(default_factory=list)
     times: RunTimes = field(default_factory=RunTimes)
@@ -154,14 +156,7 @@
             return
         job.writing = 0
         job.stored = version
-        for worker in self.workers.values():
-            done = [
-                sequence
-                for sequence, (owner, at) in worker.pending.items()
-                if owner == job_id and at <= version
-            ]
-            for sequence in done:
-                worker.note_stored(sequence)
+        self._note_ends_stored(job_id, version)
         for task in job.tasks.values():
             for run in list(task.runs.values()):
                 if run.state is RunState.RECORDING and run.version <= version:
@@ -170,6 +165,14 @@
             del self.jobs[job_id]
             self.changed.discard(job_id)
 
+    def _note_ends_stored(self, job_id: str, version: int) -> None:
+        for worker_id in list(self.unstored_ends.get(job_id, ())):
+            worker = self.workers.get(worker_id)
+            if worker is None or worker.note_stored(job_id, version):
+                self.unstored_ends[job_id].discard(worker_id)
+        if not self.unstored_ends.get(job_id, True):
+            del self.unstored_ends[job_id]
+
     def _order(self, run: Run, task: Task, now_s: float) -> None:
         if run.stopping:
             self.end_run(run, Ending.LOST, "", now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -158,10 +158,22 @@
             and not (self.trust.on_trial and self.runs)
         )
 
-    def note_stored(self, sequence: int) -> None:
-        """Note that an end is stored, and acknowledge what can be."""
-        self.pending.pop(sequence, None)
+    def note_stored(self, job_id: str, version: int) -> bool:
+        """Note that ends of a job are stored, and acknowledge what can be.
+
+        Returns:
+            True if no end of the job waits to be stored any more.
+        """
+        left = 0
+        for sequence, (owner, at) in list(self.pending.items()):
+            if owner != job_id:
+                continue
+            if at <= version:
+                del self.pending[sequence]
+            else:
+                left += 1
         self.advance()
+        return not left
 
     def advance(self) -> None:
         """Move the acknowledgement to just below the first end not stored."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -31,6 +31,7 @@
 
 ROUND_S = 0.1  # longest time between two rounds of the scheduler
 GATHER_S = 0.004  # what arrives in this time is decided on together
+ROUNDS_SHARE = 0.25  # of the processor's time; the rest carries orders and answers
 RENEW_ALONE_S = 3.0  # leases are renewed so long after the claim was last confirmed
 
 
@@ -75,6 +76,7 @@
         self.signal = Signal()
         self.stopped = False
         self.loaded = False
+        self.configured = -1
         self.orders = Group()
         self.committer = Committer(
             store, pool, self._claim, self.may_write, self._stored, self._conflict
@@ -170,21 +172,28 @@
         self.records.start()
         self.greenlets.append(gevent.spawn(self._write_loop))
         self.permits.start()
+        pause_s = 0.0
         while True:
             self.signal.wait(ROUND_S)
-            gevent.sleep(GATHER_S)
+            gevent.sleep(max(GATHER_S, pause_s))
             self.signal.clear()
+            begun_s = now_s()
             try:
                 self._round()
             except Exception as error:  # the pool must not stand still for one fault
                 log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
                 gevent.sleep(ROUND_S)
+            # Long rounds come less often, so that answers are not late for them.
+            took_s = now_s() - begun_s
+            pause_s = min(ROUND_S, took_s * (1 / ROUNDS_SHARE - 1))
 
     def _round(self) -> None:
         config = self.operators.config
         if config is None:
             return
-        self.scheduler.configure(config)
+        if config.version != self.configured:
+            self.configured = config.version
+            self.scheduler.configure(config)
         plan = self.board.plan
         self.scheduler.vacate(plan.vacating, plan.resting, frozenset(plan.due))
         if self.may_order() and self.board.read:
