--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -75,6 +75,7 @@
         requests: Number of the last request.
         due: Machines that a wave will take down.
         maintained: Machines of each wave that have had their turn.
+        announced: When each open wave was first seen, seconds since the epoch.
         completed: Waves that were reported as completed.
         orders: Last order for each machine that was given one.
     """
@@ -84,6 +85,7 @@
     requests: int = 0
     due: tuple[str, ...] = ()
     maintained: dict[int, tuple[str, ...]] = {}
+    announced: dict[int, float] = {}
     completed: tuple[int, ...] = ()
     orders: tuple[MachineOrder, ...] = ()
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -139,6 +139,7 @@
         plan = replace(
             with_requests(plan, leaving, resting),
             due=tuple(sorted(work.due)),
+            announced=self.waves.announced(plan),
             maintained=self.waves.maintained(plan),
             completed=(*plan.completed, *work.completed),
         )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/wave_keeper.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/wave_keeper.py
@@ -14,7 +14,7 @@
 
 from ..events import Event, log
 from ..transport.store import Expect, PolledStore, Put, Transaction
-from .board import FleetPlan, PoolReport
+from .board import FleetPlan, MachineLoad, PoolReport
 from .clock import wall_s
 from .coordinator_rules import CoordinatorRules
 from .machine_orders import MachineOrders, Maintain
@@ -22,7 +22,6 @@
 from .ports import OperatorRecords
 
 DOWN = (MachineState.MAINTENANCE, MachineState.DOWN)
-LASTING_WEIGHT = 1_000  # a lasting task is dearer to move than any number of others
 
 
 @dataclass(slots=True)
@@ -70,6 +69,7 @@
         self.claim = claim
         self.rules = rules
         self.told: dict[int, bool] = {}
+        self.seen_s: dict[int, float] = {}
 
     def work(
         self,
@@ -97,8 +97,12 @@
                 cleared=cleared,
                 taken=frozenset(self.orders.moving(machines)),
                 working=frozenset(self.operators.config.working_pools()),
-                loads=_loads(reports),
+                loads={load.machine: load.runs for load in _loads(reports)},
+                lasting=frozenset(
+                    load.machine for load in _loads(reports) if load.lasting
+                ),
                 down=frozenset(self._down(plan, wave, machines, listed_s)),
+                passed_s=wall_s() - self._announced_s(plan, wave),
             )
             self._tell(wave, state.finished)
             if state.finished:
@@ -110,6 +114,17 @@
             work.due.update(state.open)
         return work
 
+    def announced(self, plan: FleetPlan) -> dict[int, float]:
+        """Return when each open wave was first seen, seconds since the epoch."""
+        return {
+            wave.number: self._announced_s(plan, wave)
+            for wave in self._open_waves(plan)
+        }
+
+    def _announced_s(self, plan: FleetPlan, wave: Wave) -> float:
+        seen_s = self.seen_s.setdefault(wave.number, wall_s())
+        return min(seen_s, plan.announced.get(wave.number, seen_s))
+
     def maintained(self, plan: FleetPlan) -> dict[int, tuple[str, ...]]:
         """Return the machines of each wave that have had their turn."""
         numbers = plan.maintained.keys() | self.orders.maintained.keys()
@@ -170,9 +185,5 @@
             log(Event.WAVE_COMPLETED, wave=wave.number, machines=len(wave.machines))
 
 
-def _loads(reports: dict[str, PoolReport]) -> dict[str, int]:
-    return {
-        load.machine: load.lasting * LASTING_WEIGHT + load.runs
-        for report in reports.values()
-        for load in report.loads
-    }
+def _loads(reports: dict[str, PoolReport]) -> list[MachineLoad]:
+    return [load for report in reports.values() for load in report.loads]
--- a/tests/test_machine_orders.py
+++ b/tests/test_machine_orders.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from heatherhatch_core.coordination.wave_plan import WaveState, next_machines
+from heatherhatch_core.coordination.wave_plan import AHEAD, WaveState, next_machines
 from heatherhatch_core.exceptions import ErrorKind, FencedError
 from heatherhatch_core.state.maintenance import Machine, MachineState, Wave
 from heatherhatch_daemon.pools import machine_orders
@@ -94,11 +94,16 @@
     assert orders.seen({"m1": shown}) == {"m1": shown}
 
 
-def wave_of(count: int, at_once: int, **known) -> WaveState:
+def wave_of(
+    count: int, at_once: int, within_s: float = 20.0, off: int = 0, **known
+) -> WaveState:
     names = tuple(f"m{number}" for number in range(count))
-    machines = {name: Machine(name, "red", MachineState.UP) for name in names}
+    machines = {
+        name: Machine(name, "off" if number < off else "red", MachineState.UP)
+        for number, name in enumerate(names)
+    }
     known.setdefault("working", frozenset({"red"}))
-    return WaveState(Wave(1, names, 20.0, at_once), machines, **known)
+    return WaveState(Wave(1, names, within_s, at_once), machines, **known)
 
 
 def test_no_more_machines_go_down_than_the_wave_allows():
@@ -131,6 +136,69 @@
     assert next_machines(state) == ([], ["m1", "m2"])
 
 
+def test_a_wave_with_much_time_empties_few_machines_at_once():
+    """A third of the fleet stood empty while a queue had its turn."""
+    state = wave_of(99, 36, within_s=28.0)
+    ready, emptying = next_machines(state)
+    assert (ready, len(emptying)) == ([], state.under_way)
+    assert len(emptying) < AHEAD * 36
+
+
+def test_a_wave_that_runs_out_of_time_empties_all_that_it_may():
+    state = wave_of(99, 36, within_s=28.0, passed_s=18.0)
+    assert len(next_machines(state)[1]) == 72
+
+
+def test_machines_with_lasting_tasks_are_emptied_from_the_start():
+    """They move one by one; begun late, the last four missed their wave."""
+    slow = frozenset({"m7", "m8", "m9"})
+    state = wave_of(10, 4, within_s=1000.0, lasting=slow)
+    ready, emptying = next_machines(state)
+    assert ready == []
+    assert slow <= set(emptying)
+    assert len(emptying) == 4
+
+
+def test_machines_that_are_off_are_taken_before_any_is_emptied():
+    state = wave_of(99, 36, within_s=28.0, off=50)
+    ready, emptying = next_machines(state)
+    assert len(ready) == 36
+    assert emptying == []
+
+
+def test_a_paced_wave_has_all_its_machines_down_in_time():
+    """Each machine takes its whole time away; none is empty by itself."""
+    names = tuple(f"m{number}" for number in range(40))
+    machines = {name: Machine(name, "red", MachineState.UP) for name in names}
+    wave = Wave(1, names, 30.0, 12)
+    begun_s = {}
+    asked_s = {}
+    for tenth in range(300):
+        now_s = tenth / 10
+        down = frozenset(name for name, at_s in begun_s.items() if now_s - at_s < 2.0)
+        cleared = frozenset(
+            name
+            for name, at_s in asked_s.items()
+            if now_s - at_s >= 4.5 and name not in begun_s
+        )
+        state = WaveState(
+            wave,
+            machines,
+            done=frozenset(begun_s),
+            cleared=cleared,
+            working=frozenset({"red"}),
+            down=down,
+            passed_s=now_s,
+        )
+        ready, emptying = next_machines(state)
+        for name in ready:
+            begun_s[name] = now_s
+        for name in emptying:
+            asked_s.setdefault(name, now_s)
+    assert set(begun_s) == set(names)
+    assert max(begun_s.values()) < 30.0
+
+
 def test_a_wave_is_finished_when_every_machine_that_stays_had_its_turn():
     state = wave_of(2, 1, done=frozenset({"m0"}))
     assert not state.finished
