--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -3,10 +3,13 @@
 from collections import deque
 
 from .live import LiveJob
+from .ordering import late
 from .state import PoolState
 
 WINDOW_S = 2.0  # arrivals of this time foretell those until a machine is there
-LEAST_WINDOW_S = 0.7  # a single early job must not look like a rush
+LEAST_WINDOW_S = 0.7  # a few early jobs must not look like a rush
+FEW = 3  # fewer jobs say nothing of a rate; one wide job is no rush
+LATE_SHARE = 0.25  # of the waiting tasks of late jobs; they are no reason to hurry
 
 
 class Arrivals:
@@ -35,30 +38,34 @@
             self.recent.popleft()
         if not self.recent:
             return 0.0
-        span_s = max(LEAST_WINDOW_S, now_s - self.recent[0][0])
+        span_s = WINDOW_S
+        if len(self.recent) >= FEW:
+            span_s = max(LEAST_WINDOW_S, now_s - self.recent[0][0])
         return sum(work for _at_s, work in self.recent) / span_s
 
 
 def needed_cpu_m(state: PoolState, arrivals: Arrivals, now_s: float) -> int:
     """Return the thousandths of a core that the pool's work would use now.
 
-    What waits counts as if it ran; what will arrive is taken from what has
-    arrived lately.
+    What waits counts as if it ran, but of late jobs only a part of it; what will
+    arrive is taken from what has arrived lately.
     """
-    lasting = 0
-    batch = 0
+    lasting = 0.0
+    batch = 0.0
     for job in state.jobs.values():
         if job.phase.final:
             continue
+        share = LATE_SHARE if late(job) else 1.0
         for occurrence in job.expanded:
             for number, step in enumerate(job.job.steps):
                 if step.fills or not job.ready(occurrence, number):
                     continue
-                open_tasks = sum(
-                    1 for task in job.step_tasks(occurrence, number) if not task.settled
-                )
+                tasks = job.step_tasks(occurrence, number)
+                open_tasks = [task for task in tasks if not task.settled]
                 if step.lasting:
-                    lasting += open_tasks * step.need.cpu_m
-                else:
-                    batch += open_tasks * step.need.cpu_m
-    return lasting + int(max(batch, arrivals.cpu_m(now_s)))
+                    lasting += len(open_tasks) * step.need.cpu_m
+                    continue
+                running = sum(1 for task in open_tasks if task.runs)
+                waiting = len(open_tasks) - running
+                batch += (running + share * waiting) * step.need.cpu_m
+    return int(lasting + max(batch, arrivals.cpu_m(now_s)))
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -14,9 +14,10 @@
 def sort_jobs(state: PoolState, wall_s: float) -> list[LiveJob]:
     """Return the jobs that may start tasks, the most pressing first."""
     jobs = [job for job in state.jobs.values() if not job.phase.final]
+    over = teams_over_share(state, jobs)
     for job in jobs:
         if wall_s - job.order_key_s >= KEY_S:
-            job.order_key = _key(state, job, wall_s)
+            job.order_key = _key(state, job, wall_s, job.job.team in over)
             job.order_key_s = wall_s
     jobs.sort(key=lambda job: job.order_key)
     return jobs
@@ -48,7 +49,34 @@
     return terms.stretch * chain_s(state, job, occurrence, False) + terms.target_s
 
 
-def _key(state: PoolState, job: LiveJob, wall_s: float) -> tuple:
+def late(job: LiveJob) -> bool:
+    """Tell whether a job was found to be late when it last got its place."""
+    return bool(job.order_key) and job.order_key[0] > ON_TIME
+
+
+def teams_over_share(state: PoolState, jobs: list[LiveJob]) -> frozenset[str]:
+    """Return the teams that use more than their share of the pool.
+
+    The pool is divided by weight between the teams that have jobs here.
+    """
+    teams = {job.job.team for job in jobs}
+    if len(teams) < 2:
+        return frozenset()
+    weights = {team: state.weights.get(team, 1.0) for team in teams}
+    total = sum(weights.values())
+    capacity = sum(
+        worker.info.capacity.cpu_m
+        for worker in state.workers.values()
+        if worker.present
+    )
+    return frozenset(
+        team
+        for team, weight in weights.items()
+        if state.team_used[team].cpu_m * total > capacity * weight
+    )
+
+
+def _key(state: PoolState, job: LiveJob, wall_s: float, over: bool) -> tuple:
     priority = job.job.terms.priority
     if any(step.lasting for step in job.job.steps):
         return (-1, priority, job.job.accepted_s, job.job.job_id)
@@ -63,5 +91,8 @@
     else:
         lateness = OVERDUE
     slack = due_s + objective - left
-    begun = 0 if job.phase is Phase.RUNNING else 1
-    return (lateness, priority, begun if lateness else 0, slack, job.job.job_id)
+    waits = job.phase is not Phase.RUNNING
+    # What a team has begun is finished; beyond its share nothing more is begun
+    # as long as others have something that can be on time.
+    turn = waits if lateness else waits and over
+    return (lateness, priority, turn, slack, job.job.job_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -53,6 +53,7 @@
         self.state.advice = {
             queue.name: queue.advice for queue in config.queues if queue.advice
         }
+        self.state.weights = {team.name: team.weight for team in config.teams}
         self.state.limited = frozenset(
             team.name for team in config.teams if team.limit != NOTHING
         )
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -30,6 +30,7 @@
         jobs: Jobs that are not final, or whose end is not stored yet.
         workers: Workers by identifier.
         team_used: What each team has running here.
+        weights: Share of each team when the pool is full.
         limited: Teams that have a limit.
         allowances: What each of them may have running here; nothing if absent.
         short: Teams that were kept back by their allowance, with the need.
@@ -54,6 +55,7 @@
     team_used: dict[str, Resources] = field(
         default_factory=lambda: defaultdict(Resources)
     )
+    weights: dict[str, float] = field(default_factory=dict)
     limited: frozenset[str] = frozenset()
     allowances: dict[str, Resources] = field(default_factory=dict)
     short: dict[str, Resources] = field(default_factory=dict)
--- a/tests/test_scheduler_load.py
+++ b/tests/test_scheduler_load.py
@@ -94,3 +94,30 @@
     fitting = [item for item in workers if item.room.cpu_m >= need]
     fitting.sort(key=lambda item: (item.room.cpu_m, item.worker_id))
     assert list(index.tightest(need)) == fitting
+
+
+def test_one_wide_job_is_no_rush():
+    """Its work divided by a short time looked like a third of the fleet."""
+    model = PoolModel(workers=1, cores=8)
+    model.add(job_of(step_of(30, cores=4, estimate_s=4.0)))
+    waiting_cpu_m = 30 * 4000
+    assert model.scheduler.needed_cpu_m(model.now_s) <= 2 * waiting_cpu_m
+
+
+def test_many_jobs_at_once_are_a_rush():
+    model = PoolModel(workers=1, cores=8)
+    for number in range(20):
+        model.add(job_of(step_of(1, cores=1, estimate_s=4.0), job_id=f"j{number:02}"))
+    # 80 core-seconds within a second, more than the 20 cores that would run now.
+    assert model.scheduler.needed_cpu_m(model.now_s) > 2 * 20 * 1000
+
+
+def test_late_jobs_are_no_reason_to_bring_many_machines():
+    model = PoolModel(workers=1, cores=1)
+    for number in range(8):
+        long_ago_s = model.now_s - 60
+        job = job_of(step_of(10), job_id=f"j{number}", at_s=long_ago_s)
+        model.scheduler.add_job(job, None, model.now_s - 60)
+    model.round()
+    open_cpu_m = 8 * 10 * 1000
+    assert model.scheduler.needed_cpu_m(model.now_s) <= open_cpu_m * 0.3
--- a/tests/test_scheduler_order.py
+++ b/tests/test_scheduler_order.py
@@ -4,9 +4,12 @@
 seconds, so that some jobs can't be on time whatever is done.
 """
 
+import dataclasses
+
 import pytest
 
-from pool_model import PoolModel, job_of, step_of
+from heatherhatch_core.state.fleet_configuration import Team
+from pool_model import CONFIG, PoolModel, job_of, step_of
 
 
 @pytest.fixture
@@ -46,6 +49,61 @@
     assert running_jobs(model) == {"b"}
 
 
+@pytest.fixture
+def shared() -> PoolModel:
+    """A pool of eight cores for two teams, one of which floods it."""
+    teams = (Team("hot", weight=1.0), Team("calm", weight=3.0))
+    config = dataclasses.replace(CONFIG, teams=teams)
+    return PoolModel(workers=2, cores=4, config=config)
+
+
+def flood(model, jobs: int = 20) -> None:
+    for number in range(jobs):
+        job = job_of(step_of(1), job_id=f"a{number}", team="hot", at_s=model.now_s)
+        model.scheduler.add_job(job, None, model.now_s)
+    model.round()
+
+
+def test_a_team_that_floods_a_pool_waits_for_those_below_their_share(shared):
+    flood(shared)
+    assert len(shared.alive()) == 8
+    for number in range(2):
+        team = job_of(
+            step_of(2), job_id=f"b{number}", team="calm", at_s=shared.now_s + 0.2
+        )
+        shared.scheduler.add_job(team, None, shared.now_s)
+    shared.round(0.15)
+    for worker_id, task, number in shared.alive()[:4]:
+        shared.workers[worker_id].end(task, number)
+    shared.listen_all()
+    shared.round(0.15)
+    jobs = [task.job_id for _worker, task, _run in shared.alive()]
+    assert sorted(job for job in jobs if job.startswith("b")) == [
+        "b0",
+        "b0",
+        "b1",
+        "b1",
+    ]
+
+
+def test_a_team_alone_may_use_the_whole_pool(shared):
+    flood(shared)
+    shared.finish()
+    assert len(shared.alive()) == 8
+
+
+def test_what_a_team_over_its_share_has_begun_is_finished(shared):
+    wide = job_of(
+        step_of(8), step_of(8, after=(0,)), job_id="a", team="hot", at_s=shared.now_s
+    )
+    shared.add(wide)
+    calm = job_of(step_of(8), job_id="b", team="calm", at_s=shared.now_s + 1.0)
+    shared.scheduler.add_job(calm, None, shared.now_s)
+    shared.round(0.15)
+    shared.finish()
+    assert running_jobs(shared) == {"a"}
+
+
 def test_lasting_tasks_go_before_everything(model):
     lasting = job_of(step_of(1, cores=2, lasting=True), job_id="z", at_s=model.now_s)
     model.scheduler.add_job(lasting, None, model.now_s)
