--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -95,7 +95,7 @@
     job = state.jobs.get(end.task.job_id)
     if job is not None and job.stored < job.version:
         worker.pending[end.sequence] = (end.task.job_id, job.version)
-        state.unstored_ends.setdefault(end.task.job_id, set()).add(worker.worker_id)
+        state.unstored_ends.setdefault(end.task.job_id, {})[worker.worker_id] = None
 
 
 def _take_runs(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -174,7 +174,7 @@
             live = self.state.jobs[job_id]
             if live.writing:
                 continue
-            self.state.changed.discard(job_id)
+            del self.state.changed[job_id]
             live.writing = live.version
             live.being_shown = live.phase
             writes.append(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -39,7 +39,7 @@
         resting: The same for machines on which what runs ends by itself.
         maintenance_due: Machines that a wave will take down.
         unstored_ends: Workers that listed ends of each job which are not stored.
-        changed: Jobs with changes that are not being stored.
+        changed: Jobs with changes that are not being stored, the oldest first.
         orders: Orders to be sent.
         times: Learned run times.
         permits: Permits of the policy service, by step and worker.
@@ -62,8 +62,8 @@
     vacating: Mapping[str, int] = field(default_factory=dict)
     resting: Mapping[str, int] = field(default_factory=dict)
     maintenance_due: frozenset[str] = frozenset()
-    unstored_ends: dict[str, set[str]] = field(default_factory=dict)
-    changed: set[str] = field(default_factory=set)
+    unstored_ends: dict[str, dict[str, None]] = field(default_factory=dict)
+    changed: dict[str, None] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
     times: RunTimes = field(default_factory=RunTimes)
     permits: Permits = field(default_factory=Permits)
@@ -76,7 +76,7 @@
     def touch(self, job: LiveJob) -> None:
         """Mark a job as changed."""
         job.version += 1
-        self.changed.add(job.job.job_id)
+        self.changed[job.job.job_id] = None
 
     def add_run(self, task: Task, worker: Worker, number: int, now_s: float) -> Run:
         """Place a run of a task on a worker; it is ordered once it is stored."""
@@ -165,13 +165,13 @@
                     self._order(run, task, now_s)
         if job.phase.final and job.stored == job.version:
             del self.jobs[job_id]
-            self.changed.discard(job_id)
+            self.changed.pop(job_id, None)
 
     def _note_ends_stored(self, job_id: str, version: int) -> None:
         for worker_id in list(self.unstored_ends.get(job_id, ())):
             worker = self.workers.get(worker_id)
             if worker is None or worker.note_stored(job_id, version):
-                self.unstored_ends[job_id].discard(worker_id)
+                del self.unstored_ends[job_id][worker_id]
         if not self.unstored_ends.get(job_id, True):
             del self.unstored_ends[job_id]
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -75,7 +75,9 @@
     def poll(self) -> None:
         """Wait for the next changes and report them."""
         asked_s = now_s()
-        changes = self.store.poll(self.prefix, self.revision, self.wait_s)
+        # After a failure the first answer is awaited by others, so it comes at once.
+        wait_s = self.wait_s if self.failing_since_s == float("inf") else 0.0
+        changes = self.store.poll(self.prefix, self.revision, wait_s)
         for event in changes.events:
             if not event.deleted:
                 self._take(event.entry)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -19,6 +19,7 @@
 from .operators import Operators
 from .pool_holder import PoolHolder
 from .ports import DirectoryEntry, Outside
+from .watched_store import WatchedStore
 
 STORE_LOST_S = 1.5  # two renewals of the claims without an answer
 POLLS_LOST_S = 0.5  # polls are cut now and then; the next one works at once
@@ -49,7 +50,7 @@
         capacity: NodeCapacity = PLAIN_NODE,
     ):
         self.name = name
-        self.store = store
+        self.store = store = WatchedStore(store)
         self.outside = outside
         self.rules = rules
         self.coordinator_rules = coordinator_rules
@@ -68,6 +69,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
+        self.store.start()
         self.operators.start()
         self.claims.start()
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -76,6 +76,21 @@
         self.sent = sent
 
 
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    """A call that waits for its answer.
+
+    Attributes:
+        greenlet: Who waits.
+        timeout: What ends the wait.
+        sent_s: When it began, monotonic seconds.
+    """
+
+    greenlet: gevent.Greenlet
+    timeout: gevent.Timeout
+    sent_s: float
+
+
 class Connections(ConnectionPool):
     """Connections to one address, each idle for a short time only."""
 
@@ -126,6 +141,23 @@
     def __init__(self, address: Address, connections: int, connect_timeout_s: float):
         self.address = address
         self.pool = Connections(address, connections, connect_timeout_s)
+        self.waiting: set[_Waiting] = set()
+
+    def cut(self, waited_s: float) -> int:
+        """End calls that have waited for so long, as if their time were over.
+
+        Returns:
+            How many there were.
+        """
+        now_s = time.monotonic()
+        old = [call for call in self.waiting if now_s - call.sent_s >= waited_s]
+        for call in old:
+            gevent.get_hub().loop.run_callback(self._end_wait, call)
+        return len(old)
+
+    def _end_wait(self, call: _Waiting) -> None:
+        if call in self.waiting:
+            call.greenlet.throw(call.timeout)
 
     def exchange(self, request: HttpRequest, timeout_s: float) -> HttpAnswer:
         """Send a request once and return the whole answer.
@@ -142,6 +174,9 @@
         sock = None
         answer = None
         timeout.start()
+        begun_s = time.monotonic()
+        call = _Waiting(gevent.getcurrent(), timeout, begun_s)
+        self.waiting.add(call)
         try:
             sock = self.pool.get_socket()
             data = request.encode(str(self.address))
@@ -156,8 +191,9 @@
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
+            waited_s = time.monotonic() - begun_s
             raise ExchangeError(
-                ErrorKind.BACKEND_TIMEOUT, f"no answer in {timeout_s:.3f} s", sent
+                ErrorKind.BACKEND_TIMEOUT, f"no answer in {waited_s:.3f} s", sent
             ) from error
         except HTTPParseError as error:
             raise ExchangeError(ErrorKind.PARTIAL_ANSWER, str(error), sent) from error
@@ -165,6 +201,7 @@
             raise ExchangeError(ErrorKind.BACKEND_FAILED, str(error), sent) from error
         finally:
             timeout.close()
+            self.waiting.discard(call)
             if sock is not None:
                 self.pool.release_socket(sock)
             if answer is not None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -149,6 +149,14 @@
             return Changes(self.revision, found)
         return Changes(self.revision, ())
 
+    def answers(self) -> bool:
+        """Tell that it answers, as memory always does."""
+        return True
+
+    def cut(self, waited_s: float) -> int:
+        """Return 0: no call waits but for changes."""
+        return 0
+
     def drop_history(self) -> None:
         """Forget all changes, as a store does that compacts."""
         self.history.clear()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -151,6 +151,12 @@
             HistoryLostError: If the store doesn't hold them any more.
         """
 
+    def answers(self) -> bool:
+        """Tell whether the store answers a cheap read now; never raises."""
+
+    def cut(self, waited_s: float) -> int:
+        """Let calls that have waited for so long fail; return how many."""
+
 
 class Store(Protocol):
     """What the system needs of the platform's store.
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -285,3 +285,31 @@
     sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
     gevent.sleep(0.05)
     assert not listener.stop(grace_s=0.05)
+
+
+def test_calls_that_have_waited_are_cut_and_their_connections_closed(scripted):
+    client, accepted = scripted(None, WHOLE)
+    waiting = gevent.spawn(exchange, client, "POST", 60.0)
+    with gevent.Timeout(30):
+        while not client.waiting or not accepted:
+            gevent.sleep(0.005)
+        assert client.cut(3600.0) == 0
+        assert client.cut(0.0) == 1
+        with pytest.raises(ExchangeError) as caught:
+            waiting.get()
+    assert caught.value.sent
+    assert caught.value.kind is ErrorKind.BACKEND_TIMEOUT
+    assert exchange(client).body == b"body"
+    assert len(accepted) == 2
+
+
+def test_a_cut_reaches_no_call_that_was_just_answered(scripted):
+    client, _accepted = scripted(WHOLE)
+    done = gevent.spawn(exchange, client)
+    with gevent.Timeout(30):
+        while not client.waiting:
+            gevent.sleep(0)
+        call = next(iter(client.waiting))
+        done.join()
+    client._end_wait(call)
+    assert done.value.body == b"body"
--- /dev/null
+++ b/tests/test_watched_store.py
@@ -0,0 +1,141 @@
+"""A store that fell silent is used again as soon as it answers; no bench.
+
+The pattern: the store is away for some seconds in the middle of a queue's turn.
+Calls that it swallowed waited for their whole time, and polls for the next
+change, so that callers were refused and nothing started long after its return.
+"""
+
+import gevent
+import pytest
+from gevent.event import Event as Signal
+
+from heatherhatch_core.exceptions import HistoryLostError, StoreError
+from heatherhatch_daemon.pools import watched_store
+from heatherhatch_daemon.pools.feed import Feed
+from heatherhatch_daemon.pools.watched_store import WatchedStore
+from heatherhatch_daemon.transport.memory_store import MemoryStore
+from heatherhatch_daemon.transport.store import Changes, Put, Transaction
+
+HANG_S = 30  # a bound against hanging; nothing here takes that long
+WRITE = Transaction((), (Put("jobs/a", b"1"),))
+
+
+class SilentStore(MemoryStore):
+    """A store that can fall silent: calls then wait until they are cut."""
+
+    def __init__(self):
+        super().__init__(lambda: 0.0)
+        self.silent = False
+        self.cut_calls = Signal()
+        self.probes = 0
+
+    def transact(self, transaction):
+        self._swallow()
+        return super().transact(transaction)
+
+    def keep_lease(self, lease):
+        self._swallow()
+        return True
+
+    def answers(self):
+        self.probes += 1
+        return not self.silent
+
+    def cut(self, waited_s):
+        self.cut_calls.set()
+        return 1
+
+    def _swallow(self):
+        if self.silent:
+            self.cut_calls.wait()
+            raise StoreError("cut", True)
+
+
+@pytest.fixture
+def store(monkeypatch) -> SilentStore:
+    monkeypatch.setattr(watched_store, "QUIET_S", 0.05)
+    monkeypatch.setattr(watched_store, "PROBE_PAUSE_S", 0.01)
+    return SilentStore()
+
+
+@pytest.fixture
+def watched(store):
+    watched = WatchedStore(store)
+    watched.start()
+    yield watched
+    watched.stop()
+
+
+def wait_for(condition):
+    with gevent.Timeout(HANG_S):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+def test_a_call_that_was_swallowed_fails_once_the_store_answers_again(store, watched):
+    store.silent = True
+    call = gevent.spawn(watched.transact, WRITE)
+    wait_for(lambda: store.probes >= 2)
+    assert not call.ready()
+    store.silent = False
+    with gevent.Timeout(HANG_S), pytest.raises(StoreError) as caught:
+        call.get()
+    assert caught.value.maybe_applied
+    assert watched.transact(WRITE).succeeded
+
+
+def test_any_answer_ends_the_silence(store, watched):
+    store.silent = True
+    wait_for(lambda: watched.lost)
+    store.silent = False
+    watched.get("jobs/a")
+    assert not watched.lost
+    assert store.cut_calls.is_set()
+
+
+def test_a_store_that_answers_is_not_probed(store, watched, monkeypatch):
+    clock = [watched.answered_s]
+    monkeypatch.setattr(watched_store, "now_s", lambda: clock[0])
+    for _turn in range(20):
+        clock[0] += 0.9 * watched_store.QUIET_S
+        gevent.sleep(0.02)
+        watched.keep_lease(1)
+    assert store.probes == 0
+
+
+def test_word_that_history_is_lost_is_an_answer(store, watched):
+    watched.transact(WRITE)
+    store.drop_history()
+    store.silent = True
+    wait_for(lambda: watched.lost)
+    with pytest.raises(HistoryLostError):
+        watched.poll("jobs/", 0, 0.0)
+    assert not watched.lost
+
+
+class Polled:
+    """Polls that fail at first, then show how long they would wait."""
+
+    def __init__(self):
+        self.waits = []
+
+    def range(self, prefix):
+        return MemoryStore(lambda: 0.0).range(prefix)
+
+    def poll(self, prefix, revision, wait_s):
+        self.waits.append(wait_s)
+        if len(self.waits) == 1:
+            raise StoreError("silent")
+        return Changes(revision, ())
+
+
+def test_the_first_poll_after_a_failure_doesnt_wait_for_a_change():
+    store = Polled()
+    feed = Feed(store, "op/", print, print, wait_s=1.0)
+    feed.read()
+    with pytest.raises(StoreError) as caught:
+        feed.poll()
+    feed._note_failure(caught.value)
+    feed.poll()
+    feed.poll()
+    assert store.waits == [1.0, 0.0, 1.0]
