--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 JOBS ?= 4
 COUNT ?= 5
 
-.PHONY: help setup demo test format lint check-format unit pages bench capacity proof soak clean
+.PHONY: help setup turns demo test format lint check-format unit pages bench capacity proof soak clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
@@ -43,6 +43,9 @@
 soak: setup  ## play random faults on real instances; SEED=n COUNT=n
 	$(BIN)/python -m gevent.monkey --module heatherhatch_platform_standin.soak --seed $(SEED) --count $(COUNT)
 
+turns: setup  ## play pools under demand that comes by turns, in virtual time
+	$(BIN)/python -m bench.turns
+
 pages: setup  ## write the pages of docs/ that are made from the code
 	$(BIN)/python -m heatherhatch_standins.pages
 
--- /dev/null
+++ b/bench/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Pools under demand that comes by turns: an experiment in virtual time."""
