--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -11,6 +11,7 @@
 from .feed import Feed
 from .keys import GRANT_PREFIX, PLAN_KEY, REPORT_PREFIX
 
+ORDER_KEPT_S = 30.0  # turns and maintenance take seconds, and clocks may differ by some
 PACE_S = 0.1  # reports of several pools are read together
 GRANT_PACE_S = 0.25  # divisions of limits change seldom, and many at a time
 
@@ -114,6 +115,23 @@
     )
 
 
+def with_orders(
+    plan: FleetPlan, machines: set[str], token: int, at_s: float
+) -> FleetPlan:
+    """Return a plan that holds orders for machines that are about to be given.
+
+    Orders that no successor would wait for are dropped, so that the plan doesn't
+    grow with the fleet.
+    """
+    kept = [
+        order
+        for order in plan.orders
+        if order.machine not in machines and abs(at_s - order.at_s) < ORDER_KEPT_S
+    ]
+    given = [MachineOrder(name, token, at_s) for name in sorted(machines)]
+    return replace(plan, orders=(*kept, *given))
+
+
 def cleared_machines(plan: FleetPlan, reports: list[PoolReport]) -> frozenset[str]:
     """Return the machines that were found empty on the request that stands."""
     asked = {**plan.resting, **plan.vacating}
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -12,11 +12,11 @@
 from ..transport.store import Expect, PolledStore, Put, Transaction
 from .board import (
     FleetPlan,
-    MachineOrder,
     PlanBoard,
     PoolReport,
     ReportBoard,
     cleared_machines,
+    with_orders,
     with_requests,
 )
 from .claims import Claims
@@ -172,10 +172,7 @@
         due = [order for order in orders if self._is_turn(order.machine)]
         if due:
             names = {order.machine for order in due}
-            kept = [order for order in plan.orders if order.machine not in names]
-            at_s = wall_s()
-            kept += [MachineOrder(name, self.token, at_s) for name in sorted(names)]
-            plan = replace(plan, orders=tuple(kept))
+            plan = with_orders(plan, names, self.token, wall_s())
         if plan != self.board.plan and not self._write(plan):
             return
         if due and self.orders.give(due):
--- a/tests/test_pool_board.py
+++ b/tests/test_pool_board.py
@@ -4,8 +4,10 @@
     FleetPlan,
     PoolReport,
     cleared_machines,
+    with_orders,
     with_requests,
 )
+from heatherhatch_daemon.pools.coordinator_rules import CoordinatorRules
 
 
 def report_of(cleared: dict[str, int]) -> PoolReport:
@@ -37,3 +39,21 @@
     sooner = with_requests(plan, {"m1"}, {"m1"})
     assert sooner.vacating == plan.resting
     assert sooner.resting == {}
+
+
+def test_the_plan_holds_the_last_order_for_each_machine():
+    plan = with_orders(FleetPlan(), {"m1", "m2"}, 7, 100.0)
+    plan = with_orders(plan, {"m1"}, 9, 101.0)
+    assert (plan.last_order("m1").token, plan.last_order("m1").at_s) == (9, 101.0)
+    assert plan.last_order("m2").token == 7
+
+
+def test_the_plan_drops_orders_that_no_successor_would_wait_for():
+    """With every machine's last order in it, it was written in each round."""
+    plan = FleetPlan()
+    for number in range(1000):
+        plan = with_orders(plan, {f"m{number}"}, 7, 100.0 + number)
+    assert len(plan.orders) <= 30
+    rules = CoordinatorRules()
+    assert rules.turn_s + rules.maintenance_s < 30
+    assert plan.last_order("m999") is not None
