--- a/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/load.py
@@ -177,7 +177,7 @@
                 answer.status,
                 headers.get(ID_HEADER.lower(), ""),
                 answer.body,
-                _says_not_run(answer.status, answer.body),
+                says_not_run(answer.status, answer.body),
                 unanswered,
             )
             break
@@ -198,7 +198,8 @@
         yield "Idempotency-Key", request_id
 
 
-def _says_not_run(status: int, body: bytes) -> bool:
+def says_not_run(status: int, body: bytes) -> bool:
+    """Tell whether an answer says that the work was not run."""
     if status < 400:
         return False
     return decode_json(body, Problem).execution == "not run"
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -71,6 +71,18 @@
     assert refusal_violations([refused], [Start("b", "1", "red", 0.0)])
 
 
+def test_invariant_refusal_speaks_of_its_own_attempt_without_a_key():
+    """The first attempt ran and its answer was lost; the pool is full then."""
+    start = Start("b", "1", "red", 0.0)
+    refused = dataclasses.replace(
+        GOOD, not_run=True, status=503, idempotent=True, unanswered=1
+    )
+    assert refusal_violations([refused], [start]) == []
+    assert refusal_violations([refused], [start, start])
+    keyed = dataclasses.replace(refused, idempotent=False)
+    assert refusal_violations([keyed], [start])
+
+
 def test_invariant_at_most_once_fails_for_two_starts():
     start = Start("b", "1", "red", 0.0)
     assert doubling_violations([GOOD], [start]) == []
