--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/board.py
@@ -1,5 +1,7 @@
 """What holders of roles tell each other through the store."""
 
+from collections.abc import Callable
+
 import msgspec
 from msgspec.structs import replace
 
@@ -12,7 +14,7 @@
 from .keys import GRANT_PREFIX, PLAN_KEY, REPORT_PREFIX
 
 ORDER_KEPT_S = 30.0  # turns and maintenance take seconds, and clocks may differ by some
-PACE_S = 0.1  # reports of several pools are read together
+PACE_S = 0.05  # what comes together is read together
 GRANT_PACE_S = 0.25  # divisions of limits change seldom, and many at a time
 
 
@@ -207,11 +209,16 @@
 class ReportBoard:
     """Follows the reports of the pools.
 
+    Args:
+        store: The platform's store.
+        on_report: Called after a report has come.
+
     Attributes:
         reports: The last report of each pool.
     """
 
-    def __init__(self, store: PolledStore):
+    def __init__(self, store: PolledStore, on_report: Callable[[], None]):
+        self.on_report = on_report
         self.reports: dict[str, PoolReport] = {}
         self.feed = Feed(store, REPORT_PREFIX, self._see, _note_gone, pace_s=PACE_S)
 
@@ -219,6 +226,7 @@
         report = _decoded(entry, PoolReport)
         if report is not None:
             self.reports[report.pool] = report
+            self.on_report()
 
 
 def _note_gone(key: str) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -1,6 +1,7 @@
 """Moves machines and carries out maintenance waves, on one node at a time."""
 
 import gevent
+from gevent.event import Event as Signal
 from msgspec.structs import replace
 
 from heatherhatch_core.codec import encode_json
@@ -30,7 +31,8 @@
 from .sweeper import Sweeper
 from .wave_keeper import WaveKeeper
 
-ROUND_S = 0.1  # time between two rounds
+ROUND_S = 0.1  # longest time between two rounds; a report brings the next at once
+GATHER_S = 0.01  # reports of several pools are decided on together
 LOOK_S = 1.0  # the machines are read this often while nothing is under way
 BUSY_LOOK_S = 0.4  # the same while machines are being moved or maintained
 RETRY_S = 0.5  # pause after a call that failed
@@ -71,7 +73,8 @@
         self.operators = operators
         self.board = board
         self.rules = rules
-        self.reports = ReportBoard(store)
+        self.signal = Signal()
+        self.reports = ReportBoard(store, self.signal.set)
         self.orders = MachineOrders(
             outside.machines, node, token, self.may_act, rules.maintenance_s
         )
@@ -109,7 +112,9 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(ROUND_S)
+            self.signal.wait(ROUND_S)
+            gevent.sleep(GATHER_S)
+            self.signal.clear()
             if not self.may_act() or not self.board.read:
                 continue
             try:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -32,6 +32,7 @@
 ROUND_S = 0.1  # longest time between two rounds of the scheduler
 GATHER_S = 0.004  # what arrives in this time is decided on together
 ROUNDS_SHARE = 0.25  # of the processor's time; the rest carries orders and answers
+TELL_S = 0.05  # pause between two looks at what the fleet has to be told
 RENEW_ALONE_S = 3.0  # leases are renewed so long after the claim was last confirmed
 
 
@@ -238,7 +239,7 @@
     def _write_loop(self) -> None:
         """Adjust the limits' parts and tell the fleet how the pool does."""
         while True:
-            gevent.sleep(ROUND_S)
+            gevent.sleep(TELL_S)
             config = self.operators.config
             if config is None or not self.may_order() or not self.board.read:
                 continue
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reports.py
@@ -12,8 +12,8 @@
 from .clock import now_s, wall_s
 from .keys import report_key
 
-LEAST_S = 0.25  # least time between two reports, unless a machine became empty
-CHANGE_SHARE = 0.1  # a smaller change of the demand is no reason for a report
+LEAST_S = 0.1  # least time between two reports, unless a machine became empty
+CHANGE_SHARE = 0.2  # a smaller change of the demand is no reason for a report
 MOST_S = 1.0  # a report is never older than this while the pool is held
 
 
