--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -15,10 +15,10 @@
 from .feed import Feed
 from .keys import CLAIM_PREFIX, claim_key
 
-TTL_S = 2.5  # a lost holder's roles are free after this time; Rules.unfenced_s counts
+TTL_S = 1.5  # a lost holder's roles are free after this time; Rules.unfenced_s counts
 # on a former holder to renew leases for no more than RENEW_ALONE_S in all
-RENEW_S = 0.5  # four renewals in the life of the lease
-TURNED_AWAY_S = 1.5  # a node whose polls fail for so long gives its roles up
+RENEW_S = 0.3  # a slow store still answers two renewals in the life of the lease
+TURNED_AWAY_S = 1.0  # a node whose polls fail for so long gives its roles up
 LOOK_S = 0.1  # pause between two looks at free roles
 SPREAD_S = 0.05  # nodes that are loaded alike are spread over this time
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -33,7 +33,7 @@
 GATHER_S = 0.004  # what arrives in this time is decided on together
 ROUNDS_SHARE = 0.25  # of the processor's time; the rest carries orders and answers
 TELL_S = 0.05  # pause between two looks at what the fleet has to be told
-RENEW_ALONE_S = 3.0  # leases are renewed so long after the claim was last confirmed
+RENEW_ALONE_S = 2.0  # leases are renewed so long after the claim was last confirmed
 
 
 class PoolHolder:
