--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -6,6 +6,7 @@
 from .live import LiveJob, Task
 from .ordering import sort_jobs
 from .permits import step_of
+from .preference import beside, flaws, lasting_score
 from .room_index import RoomIndex
 from .state import PoolState
 from .worker import Worker
@@ -171,24 +172,28 @@
         taken: Room and number of tasks set aside by other members of its gang.
         rack: Rack that the worker must be in; empty for any.
     """
+    if task.step.lasting:
+        fitting = (
+            worker
+            for worker in this.workers
+            if _may_run(this, task, worker, taken, rack)
+        )
+        return min(
+            fitting,
+            key=lambda worker: lasting_score(this.state, task, worker),
+            default=None,
+        )
     best = None
-    best_score: tuple = ()
-    lasting = task.step.lasting
-    for worker in (
-        this.workers if lasting else this.rooms.tightest(task.step.occupies.cpu_m)
-    ):
+    fewest: tuple = ()
+    for worker in this.rooms.tightest(task.step.occupies.cpu_m):
         if not _may_run(this, task, worker, taken, rack):
             continue
-        score = (
-            _lasting_score(this.state, task, worker)
-            if lasting
-            else _flaws(task, worker)
-        )
-        if not lasting and not any(score):
+        found = flaws(task, worker)
+        if not any(found):
             # The tightest fit keeps room for wide tasks, and machines free.
             return worker
-        if best is None or score < best_score:
-            best, best_score = worker, score
+        if best is None or found < fewest:
+            best, fewest = worker, found
     return best
 
 
@@ -209,7 +214,7 @@
         return False
     if worker.trust.on_trial and worker.runs:
         return False
-    if step.spread and count + _beside(task, worker) >= step.spread:
+    if step.spread and count + beside(task, worker) >= step.spread:
         return False
     if task.job.job.queue in this.state.advice:
         name = step_of(task.name)
@@ -217,39 +222,3 @@
             this.state.permits.wanted.add(name)
             return False
     return True
-
-
-def _beside(task: Task, worker: Worker) -> int:
-    """Return how many tasks of the same step and occurrence are on a worker."""
-    name = task.name
-    return sum(
-        1
-        for other, _number in worker.runs
-        if other[:3] == (name.job_id, name.occurrence, name.step)
-    )
-
-
-def _flaws(task: Task, worker: Worker) -> tuple[bool, bool, bool]:
-    """Return what speaks against a worker, the worst first."""
-    step = task.step
-    remote = bool(step.rack) and step.rack not in worker.info.labels
-    return (worker.worker_id in task.avoid, remote, worker.info.cold_s > 0)
-
-
-def _lasting_score(state: PoolState, task: Task, worker: Worker) -> tuple:
-    avoided, _remote, cold = _flaws(task, worker)
-    due = worker.info.machine in state.maintenance_due
-    return (avoided, due, cold, *_company(task, worker), worker.worker_id)
-
-
-def _company(task: Task, worker: Worker) -> tuple:
-    step = task.step
-    if step.tail_target_ms or step.fills:
-        # Tasks that serve, and those that fill, slow each other down.
-        return (len(worker.runs), -worker.room.cpu_m)
-    # Few machines are kept busy, but none holds more than half of a step.
-    crowded = _beside(task, worker) >= (step.count + 1) // 2
-    lasting = any(
-        run.task is not None and run.task.step.lasting for run in worker.runs.values()
-    )
-    return (crowded, not lasting, worker.room.cpu_m)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -1,22 +1,19 @@
 """HTTP client with one attempt for each call and one connection for each attempt."""
 
-import select
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 import gevent
-from gevent import socket
-from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 from ..settings import Address
+from .connections import Connections
 
 READ_BLOCK_BYTES = 65_536
 ANSWER_BYTES = 16_777_216
-IDLE_S = 5.0
 NO_HOST = "0.0.0.0:00000"
 STATUS_LINE_BYTES = 19
 NO_BODY_STATUSES = (204, 304)
@@ -91,46 +88,6 @@
     sent_s: float
 
 
-class Connections(ConnectionPool):
-    """Connections to one address, each idle for a short time only."""
-
-    def __init__(self, address: Address, size: int, connect_timeout_s: float):
-        super().__init__(
-            address.host,
-            address.port,
-            address.host,
-            address.port,
-            size=size,
-            connection_timeout=connect_timeout_s,
-            network_timeout=None,
-        )
-        self.idle_since_s: dict[socket.socket, float] = {}
-
-    def after_connect(self, sock: socket.socket) -> None:
-        """Let small writes leave at once."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-    def return_socket(self, sock: socket.socket) -> None:
-        """Keep a connection for the next exchange."""
-        self.idle_since_s[sock] = time.monotonic()
-        super().return_socket(sock)
-
-    def _resolve(self):
-        # Addresses are IP numbers, so no resolver is asked.
-        host, port = self._connection_host, self._connection_port
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return [(family, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", (host, port))]
-
-    def _is_socket_alive(self, sock):
-        # The library's check uses select, which fails on numbers above 1,023.
-        idle_since_s = self.idle_since_s.pop(sock, 0.0)
-        if time.monotonic() - idle_since_s > IDLE_S or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
-
-
 class HttpClient:
     """Exchanges requests with one address over a pool of connections.
 
