--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,11 +2,13 @@
 
 import random
 import signal
+import socket
+from pathlib import Path
 
 import gevent
 import pytest
 
-from heatherhatch_platform_standin.deployment import Deployment
+from heatherhatch_platform_standin.deployment import Deployment, Instance
 from heatherhatch_platform_standin.load import Callers
 from heatherhatch_platform_standin.soak import Soak
 from heatherhatch_platform_standin.store import StoreMode
@@ -96,3 +98,13 @@
     verdict = Soak(seed=1, seconds=6.0).run()
     assert verdict.broken == ()
     assert verdict.accepted > 0
+
+
+def test_nobody_else_gets_the_ports_of_an_instance_that_is_down(tmp_path: Path):
+    """Soak seed 357, beside another soak: the port was taken while it was down."""
+    instance = Instance("n0", "127.0.0.1:1", tmp_path)
+    for address in (instance.entry, instance.ready):
+        host, _colon, port = address.partition(":")
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind((host, int(port)))
+    instance.proxy.stop()
