--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import socket
+import subprocess
 from pathlib import Path
 
 import gevent
@@ -108,3 +109,34 @@
         with socket.socket() as other, pytest.raises(OSError):
             other.bind((host, int(port)))
     instance.proxy.stop()
+
+
+class SlowProcess:
+    """A process that takes a while to start, as gevent's do."""
+
+    started = 0
+
+    def __init__(self, *_args, **_rest):
+        type(self).started += 1
+        gevent.sleep(0.01)
+
+    def poll(self):
+        return None
+
+    def send_signal(self, _number):
+        return None
+
+    def wait(self):
+        return 0
+
+
+def test_an_instance_that_two_faults_start_at_once_runs_once(tmp_path, monkeypatch):
+    """Soak seed 357: the second process found the port in use, the first stayed."""
+    monkeypatch.setattr(subprocess, "Popen", SlowProcess)
+    instance = Instance("n0", "127.0.0.1:1", tmp_path)
+    starts = [gevent.spawn(instance.start) for _ in range(2)]
+    gevent.sleep(0)
+    stop = gevent.spawn(instance.stop)
+    gevent.joinall([*starts, stop])
+    assert SlowProcess.started == 1
+    assert instance.process is not None
