--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -102,7 +102,7 @@
 
 
 def test_nobody_else_gets_the_ports_of_an_instance_that_is_down(tmp_path: Path):
-    """Soak seed 357, beside another soak: the port was taken while it was down."""
+    """Between a kill and the next start the kernel might give them away."""
     instance = Instance("n0", "127.0.0.1:1", tmp_path)
     for address in (instance.entry, instance.ready):
         host, _colon, port = address.partition(":")
