--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -58,6 +58,7 @@
         self.capacity = capacity
         self.lease = 0
         self.confirmed_s = float("-inf")
+        self.renewing_since_s = float("inf")
         self.held: dict[str, int] = {}
         self.dropped: dict[str, int] = {}
         self.holders: dict[str, Entry] = {}
@@ -141,21 +142,25 @@
                 self._renew()
             except StoreError:
                 # The feeds log that the store is away; holds() bounds the roles.
+                self.renewing_since_s = float("inf")
                 gevent.sleep(LOOK_S)
                 continue
             gevent.sleep(RENEW_S)
 
     def _renew(self) -> None:
         asked_s = now_s()
-        if asked_s - self.feed.failing_since_s > TURNED_AWAY_S:
-            # A node whose lease is renewed while its other calls are refused
-            # would keep roles that it can't fill.
-            self._leave("the store turns this node away")
-            return
         if self.lease and not self.store.keep_lease(self.lease):
             self.lease = 0
             for role in list(self.held):
                 self.drop(role, "the lease lapsed")
+        self.renewing_since_s = min(self.renewing_since_s, asked_s)
+        since_s = max(self.feed.failing_since_s, self.renewing_since_s)
+        if self.lease and asked_s - since_s > TURNED_AWAY_S:
+            # A node whose lease is renewed while its other calls are refused
+            # would keep roles that it can't fill. A store that is away for all
+            # renews nothing: then roles are kept until it is back.
+            self._leave("the store turns this node away")
+            return
         if not self.lease:
             self.lease = self.store.grant_lease(TTL_S)
         self.confirmed_s = asked_s
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -8,7 +8,8 @@
 from heatherhatch_core.coordination.scheduler.rules import CLOCK_DRIFT, Rules
 from heatherhatch_core.exceptions import StoreError
 from heatherhatch_daemon.pools.capacity import STAGGER_MOST_S, NodeCapacity
-from heatherhatch_daemon.pools.claims import SPREAD_S, TTL_S, Claims
+from heatherhatch_daemon.pools.claims import SPREAD_S, TTL_S, TURNED_AWAY_S, Claims
+from heatherhatch_daemon.pools.clock import now_s
 from heatherhatch_daemon.pools.keys import claim_key
 from heatherhatch_daemon.pools.pool_holder import RENEW_ALONE_S
 from heatherhatch_daemon.transport.memory_store import MemoryStore
@@ -24,8 +25,14 @@
         self.leases_last = False
         self.refuse_deletes = False
         self.refuse_polls = False
+        self.refuse_keeps = False
         self.lost = 0
 
+    def keep_lease(self, lease):
+        if self.refuse_keeps:
+            raise StoreError("away")
+        return super().keep_lease(lease)
+
     def poll(self, prefix, revision, wait_s):
         if self.refuse_polls:
             raise StoreError("turned away")
@@ -204,6 +211,20 @@
     wait_for(lambda: "a" in node.claims.held)
 
 
+def test_a_node_keeps_its_roles_through_an_outage_of_the_store(start, store):
+    """Given up as if turned away, they were free 2.5 s after the store was back."""
+    node = start("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    token = node.claims.token("a")
+    store.leases_last = True
+    store.refuse_polls = store.refuse_keeps = True
+    wait_for(lambda: now_s() - node.claims.feed.failing_since_s > 1.5 * TURNED_AWAY_S)
+    store.refuse_polls = store.refuse_keeps = False
+    wait_for(lambda: node.claims.holds("a"))
+    assert node.lost == []
+    assert node.claims.token("a") == token
+
+
 def test_a_new_holder_waits_until_a_former_one_can_keep_nothing_alive():
     """The former one may renew leases alone for a while after its claim lapsed."""
     rules = Rules()
