--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -147,7 +147,8 @@
                 self.changed.clear()
                 self.changed.wait()
             return Changes(self.revision, found)
-        return Changes(self.revision, ())
+        # A change may have come just as the time was over.
+        return Changes(self.revision, self._since(prefix, revision))
 
     def answers(self) -> bool:
         """Tell that it answers, as memory always does."""
--- a/tests/test_watched_store.py
+++ b/tests/test_watched_store.py
@@ -190,3 +190,29 @@
         store.write(f"jobs/{number}")
         feed.poll()
     assert (len(seen), feed.crowded) == (5, False)
+
+
+class LateSignal:
+    """Lets a change come after the wait for one, as its time runs out."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def clear(self):
+        return None
+
+    def set(self):
+        return None
+
+    def wait(self):
+        self.store.write("op/config")
+        gevent.sleep(HANG_S)
+
+
+def test_a_change_that_comes_as_a_poll_ends_is_not_lost():
+    """A role stood free for good: the poll skipped the end of its claim."""
+    store = Polled()
+    store.changed = LateSignal(store)
+    changes = MemoryStore.poll(store, "op/", 0, 0.01)
+    assert [event.entry.key for event in changes.events] == ["op/config"]
+    assert changes.revision == store.revision
