--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -14,11 +14,11 @@
 def sort_jobs(state: PoolState, wall_s: float) -> list[LiveJob]:
     """Return the jobs that may start tasks, the most pressing first."""
     jobs = [job for job in state.jobs.values() if not job.phase.final]
-    over = teams_over_share(state, jobs)
-    for job in jobs:
-        if wall_s - job.order_key_s >= KEY_S:
-            job.order_key = _key(state, job, wall_s, job.job.team in over)
-            job.order_key_s = wall_s
+    stale = [job for job in jobs if wall_s - job.order_key_s >= KEY_S]
+    over = teams_over_share(state, jobs) if stale else frozenset()
+    for job in stale:
+        job.order_key = _key(state, job, wall_s, job.job.team in over)
+        job.order_key_s = wall_s
     jobs.sort(key=lambda job: job.order_key)
     return jobs
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/room_index.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/room_index.py
@@ -14,24 +14,19 @@
     """
 
     def __init__(self, workers: Iterable[Worker]):
-        self.rows: list[tuple[int, str, Worker]] = []
-        self.row_of: dict[str, tuple[int, str, Worker]] = {}
-        for worker in workers:
-            row = (worker.room.cpu_m, worker.worker_id, worker)
-            self.row_of[worker.worker_id] = row
-            self.rows.append(row)
-        self.rows.sort(key=lambda row: row[:2])
+        self.workers = {worker.worker_id: worker for worker in workers}
+        self.rooms = {name: item.room.cpu_m for name, item in self.workers.items()}
+        self.rows = sorted((room, name) for name, room in self.rooms.items())
 
     def update(self, worker: Worker) -> None:
         """Put a worker into its new place."""
-        row = self.row_of[worker.worker_id]
-        del self.rows[bisect_left(self.rows, row[:2], key=lambda item: item[:2])]
-        row = (worker.room.cpu_m, worker.worker_id, worker)
-        self.row_of[worker.worker_id] = row
-        insort(self.rows, row, key=lambda item: item[:2])
+        name = worker.worker_id
+        del self.rows[bisect_left(self.rows, (self.rooms[name], name))]
+        self.rooms[name] = worker.room.cpu_m
+        insort(self.rows, (self.rooms[name], name))
 
     def tightest(self, cpu_m: int) -> Iterator[Worker]:
         """Yield the workers with so much free processor time, the tightest first."""
-        first = bisect_left(self.rows, cpu_m, key=lambda row: row[0])
-        for row in self.rows[first:]:
-            yield row[2]
+        first = bisect_left(self.rows, (cpu_m, ""))
+        for _room, name in self.rows[first:]:
+            yield self.workers[name]
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -97,10 +97,7 @@
         """Let go of a role that this node still has, so that it is taken anew."""
         transaction = Transaction((self.expect(role),), (), (claim_key(role),))
         self.drop(role, reason)
-        try:
-            self.store.transact(transaction)
-        except StoreError as error:
-            log(Event.WRITE_FAILED, what="release of a claim", error=str(error))
+        self._release(transaction)
 
     def release_all(self) -> None:
         """Give all roles up at once, so that others need not wait."""
@@ -114,9 +111,13 @@
             self.drop(role, "this node ends")
         if not held:
             return
+        self._release(Transaction(expects, (), keys))
+
+    def _release(self, transaction: Transaction) -> None:
         try:
-            self.store.transact(Transaction(expects, (), keys))
+            self.store.transact(transaction)
         except StoreError as error:
+            # The claims lapse with their lease.
             log(Event.WRITE_FAILED, what="release of claims", error=str(error))
 
     def _see(self, entry: Entry) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -7,7 +7,7 @@
 from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step
 
 from ..events import Event, log
-from ..transport.store import Expect, Outcome, PolledStore, Put, Transaction
+from ..transport.store import Entry, Expect, Outcome, PolledStore, Put, Transaction
 from .board import PoolReport
 from .callers import Caller, identify
 from .clock import now_s, pause, wall_s
@@ -205,12 +205,7 @@
         # A queue that was just removed must not be counted any more.
         if self.operators.confirm().queue_named(caller.queue.name) is None:
             raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no queue at "{path}"')
-        try:
-            entry = self.store.get(report_key(caller.queue.pool))
-        except StoreError as error:
-            raise HeatherhatchError(
-                ErrorKind.STORE_UNAVAILABLE, error.detail, STORE_RETRY_S
-            ) from error
+        entry = self._get(report_key(caller.queue.pool))
         report = decode_json(entry.value, PoolReport) if entry else None
         if report is None or wall_s() - report.at_s > REPORT_AGE_S:
             raise HeatherhatchError(
@@ -221,12 +216,7 @@
         return report.waiting.get(caller.queue.name, 0)
 
     def _status(self, caller: Caller, job_id: str) -> tuple[JobStatus, int]:
-        try:
-            entry = self.store.get(status_key(job_id))
-        except StoreError as error:
-            raise HeatherhatchError(
-                ErrorKind.STORE_UNAVAILABLE, error.detail, STORE_RETRY_S
-            ) from error
+        entry = self._get(status_key(job_id))
         if entry is None:
             raise HeatherhatchError(ErrorKind.NO_SUCH_JOB, f'no job "{job_id}"')
         status = decode_json(entry.value, JobStatus)
@@ -235,3 +225,11 @@
                 ErrorKind.FORBIDDEN, f'job "{job_id}" belongs to another team'
             )
         return status, entry.revision
+
+    def _get(self, key: str) -> Entry | None:
+        try:
+            return self.store.get(key)
+        except StoreError as error:
+            raise HeatherhatchError(
+                ErrorKind.STORE_UNAVAILABLE, error.detail, STORE_RETRY_S
+            ) from error
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
@@ -8,6 +8,7 @@
 from heatherhatch_core.exceptions import HistoryLostError, LeaseGoneError
 
 from ..events import Event, log
+from ..tasks.task import Task
 from ..transport.store import (
     Changes,
     Entry,
@@ -25,7 +26,7 @@
 FRESH_S = 0.05  # calls begun this shortly before a probe that was answered live on
 
 
-class WatchedStore:
+class WatchedStore(Task):
     """Passes calls on; while none is answered, it probes.
 
     A call that a silent store swallowed would wait for its whole time, also
@@ -37,19 +38,10 @@
     """
 
     def __init__(self, store: PolledStore):
+        super().__init__("watched store", PROBE_PAUSE_S, now_s)
         self.store = store
         self.answered_s = now_s()
         self.lost = False
-        self.greenlet: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Begin to watch."""
-        self.greenlet = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop watching."""
-        if self.greenlet is not None:
-            self.greenlet.kill(block=False)
 
     def get(self, key: str) -> Entry | None:
         """Return one entry, or None."""
@@ -97,16 +89,16 @@
         cut = self.store.cut(age_s + FRESH_S)
         log(Event.STORE_BACK, after_s=round(silent_s, 2), calls_cut=cut)
 
-    def _run(self) -> None:
-        while True:
-            gevent.sleep(PROBE_PAUSE_S)
-            if now_s() - self.answered_s < QUIET_S:
-                continue
-            if not self.lost:
-                self.lost = True
-                log(Event.STORE_LOST, silent_s=round(now_s() - self.answered_s, 2))
-            # One that hangs must not hold up the next.
-            gevent.spawn(self._probe)
+    def step(self) -> None:
+        """Probe the store if it has answered nothing for a while."""
+        silent_s = now_s() - self.answered_s
+        if silent_s < QUIET_S:
+            return
+        if not self.lost:
+            self.lost = True
+            log(Event.STORE_LOST, silent_s=round(silent_s, 2))
+        # One that hangs must not hold up the next.
+        gevent.spawn(self._probe)
 
     def _probe(self) -> None:
         sent_s = now_s()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/wave_keeper.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/wave_keeper.py
@@ -14,7 +14,7 @@
 
 from ..events import Event, log
 from ..transport.store import Expect, PolledStore, Put, Transaction
-from .board import FleetPlan, MachineLoad, PoolReport
+from .board import FleetPlan, PoolReport
 from .clock import wall_s
 from .coordinator_rules import CoordinatorRules
 from .machine_orders import MachineOrders, Maintain
@@ -89,6 +89,7 @@
             reports: Reports of those who hold the pools now.
         """
         work = WaveWork()
+        loads = [load for report in reports.values() for load in report.loads]
         for wave in self._open_waves(plan):
             state = WaveState(
                 wave=wave,
@@ -97,10 +98,8 @@
                 cleared=cleared,
                 taken=frozenset(self.orders.moving(machines)),
                 working=frozenset(self.operators.config.working_pools()),
-                loads={load.machine: load.runs for load in _loads(reports)},
-                lasting=frozenset(
-                    load.machine for load in _loads(reports) if load.lasting
-                ),
+                loads={load.machine: load.runs for load in loads},
+                lasting=frozenset(load.machine for load in loads if load.lasting),
                 down=frozenset(self._down(plan, wave, machines, listed_s)),
                 passed_s=wall_s() - self._announced_s(plan, wave),
             )
@@ -183,7 +182,3 @@
         self.told[wave.number] = completed
         if completed:
             log(Event.WAVE_COMPLETED, wave=wave.number, machines=len(wave.machines))
-
-
-def _loads(reports: dict[str, PoolReport]) -> list[MachineLoad]:
-    return [load for report in reports.values() for load in report.loads]
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/held_requests.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/held_requests.py
@@ -4,13 +4,12 @@
 
 from heatherhatch_daemon.transport.http import HttpClient, HttpRequest
 
-from .load import says_not_run
+from .load import CALL_TIMEOUT_S, says_not_run
 
-HELD_REQUESTS = 5
+HELD_REQUESTS = 5  # under way when a node is told to end
 HELD_S = 0.4  # two in turn fit into the classes' target of 1 s, and all tries into one
 HOLD_TRIES = 3  # a pool that is full for a moment refuses as not run
 TRY_S = 0.1  # a refusal comes well before this time
-CALL_TIMEOUT_S = 6.0
 
 
 def hold(
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/observation.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/observation.py
@@ -25,11 +25,10 @@
     refusal_violations,
 )
 from .ledger import LedgerPage
-from .load import Load
+from .load import CALL_TIMEOUT_S, Load
 from .report import Promise, Report
 from .shares import share_error
 
-CALL_TIMEOUT_S = 6.0
 CONNECTIONS = 8
 JOBS_END_S = 15.0
 POLL_S = 0.1
--- a/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
+++ b/packages/heatherhatch-standins/src/heatherhatch_standins/scenario.py
@@ -16,13 +16,12 @@
 from .deployment import Deployment, GrantedKey
 from .faults import FAULTS_PATH, Faults
 from .held_requests import HELD_REQUESTS, HELD_S, hold, ok, outcome
-from .load import BURST_S, Caller, Load, new_uuid7
+from .load import BURST_S, CALL_TIMEOUT_S, Caller, Load, new_uuid7
 from .observation import Observation, open_client
 from .report import Promise, Report
 
 LOAD_S = 30.0
 MEAN_RATE = 32.0
-CALL_TIMEOUT_S = 6.0
 KEY_STOP_S = 3.0
 IN_FORCE_S = 4.0
 OUTAGE_S = 4.0
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -26,7 +26,7 @@
     b"3": FleetConfiguration(3, (), (Pool("till"),), (Team("t", ("k1",)),)),
 }
 RECORDS = OperatorRecords(
-    "op/", "op/config", "op/wave/", "w/", "s/", CONFIGS.get, None, None, None
+    "told/", "told/config", "told/wave/", "w/", "s/", CONFIGS.get, None, None, None
 )
 
 
@@ -64,7 +64,7 @@
         self.intake = Intake(self.store, self.operators)
 
     def configure(self, version: bytes) -> None:
-        self.store.transact(Transaction((), (Put("op/config", version),)))
+        self.store.transact(Transaction((), (Put("told/config", version),)))
 
     def submit(self, job_id: str = "j1", key: str = "k1") -> None:
         step = Step(estimate_s=1.0)
