Log why an instance cannot serve, and the view of the store with refusals

Callers saw 503 "the store has not answered this node for N s" from instances whose other calls to the store were answered: they had started and could not read the configuration. The logs told this from a silent store only by the absence of `config_applied`, and no line said when an instance was ready.

Readiness and the outage move to pools/serving.py as they were. It logs each change between `serving` and `not_serving` with the reason, at most four lines a second. Refused calls and calls of unknown outcome carry the ages of the last answer, the lease and the configuration, how long each feed fails and the version in force. A refusal without a configuration says so. Answered status calls get no line: they are the bulk of the calls and would displace the lines on accepted jobs.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -87,6 +87,10 @@
     )
     FEED_LOST = EventInfo(1621, "Changes of a part of the store no longer arrive.")
     FEED_BACK = EventInfo(1622, "Changes of a part of the store arrive again.")
+    SERVING = EventInfo(1623, "This instance can serve callers.")
+    NOT_SERVING = EventInfo(
+        1624, "This instance cannot serve callers; the event names what is missing."
+    )
     WORKER_SILENT = EventInfo(1631, "A worker does not respond to lease renewals.")
     WORKER_BACK = EventInfo(1632, "A worker responds to lease renewals again.")
     JOB_ACCEPTED = EventInfo(1641, "A job is stored and the caller is notified.")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -57,15 +57,18 @@
                 ``STORE_UNAVAILABLE`` if the store is known not to answer.
         """
         outage_s = self.store_outage_s()
+        config = self.operators.config
         if outage_s:
+            missing = f"the store has not answered this node for {outage_s:.1f} s"
+            if config is None:
+                missing = "this node has not read a configuration yet"
             # An outage may last as long again as it has lasted so far.
             retry_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, outage_s))
             raise HeatherhatchError(
                 ErrorKind.STORE_UNAVAILABLE,
-                f"the store has not answered this node for {outage_s:.1f} s",
+                missing,
                 retry_s,
             )
-        config = self.operators.config
         if config is not None:
             try:
                 return identify(config, host, path, key)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -19,12 +19,9 @@
 from .operators import Operators
 from .pool_holder import PoolHolder
 from .ports import DirectoryEntry, ExternalPorts
+from .serving import ServingState
 from .watched_store import WatchedStore
 
-CLAIM_SILENCE_S = 1.5  # two renewals of the claims without an answer
-POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
-READY_AGE_S = 2.5  # a node whose last answered poll is older is not ready
-
 
 class Node:
     """Creates the parts of an instance, and starts and stops its roles.
@@ -68,37 +65,26 @@
             store, external_ports.records, self._on_worker, self._on_worker_gone
         )
         self.plan_watcher = PlanWatcher(store)
-        self.intake = Intake(store, self.operators, self.store_outage_s)
+        self.serving = ServingState(store, self.operators, self.claims)
+        self.intake = Intake(store, self.operators, self.serving.store_outage_s)
         self.holders: dict[str, PoolHolder] = {}
         self.coordinator: Coordinator | None = None
-        self.releasing = False
 
     def start(self) -> None:
         """Start to serve callers and to claim roles."""
         self.store.start()
         self.operators.start()
         self.claims.start()
+        self.serving.start()
 
     def release_roles(self) -> None:
         """Release all roles; callers are still served."""
-        self.releasing = True
+        self.serving.releasing = True
         self.claims.release_all()
 
-    def store_outage_s(self) -> float:
-        """Return how long the store has not answered, seconds; 0 if it answers."""
-        failing_s = now_s() - self.operators.feed.failing_since_s
-        unconfirmed_s = now_s() - self.claims.confirmed_s
-        if failing_s <= POLL_FAILURE_S and unconfirmed_s <= CLAIM_SILENCE_S:
-            return 0.0
-        return max(failing_s, unconfirmed_s)
-
     def is_ready(self) -> bool:
         """Return whether this instance should receive requests of callers."""
-        return (
-            not self.releasing
-            and self.operators.config is not None
-            and now_s() - self.operators.feed.last_response_s < READY_AGE_S
-        )
+        return self.serving.obstacle() is None
 
     def update_gauges(self) -> None:
         """Set the gauges of the metrics."""
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/serving.py
@@ -0,0 +1,110 @@
+"""Whether this instance can serve callers, and what it lacks if it cannot."""
+
+from dataclasses import asdict, dataclass
+from enum import Enum
+
+from ..events import Event, log
+from ..tasks.task import Task
+from .claims import Claims
+from .clock import now_s
+from .operators import Operators
+from .watched_store import WatchedStore
+
+CLAIM_SILENCE_S = 1.5  # two renewals of the claims without an answer
+POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
+READY_AGE_S = 2.5  # a node whose last answered poll is older is not ready
+CHECK_PERIOD_S = 0.25  # bounds the log lines about readiness to four a second
+
+
+class Obstacle(Enum):
+    """Why an instance is not ready; the value is for log lines."""
+
+    RELEASING = "this node is shutting down"
+    NO_CONFIG = "no configuration has been read yet"
+    CONFIG_OLD = "the configuration has not been confirmed recently"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """When the store last answered an instance; infinite if it never did.
+
+    Attributes:
+        silent_s: Time since the store answered any call, seconds.
+        lease_age_s: Time since the lease of the claims was confirmed, seconds.
+        config_age_s: Time since the configuration was confirmed, seconds.
+        config_failing_s: How long the feed of the configuration has failed, seconds;
+            0 if it works.
+        claims_failing_s: The same for the feed of the claims.
+        config_version: Version of the configuration in force; 0 if there is none.
+    """
+
+    silent_s: float
+    lease_age_s: float
+    config_age_s: float
+    config_failing_s: float
+    claims_failing_s: float
+    config_version: int
+
+
+class ServingState(Task):
+    """Tells whether this instance can serve, and logs each change.
+
+    Args:
+        store: The platform's store.
+        operators: The operators' records.
+        claims: The claims of this instance.
+
+    Attributes:
+        releasing: True once the instance is shutting down.
+        logged: The obstacle that was logged last.
+    """
+
+    def __init__(self, store: WatchedStore, operators: Operators, claims: Claims):
+        super().__init__("serving state", CHECK_PERIOD_S, now_s)
+        self.store = store
+        self.operators = operators
+        self.claims = claims
+        self.releasing = False
+        self.logged: Obstacle | None = None
+
+    def store_outage_s(self) -> float:
+        """Return how long the store has not answered, seconds; 0 if it answers."""
+        failing_s = now_s() - self.operators.feed.failing_since_s
+        unconfirmed_s = now_s() - self.claims.confirmed_s
+        if failing_s <= POLL_FAILURE_S and unconfirmed_s <= CLAIM_SILENCE_S:
+            return 0.0
+        return max(failing_s, unconfirmed_s)
+
+    def obstacle(self) -> Obstacle | None:
+        """Return why this instance should get no new callers; None if it should."""
+        if self.releasing:
+            return Obstacle.RELEASING
+        if self.operators.config is None:
+            return Obstacle.NO_CONFIG
+        if now_s() - self.operators.feed.last_response_s >= READY_AGE_S:
+            return Obstacle.CONFIG_OLD
+        return None
+
+    def view(self) -> StoreView:
+        """Return this instance's view of the store."""
+        now = now_s()
+        config = self.operators.config
+        return StoreView(
+            round(now - self.store.answered_s, 2),
+            round(now - self.claims.confirmed_s, 2),
+            round(now - self.operators.feed.last_response_s, 2),
+            round(max(0.0, now - self.operators.feed.failing_since_s), 2),
+            round(max(0.0, now - self.claims.feed.failing_since_s), 2),
+            config.version if config else 0,
+        )
+
+    def step(self) -> None:
+        """Log the state if it has changed."""
+        obstacle = self.obstacle()
+        if obstacle is self.logged:
+            return
+        self.logged = obstacle
+        if obstacle is None:
+            log(Event.SERVING, **asdict(self.view()))
+        else:
+            log(Event.NOT_SERVING, reason=obstacle.value, **asdict(self.view()))
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -7,8 +7,12 @@
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.work import JobStatus, Phase
+from heatherhatch_daemon.events import LOG
+from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_platform.entry import EntryApp, ReadyApp
 
+VIEW = StoreView(0.1, 0.2, 0.3, 0.0, 0.0, 7)
+
 
 class FakeIntake:
     """An intake whose behaviour is set by the test."""
@@ -46,7 +50,7 @@
         **headers,
     }
     data = b"".join(
-        EntryApp(intake)(
+        EntryApp(intake, lambda: VIEW)(
             environ,
             lambda status, response_headers: answer.append((status, response_headers)),
         )
@@ -118,3 +122,17 @@
     for ready in (True, False):
         ReadyApp(lambda ready=ready: ready)({}, lambda line, _rest: seen.append(line))
     assert [line[:3] for line in seen] == ["200", "503"]
+
+
+# Guards against refusals in the logs that do not tell a silent store from a missing
+# configuration.
+def test_a_refusal_is_logged_with_the_view_of_the_store(intake, monkeypatch):
+    def fail():
+        raise HeatherhatchError(ErrorKind.STORE_UNAVAILABLE, "why")
+
+    lines = []
+    monkeypatch.setattr(LOG, "sink", lambda _event, details: lines.append(details))
+    intake.action = fail
+    call(intake)
+    assert lines[0]["config_version"] == 7
+    assert lines[0]["lease_age_s"] == 0.2
