Let readiness and refusals follow one view of the store

Callers of an instance that answered /ready with 200 could get 503 "the store has not answered this node for N s", with a Retry-After as long as their time, and then the same from the next one. This happened while only the renewals of the claims' lease failed, in a process that had just started (no lease yet), and 1.5 s after SIGTERM, when the lease is no longer renewed but callers are still served.

Cause: refusals followed the lease, readiness the feed of the configuration. The lease is needed by roles only. For callers it served as a sign that the store is silent and as a bound on the age of the configuration.

Both now follow pools/serving.py. A call is refused at once if the store has answered no call for 1.5 s, or if both feeds have failed for 0.5 s; then the instance is not ready either. Otherwise a configuration that was not confirmed within 2.5 s is first confirmed by a condition at the store, one for all concurrent callers; while the feed fails, a failed confirmation is known for 1 s. A process that has just started lets callers wait up to 1 s for its first read instead of refusing, unless that read fails.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -12,7 +12,7 @@
 from .clock import now_s, sleep, wall_s
 from .fleet_records import PoolReport
 from .keys import cancel_key, job_key, report_key, status_key
-from .operators import Operators
+from .operators import MAX_SERVING_AGE_S, Operators
 
 RETRY_AFTER_S = 1.0  # retry interval for callers after a store failure
 MAX_RETRY_AFTER_S = 4.0  # upper bound, because the end of an outage is unknown
@@ -57,28 +57,24 @@
                 ``STORE_UNAVAILABLE`` if the store is known not to answer.
         """
         outage_s = self.store_outage_s()
-        config = self.operators.config
         if outage_s:
-            missing = f"the store has not answered this node for {outage_s:.1f} s"
-            if config is None:
-                missing = "this node has not read a configuration yet"
             # An outage may last as long again as it has lasted so far.
             retry_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, outage_s))
             raise HeatherhatchError(
                 ErrorKind.STORE_UNAVAILABLE,
-                missing,
+                f"the store has answered no read of this node for {outage_s:.1f} s",
                 retry_s,
             )
-        if config is not None:
-            try:
-                return identify(config, host, path, key)
-            except HeatherhatchError as error:
-                log(
-                    Event.DECIDED,
-                    what="check refusal against the newest configuration",
-                    kind=error.kind.value,
-                    version=config.version,
-                )
+        config = self.operators.confirm(MAX_SERVING_AGE_S)
+        try:
+            return identify(config, host, path, key)
+        except HeatherhatchError as error:
+            log(
+                Event.DECIDED,
+                what="check refusal against the newest configuration",
+                kind=error.kind.value,
+                version=config.version,
+            )
         return identify(self.operators.confirm(), host, path, key)
 
     def submit(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 
+from gevent.event import Event as Signal
+from gevent.lock import Semaphore
+
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
 from heatherhatch_core.state.maintenance import Wave
@@ -14,6 +17,10 @@
 
 POLL_WAIT_S = 1.0  # maximum wait of one poll; each response confirms the records
 MAX_AGE_S = 0.3  # a refusal needs a configuration that was confirmed within this time
+MAX_SERVING_AGE_S = 2.5  # the same for any other answer
+POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
+FIRST_READ_S = 1.0  # how long callers of a process that has just started may wait
+REFRESH_PAUSE_S = 1.0  # while the feed fails, pause after a failed confirmation
 
 
 class Operators:
@@ -36,7 +43,10 @@
         self.on_config = on_config
         self.config: FleetConfiguration | None = None
         self.revision = 0
+        self.loaded = Signal()
         self.confirmed_s = float("-inf")
+        self.refresh_failed_s = float("-inf")
+        self.refreshing = Semaphore()
         self.waves: dict[int, Wave] = {}
         self.feed = Feed(
             store,
@@ -55,19 +65,52 @@
         """Return the condition that fails if the configuration is not the newest."""
         return Expect(self.records.config_key, self.revision)
 
-    def confirm(self) -> FleetConfiguration:
+    def config_age_s(self) -> float:
+        """Return the time since the configuration was confirmed, seconds."""
+        return now_s() - max(self.confirmed_s, self.feed.last_response_s)
+
+    def feed_failing_s(self) -> float:
+        """Return how long the feed has failed, seconds; -inf if it works."""
+        return now_s() - self.feed.failing_since_s
+
+    def confirm(self, max_age_s: float = MAX_AGE_S) -> FleetConfiguration:
         """Return a configuration that was recently confirmed as the newest.
 
+        Args:
+            max_age_s: Maximum time since the confirmation, seconds.
+
         Raises:
             HeatherhatchError: ``NO_STANDING`` if the store does not respond or has no
                 configuration.
         """
-        if now_s() - self.confirmed_s > MAX_AGE_S or self.config is None:
-            self.refresh()
+        if self.config is None and self.feed_failing_s() <= POLL_FAILURE_S:
+            # A second read beside the feed's would delay both.
+            self.loaded.wait(FIRST_READ_S)
         if self.config is None:
-            raise HeatherhatchError(ErrorKind.NO_STANDING, "no configuration yet")
+            raise HeatherhatchError(
+                ErrorKind.NO_STANDING, "this node has not read a configuration yet"
+            )
+        if self.config_age_s() > max_age_s:
+            self._refresh_once(now_s(), max_age_s)
         return self.config
 
+    def _refresh_once(self, asked_s: float, max_age_s: float) -> None:
+        """Refresh the configuration, or share the result of a concurrent refresh."""
+        failing = self.feed_failing_s() > 0.0
+        self._check_refresh(asked_s - REFRESH_PAUSE_S if failing else asked_s)
+        with self.refreshing:
+            self._check_refresh(asked_s)
+            if asked_s - self.confirmed_s > max_age_s:
+                self.refresh()
+
+    def _check_refresh(self, since_s: float) -> None:
+        if self.refresh_failed_s > since_s:
+            raise HeatherhatchError(
+                ErrorKind.NO_STANDING,
+                f"the configuration was confirmed {self.config_age_s():.1f} s ago,"
+                " and the store does not confirm it now",
+            )
+
     def refresh(self) -> None:
         """Make sure that the configuration is the newest.
 
@@ -78,7 +121,8 @@
         try:
             found = self._fetch_newest()
         except StoreError as error:
-            age_s = round(now_s() - self.confirmed_s, 2)
+            self.refresh_failed_s = now_s()
+            age_s = round(self.config_age_s(), 2)
             raise HeatherhatchError(
                 ErrorKind.NO_STANDING,
                 f"the configuration is {age_s} s old: {error.detail}",
@@ -129,6 +173,7 @@
             return
         self.revision = entry.revision
         self.config = config
+        self.loaded.set()
         log(Event.CONFIG_APPLIED, version=config.version, revision=entry.revision)
         self.on_config(config)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/serving.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/serving.py
@@ -7,12 +7,10 @@
 from ..tasks.task import Task
 from .claims import Claims
 from .clock import now_s
-from .operators import Operators
+from .operators import MAX_SERVING_AGE_S, POLL_FAILURE_S, Operators
 from .watched_store import WatchedStore
 
-CLAIM_SILENCE_S = 1.5  # two renewals of the claims without an answer
-POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
-READY_AGE_S = 2.5  # a node whose last answered poll is older is not ready
+STORE_SILENCE_S = 1.5  # a store that works answers a poll or a renewal before
 CHECK_PERIOD_S = 0.25  # bounds the log lines about readiness to four a second
 
 
@@ -21,6 +19,7 @@
 
     RELEASING = "this node is shutting down"
     NO_CONFIG = "no configuration has been read yet"
+    STORE_AWAY = "the store answers no read of this node"
     CONFIG_OLD = "the configuration has not been confirmed recently"
 
 
@@ -68,12 +67,19 @@
         self.logged: Obstacle | None = None
 
     def store_outage_s(self) -> float:
-        """Return how long the store has not answered, seconds; 0 if it answers."""
-        failing_s = now_s() - self.operators.feed.failing_since_s
-        unconfirmed_s = now_s() - self.claims.confirmed_s
-        if failing_s <= POLL_FAILURE_S and unconfirmed_s <= CLAIM_SILENCE_S:
-            return 0.0
-        return max(failing_s, unconfirmed_s)
+        """Return how long the store has answered no read, seconds; 0 if it may answer.
+
+        One feed that fails is no outage, since a read of another key may be answered.
+        The lease of the claims is needed by the roles only, not by callers.
+        """
+        silent_s = now_s() - self.store.answered_s
+        if silent_s > STORE_SILENCE_S:
+            return silent_s
+        failing_s = min(
+            self.operators.feed_failing_s(),
+            now_s() - self.claims.feed.failing_since_s,
+        )
+        return failing_s if failing_s > POLL_FAILURE_S else 0.0
 
     def obstacle(self) -> Obstacle | None:
         """Return why this instance should get no new callers; None if it should."""
@@ -81,7 +87,9 @@
             return Obstacle.RELEASING
         if self.operators.config is None:
             return Obstacle.NO_CONFIG
-        if now_s() - self.operators.feed.last_response_s >= READY_AGE_S:
+        if self.store_outage_s():
+            return Obstacle.STORE_AWAY
+        if self.operators.config_age_s() > MAX_SERVING_AGE_S:
             return Obstacle.CONFIG_OLD
         return None
 
@@ -92,8 +100,8 @@
         return StoreView(
             round(now - self.store.answered_s, 2),
             round(now - self.claims.confirmed_s, 2),
-            round(now - self.operators.feed.last_response_s, 2),
-            round(max(0.0, now - self.operators.feed.failing_since_s), 2),
+            round(self.operators.config_age_s(), 2),
+            round(max(0.0, self.operators.feed_failing_s()), 2),
             round(max(0.0, now - self.claims.feed.failing_since_s), 2),
             config.version if config else 0,
         )
