Retry reads of the store on behalf of callers

A status request, a question for the length of a queue or the check of a configuration got 503 after one read that the store lost or refused with 429, although the next read a tenth of a second later is answered. Only submissions were sent again.

These reads are now sent up to four times, with pauses of 0.1, 0.2 and 0.4 s. No attempt follows once the store is known not to answer; the caller is then refused with the Retry-After of an outage.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -13,11 +13,11 @@
 from .fleet_records import PoolReport
 from .keys import cancel_key, job_key, report_key, status_key
 from .operators import MAX_SERVING_AGE_S, Operators
+from .retries import STORE_ATTEMPTS, call_with_retries
 
 RETRY_AFTER_S = 1.0  # retry interval for callers after a store failure
 MAX_RETRY_AFTER_S = 4.0  # upper bound, because the end of an outage is unknown
-STORE_ATTEMPTS = 4  # after a brief store outage, callers need not retry
-STORE_PAUSE_S = 0.1  # pause between two attempts
+STORE_PAUSE_S = 0.1  # pause between two attempts to store a job
 MAX_REPORT_AGE_S = 3.0  # queue lengths in an older report of a pool are not used
 CONFLICT_ATTEMPTS = 8  # at 12 configuration versions a second, 1 write in 8 conflicts
 
@@ -58,12 +58,10 @@
         """
         outage_s = self.store_outage_s()
         if outage_s:
-            # An outage may last as long again as it has lasted so far.
-            retry_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, outage_s))
             raise HeatherhatchError(
                 ErrorKind.STORE_UNAVAILABLE,
                 f"the store has answered no read of this node for {outage_s:.1f} s",
-                retry_s,
+                self._retry_after_s(),
             )
         config = self.operators.confirm(MAX_SERVING_AGE_S)
         try:
@@ -233,8 +231,17 @@
 
     def _get(self, key: str) -> Entry | None:
         try:
-            return self.store.get(key)
+            return call_with_retries(
+                lambda: self.store.get(key), self._is_outage, subject=key
+            )
         except StoreError as error:
             raise HeatherhatchError(
-                ErrorKind.STORE_UNAVAILABLE, error.detail, RETRY_AFTER_S
+                ErrorKind.STORE_UNAVAILABLE, error.detail, self._retry_after_s()
             ) from error
+
+    def _is_outage(self) -> bool:
+        return self.store_outage_s() > 0.0
+
+    def _retry_after_s(self) -> float:
+        # An outage may last as long again as it has lasted so far.
+        return min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, self.store_outage_s()))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -14,6 +14,7 @@
 from .clock import now_s
 from .feed import Feed
 from .ports import OperatorRecords
+from .retries import call_with_retries
 
 POLL_WAIT_S = 1.0  # maximum wait of one poll; each response confirms the records
 MAX_AGE_S = 0.3  # a refusal needs a configuration that was confirmed within this time
@@ -119,7 +120,11 @@
         """
         sent_s = now_s()
         try:
-            found = self._fetch_newest()
+            found = call_with_retries(
+                self._fetch_newest,
+                lambda: self.feed_failing_s() > 0.0,
+                subject=self.records.config_key,
+            )
         except StoreError as error:
             self.refresh_failed_s = now_s()
             age_s = round(self.config_age_s(), 2)
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
@@ -0,0 +1,51 @@
+"""Retries of calls to the store on behalf of callers."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from heatherhatch_core.exceptions import StoreError
+
+from ..events import Event, log
+from .clock import sleep
+
+STORE_ATTEMPTS = 4  # after a brief store outage, callers need not retry
+FIRST_PAUSE_S = 0.1  # pause after the first attempt; each further one is twice as long
+
+T = TypeVar("T")
+
+
+def call_with_retries(
+    call: Callable[[], T], is_outage: Callable[[], bool], subject: str
+) -> T:
+    """Return the result of a call that may be sent more than once.
+
+    Args:
+        call: The call.
+        is_outage: Returns whether the store is known not to answer, so that a
+            further attempt would only delay the caller.
+        subject: What the call is about, for the log.
+
+    Raises:
+        StoreError: Each attempt failed; a write may be applied if any attempt of it
+            may be.
+    """
+    maybe_applied = False
+    pause_s = FIRST_PAUSE_S
+    attempt = 1
+    while True:
+        try:
+            return call()
+        except StoreError as error:
+            maybe_applied = maybe_applied or error.maybe_applied
+            log(
+                Event.DECIDED,
+                what="attempt at a store call failed",
+                subject=subject,
+                attempt=attempt,
+                error=str(error),
+            )
+            if attempt == STORE_ATTEMPTS or is_outage():
+                raise StoreError(error.detail, maybe_applied) from error
+        sleep(pause_s)
+        pause_s *= 2
+        attempt += 1
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -12,6 +12,7 @@
     Team,
 )
 from heatherhatch_core.state.work import Phase, Schedule, Step
+from heatherhatch_daemon.pools import retries
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
 from heatherhatch_daemon.pools.operators import Operators
@@ -31,7 +32,7 @@
 
 
 class ScriptedStore(MemoryStore):
-    """A store whose next transactions fail as a test specifies.
+    """A store whose next transactions and reads fail as a test specifies.
 
     A ``lost`` transaction is applied but not answered, a ``cut`` one is neither
     applied nor answered, and a ``refused`` one is answered as not applied.
@@ -40,6 +41,15 @@
     def __init__(self):
         super().__init__(time.monotonic)
         self.script = []
+        self.read_script = []
+        self.reads = 0
+
+    def get(self, key):
+        self.reads += 1
+        action = self.read_script.pop(0) if self.read_script else ""
+        if action:
+            raise StoreError(action, action == "lost")
+        return super().get(key)
 
     def transact(self, transaction):
         action = self.script.pop(0) if self.script else ""
@@ -75,6 +85,14 @@
         return [entry.key for entry in self.store.range(prefix).entries]
 
 
+@pytest.fixture
+def pauses(monkeypatch) -> list[float]:
+    """Return the pauses between attempts, which take no time."""
+    pauses = []
+    monkeypatch.setattr(retries, "sleep", pauses.append)
+    return pauses
+
+
 @pytest.fixture
 def harness() -> IntakeHarness:
     return IntakeHarness()
@@ -215,3 +233,50 @@
     assert reads == []
     harness.submit("j1", "k2")
     assert harness.jobs() == [job_key("till", "j1")]
+
+
+# Guards against callers that get 503 because one read of the store was lost or refused.
+@pytest.mark.parametrize(
+    "script", [["lost"], ["refused"], ["refused", "lost"], ["refused"] * 3]
+)
+def test_a_status_is_answered_although_reads_fail_briefly(harness, pauses, script):
+    harness.submit()
+    harness.store.read_script = list(script)
+    assert harness.intake.status("h", "/q/j1", "k1").phase is Phase.QUEUED
+    assert len(pauses) == len(script)
+    assert harness.store.read_script == []
+
+
+# Guards against attempts that burden a store that refuses reads.
+def test_reads_are_repeated_a_bounded_number_of_times(harness, pauses):
+    harness.submit()
+    harness.store.reads = 0
+    harness.store.read_script = ["refused"] * 100
+    kind = error_kind(harness.intake.status, "h", "/q/j1", "k1")
+    assert kind is ErrorKind.STORE_UNAVAILABLE
+    assert harness.store.reads == retries.STORE_ATTEMPTS
+    assert pauses == sorted(pauses)
+
+
+# Guards against attempts that go on after the store is known not to answer.
+def test_reads_are_not_repeated_in_a_known_outage(harness, pauses):
+    harness.submit()
+    harness.store.reads = 0
+    harness.store.read_script = ["lost"] * 100
+    harness.intake.store_outage_s = lambda: 2.0 if harness.store.reads else 0.0
+    with pytest.raises(HeatherhatchError) as caught:
+        harness.intake.status("h", "/q/j1", "k1")
+    assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
+    assert caught.value.retry_after_s == 2.0
+    assert harness.store.reads == 1
+
+
+# Guards against callers that get 503 because one confirmation was lost or refused.
+@pytest.mark.parametrize("script", [["cut"], ["refused"], ["refused", "cut"]])
+def test_a_failed_confirmation_of_the_configuration_is_repeated(
+    harness, pauses, script
+):
+    harness.submit()
+    harness.operators.confirmed_s = float("-inf")
+    harness.store.script = list(script)
+    assert harness.intake.status("h", "/q/j1", "k1").phase is Phase.QUEUED
