Retry the write of a cancellation

A cancellation got 504 or 503 after one write that the store lost or refused, while submissions are sent again. The caller had to come back, and one that did not left the job running. The write is conditional on the status of the job and has the same effect twice, so it can be repeated like the reads. If an attempt may have been applied, the answer stays 504, never a refusal.

Before the change the six new tests failed, e.g. test_a_cancellation_is_stored_although_writes_fail_briefly ("change-outcome-unknown: no answer") and test_a_cancellation_that_keeps_failing_is_reported_truly (`assert 0 == (4 - 1)` pauses).

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -13,10 +13,8 @@
 from .fleet_records import PoolReport
 from .keys import cancel_key, job_key, report_key, status_key
 from .operators import MAX_SERVING_AGE_S, Operators
-from .retries import STORE_ATTEMPTS, call_with_retries
+from .retries import RETRY_AFTER_S, STORE_ATTEMPTS, call_with_retries, retry_after_s
 
-RETRY_AFTER_S = 1.0  # retry interval for callers after a store failure
-MAX_RETRY_AFTER_S = 4.0  # upper bound, because the end of an outage is unknown
 STORE_PAUSE_S = 0.1  # pause between two attempts to store a job
 MAX_REPORT_AGE_S = 3.0  # queue lengths in an older report of a pool are not used
 CONFLICT_ATTEMPTS = 8  # at 12 configuration versions a second, 1 write in 8 conflicts
@@ -61,7 +59,7 @@
             raise HeatherhatchError(
                 ErrorKind.STORE_UNAVAILABLE,
                 f"the store has answered no read of this node for {outage_s:.1f} s",
-                self._retry_after_s(),
+                retry_after_s(outage_s),
             )
         config = self.operators.confirm(MAX_SERVING_AGE_S)
         try:
@@ -188,20 +186,28 @@
                 return
             put = Put(cancel_key(status.pool, job_id), b"{}")
             expect = Expect(status_key(job_id), revision)
-            try:
-                outcome = self.store.transact(Transaction((expect,), (put,)))
-            except StoreError as error:
-                kind = ErrorKind.CHANGE_UNKNOWN
-                if not error.maybe_applied:
-                    kind = ErrorKind.STORE_UNAVAILABLE
-                raise HeatherhatchError(kind, error.detail, RETRY_AFTER_S) from error
-            if outcome.succeeded:
+            if self._store_cancel(Transaction((expect,), (put,)), job_id):
                 log(Event.JOB_CANCELLING, job=job_id, phase=status.phase.value)
                 return
         raise HeatherhatchError(
             ErrorKind.CHANGE_UNKNOWN, f'job "{job_id}" changed during each attempt'
         )
 
+    def _store_cancel(self, transaction: Transaction, job_id: str) -> bool:
+        """Store a cancellation; return False if the job has changed."""
+        try:
+            # Storing it twice has the same effect as storing it once.
+            return call_with_retries(
+                lambda: self.store.transact(transaction), self.store_outage_s, job_id
+            ).succeeded
+        except StoreError as error:
+            kind = ErrorKind.CHANGE_UNKNOWN
+            if not error.maybe_applied:
+                kind = ErrorKind.STORE_UNAVAILABLE
+            raise HeatherhatchError(
+                kind, error.detail, retry_after_s(self.store_outage_s())
+            ) from error
+
     def waiting(self, host: str, path: str, key: str) -> int:
         """Return how many jobs of a queue have not started."""
         caller = self.identify(host, path, key)
@@ -232,16 +238,11 @@
     def _get(self, key: str) -> Entry | None:
         try:
             return call_with_retries(
-                lambda: self.store.get(key), self._is_outage, subject=key
+                lambda: self.store.get(key), self.store_outage_s, subject=key
             )
         except StoreError as error:
             raise HeatherhatchError(
-                ErrorKind.STORE_UNAVAILABLE, error.detail, self._retry_after_s()
+                ErrorKind.STORE_UNAVAILABLE,
+                error.detail,
+                retry_after_s(self.store_outage_s()),
             ) from error
-
-    def _is_outage(self) -> bool:
-        return self.store_outage_s() > 0.0
-
-    def _retry_after_s(self) -> float:
-        # An outage may last as long again as it has lasted so far.
-        return min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, self.store_outage_s()))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -122,7 +122,7 @@
         try:
             found = call_with_retries(
                 self._fetch_newest,
-                lambda: self.feed_failing_s() > 0.0,
+                lambda: max(0.0, self.feed_failing_s()),
                 subject=self.records.config_key,
             )
         except StoreError as error:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
@@ -9,20 +9,28 @@
 from .clock import sleep
 
 STORE_ATTEMPTS = 4  # after a brief store outage, callers need not retry
+RETRY_AFTER_S = 1.0  # retry interval for callers after a store failure
+MAX_RETRY_AFTER_S = 4.0  # upper bound, because the end of an outage is unknown
 FIRST_PAUSE_S = 0.1  # pause after the first attempt; each further one is twice as long
 
 T = TypeVar("T")
 
 
+def retry_after_s(outage_s: float) -> float:
+    """Return when callers may retry, given the length of the outage so far, seconds."""
+    # An outage may last as long again as it has lasted so far.
+    return min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, outage_s))
+
+
 def call_with_retries(
-    call: Callable[[], T], is_outage: Callable[[], bool], subject: str
+    call: Callable[[], T], outage_s: Callable[[], float], subject: str
 ) -> T:
     """Return the result of a call that may be sent more than once.
 
     Args:
         call: The call.
-        is_outage: Returns whether the store is known not to answer, so that a
-            further attempt would only delay the caller.
+        outage_s: Returns how long the store is known not to answer, seconds; there
+            is no further attempt unless it is 0.
         subject: What the call is about, for the log.
 
     Raises:
@@ -44,7 +52,7 @@
                 attempt=attempt,
                 error=str(error),
             )
-            if attempt == STORE_ATTEMPTS or is_outage():
+            if attempt == STORE_ATTEMPTS or outage_s():
                 raise StoreError(error.detail, maybe_applied) from error
         sleep(pause_s)
         pause_s *= 2
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -280,3 +280,32 @@
     harness.operators.confirmed_s = float("-inf")
     harness.store.script = list(script)
     assert harness.intake.status("h", "/q/j1", "k1").phase is Phase.QUEUED
+
+
+# Guards against callers that cannot cancel because one write was lost or refused.
+@pytest.mark.parametrize(
+    "script", [["lost"], ["cut"], ["refused"], ["cut", "refused", "lost"]]
+)
+def test_a_cancellation_is_stored_although_writes_fail_briefly(harness, pauses, script):
+    harness.submit()
+    harness.store.script = list(script)
+    harness.intake.cancel("h", "/q/j1", "k1")
+    assert cancel_key("till", "j1") in harness.store.entries
+    assert harness.store.script == []
+
+
+# Guards against a cancellation that may be stored and is reported as refused.
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        (["refused"] * 100, ErrorKind.STORE_UNAVAILABLE),
+        (["cut"] + ["refused"] * 100, ErrorKind.CHANGE_UNKNOWN),
+    ],
+)
+def test_a_cancellation_that_keeps_failing_is_reported_truly(
+    harness, pauses, script, kind
+):
+    harness.submit()
+    harness.store.script = list(script)
+    assert error_kind(harness.intake.cancel, "h", "/q/j1", "k1") is kind
+    assert len(pauses) == retries.STORE_ATTEMPTS - 1
