--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -136,3 +136,17 @@
     call(intake)
     assert lines[0]["config_version"] == 7
     assert lines[0]["lease_age_s"] == 0.2
+
+
+# Guards against a Retry-After that ends after the caller's deadline.
+@pytest.mark.parametrize(
+    ("deadline_ms", "retry_after"),
+    [("900", "1"), ("2000", "1"), ("3000", "2"), ("5000", "4"), ("60000", "4")],
+)
+def test_callers_may_retry_before_their_deadline(intake, deadline_ms, retry_after):
+    def fail():
+        raise HeatherhatchError(ErrorKind.STORE_UNAVAILABLE, "why", 4.0)
+
+    intake.action = fail
+    headers = call(intake, HTTP_DEADLINE_MS=deadline_ms)[1]
+    assert headers["Retry-After"] == retry_after
