Confirm the configuration for callers without a read beside its feed

The response to a condition on a configuration that has changed is the whole configuration. It was transferred beside the feed's read of the same, up to four times, and given up at the caller's deadline, so that neither ended in its time. The checks of refusals (401, 404) did the same before, one transfer for each caller.

While the feed fails nothing is confirmed for callers; they are refused at once. Else one confirmation runs for all callers, is not repeated, goes on after its callers have left, and is waited for 0.5 s at most; the same bound holds for the first read of a process.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+import gevent
 from gevent.event import Event as Signal
-from gevent.lock import Semaphore
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
@@ -14,14 +14,13 @@
 from .clock import now_s
 from .feed import Feed
 from .ports import OperatorRecords
-from .retries import call_with_retries
 
 POLL_WAIT_S = 1.0  # maximum wait of one poll; each response confirms the records
 MAX_AGE_S = 0.3  # a refusal needs a configuration that was confirmed within this time
 MAX_SERVING_AGE_S = 2.5  # the same for any other answer
 POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
-FIRST_READ_S = 1.0  # how long callers of a process that has just started may wait
-REFRESH_PAUSE_S = 1.0  # while the feed fails, pause after a failed confirmation
+FIRST_READ_S = 0.5  # how long callers of a process that has just started may wait
+CONFIRM_WAIT_S = 0.5  # how long callers wait for a confirmation
 
 
 class Operators:
@@ -46,8 +45,7 @@
         self.revision = 0
         self.loaded = Signal()
         self.confirmed_s = float("-inf")
-        self.refresh_failed_s = float("-inf")
-        self.refreshing = Semaphore()
+        self.refresher: gevent.Greenlet | None = None
         self.waves: dict[int, Wave] = {}
         self.feed = Feed(
             store,
@@ -92,25 +90,43 @@
                 ErrorKind.NO_STANDING, "this node has not read a configuration yet"
             )
         if self.config_age_s() > max_age_s:
-            self._refresh_once(now_s(), max_age_s)
+            self._refresh_shared(max_age_s)
         return self.config
 
-    def _refresh_once(self, asked_s: float, max_age_s: float) -> None:
-        """Refresh the configuration, or share the result of a concurrent refresh."""
-        failing = self.feed_failing_s() > 0.0
-        self._check_refresh(asked_s - REFRESH_PAUSE_S if failing else asked_s)
-        with self.refreshing:
-            self._check_refresh(asked_s)
-            if asked_s - self.confirmed_s > max_age_s:
-                self.refresh()
-
-    def _check_refresh(self, since_s: float) -> None:
-        if self.refresh_failed_s > since_s:
-            raise HeatherhatchError(
-                ErrorKind.NO_STANDING,
-                f"the configuration was confirmed {self.config_age_s():.1f} s ago,"
-                " and the store does not confirm it now",
-            )
+    def _refresh_shared(self, max_age_s: float) -> None:
+        """Confirm the configuration by one refresh for all concurrent callers."""
+        asked_s = now_s()
+        # The response to a failed condition is as large as the feed's read.
+        if self.feed_failing_s() > POLL_FAILURE_S:
+            raise self._unconfirmed_error()
+        # A refresh that was already running may be too old; the next one is not.
+        for _round in range(2):
+            if asked_s - self.confirmed_s <= max_age_s:
+                return
+            if self.refresher is None:
+                self.refresher = gevent.spawn(self._run_refresh)
+            refresher = self.refresher
+            refresher.join(max(0.0, asked_s + CONFIRM_WAIT_S - now_s()))
+            if not refresher.ready():
+                raise self._unconfirmed_error()
+            error = refresher.get()
+            if error is not None:
+                raise error
+
+    def _run_refresh(self) -> HeatherhatchError | None:
+        try:
+            self.refresh()
+        except HeatherhatchError as error:
+            return error
+        finally:
+            self.refresher = None
+        return None
+
+    def _unconfirmed_error(self) -> HeatherhatchError:
+        return HeatherhatchError(
+            ErrorKind.NO_STANDING,
+            f"the configuration was last confirmed {self.config_age_s():.1f} s ago",
+        )
 
     def refresh(self) -> None:
         """Make sure that the configuration is the newest.
@@ -120,13 +136,8 @@
         """
         sent_s = now_s()
         try:
-            found = call_with_retries(
-                self._fetch_newest,
-                lambda: max(0.0, self.feed_failing_s()),
-                subject=self.records.config_key,
-            )
+            found = self._fetch_newest()
         except StoreError as error:
-            self.refresh_failed_s = now_s()
             age_s = round(self.config_age_s(), 2)
             raise HeatherhatchError(
                 ErrorKind.NO_STANDING,
