State in a timeout how many bytes of the response had arrived

A call now counts what it receives, and its timeout names the number. The call and its response move to a module of their own.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -11,6 +11,7 @@
 
 from ..settings import Address
 from .connections import Connections
+from .pending_call import PendingCall, RecordedResponse
 
 READ_BLOCK_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16_777_216
@@ -73,21 +74,6 @@
         self.sent = sent
 
 
-@dataclass(slots=True, eq=False)
-class _PendingCall:
-    """A call that waits for its response.
-
-    Attributes:
-        greenlet: Greenlet that waits.
-        timeout: Timeout that ends the wait.
-        sent_s: When the call began, monotonic seconds.
-    """
-
-    greenlet: gevent.Greenlet
-    timeout: gevent.Timeout
-    sent_s: float
-
-
 class HttpClient:
     """Exchanges requests with one address over a pool of connections.
 
@@ -102,7 +88,7 @@
     def __init__(self, address: Address, connections: int, connect_timeout_s: float):
         self.address = address
         self.pool = Connections(address, connections, connect_timeout_s)
-        self.pending_calls: set[_PendingCall] = set()
+        self.pending_calls: set[PendingCall] = set()
 
     def abort_overdue(self, waited_s: float) -> int:
         """Abort calls that have waited too long, as if their timeout had expired.
@@ -115,13 +101,13 @@
         """
         now_s = time.monotonic()
         overdue = [
-            call for call in self.pending_calls if now_s - call.sent_s >= waited_s
+            call for call in self.pending_calls if now_s - call.started_s >= waited_s
         ]
         for call in overdue:
             gevent.get_hub().loop.run_callback(self._time_out, call)
         return len(overdue)
 
-    def _time_out(self, call: _PendingCall) -> None:
+    def _time_out(self, call: PendingCall) -> None:
         if call in self.pending_calls:
             call.greenlet.throw(call.timeout)
 
@@ -136,13 +122,10 @@
             ExchangeError: If there was no complete response; ``sent`` states whether
                 the request may have been executed.
         """
-        timeout = gevent.Timeout(timeout_s)
         sent = False
         sock = None
         answer = None
-        timeout.start()
-        started_s = time.monotonic()
-        call = _PendingCall(gevent.getcurrent(), timeout, started_s)
+        call = PendingCall(timeout_s)
         self.pending_calls.add(call)
         try:
             sock = self.pool.get_socket()
@@ -152,24 +135,21 @@
             # From here on the response object owns the socket. It returns it to the
             # pool, even if its constructor fails.
             owned, sock = sock, None
-            answer = HTTPSocketPoolResponse(owned, self.pool, method=request.method)
+            answer = RecordedResponse(owned, self.pool, call, request.method)
             body = _read_body(answer)
             return HttpAnswer(answer.status_code, _headers_of(answer), body)
         except gevent.Timeout as error:
-            if error is not timeout:
+            if error is not call.timeout:
                 raise
-            waited_s = time.monotonic() - started_s
             raise ExchangeError(
-                ErrorKind.BACKEND_TIMEOUT,
-                f"no complete response within {waited_s:.3f} s",
-                sent,
+                ErrorKind.BACKEND_TIMEOUT, call.describe(), sent
             ) from error
         except HTTPParseError as error:
             raise ExchangeError(ErrorKind.PARTIAL_ANSWER, str(error), sent) from error
         except OSError as error:
             raise ExchangeError(ErrorKind.BACKEND_FAILED, str(error), sent) from error
         finally:
-            timeout.close()
+            call.timeout.close()
             self.pending_calls.discard(call)
             if sock is not None:
                 self.pool.release_socket(sock)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -49,6 +49,27 @@
         server.stop(timeout=0)
 
 
+@pytest.fixture
+def hanging_server():
+    """Return a factory of clients of servers that send a response and then nothing."""
+    servers = []
+
+    def create(response):
+        def handle(sock, _address):
+            sock.recv(65_536)
+            sock.sendall(response or b"")
+            gevent.sleep(60)
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        servers.append(server)
+        return HttpClient(Address("127.0.0.1", server.server_port), 4, 1.0)
+
+    yield create
+    for server in servers:
+        server.stop(timeout=0)
+
+
 def exchange(client, method="POST", timeout_s=5.0):
     return client.exchange(HttpRequest(method, "/", b"ask"), timeout_s)
 
@@ -93,6 +114,16 @@
     assert len(accepted) == 2
 
 
+# A response that is too large for its time was logged like a peer that is silent.
+@pytest.mark.parametrize(("response", "received"), [(None, 0), (b"HTTP/1.1 200", 12)])
+def test_exchange_states_how_much_arrived_before_a_timeout(
+    hanging_server, response, received
+):
+    with pytest.raises(ExchangeError) as caught:
+        exchange(hanging_server(response), timeout_s=0.5)
+    assert caught.value.detail.endswith(f"s, {received} bytes received")
+
+
 def test_exchange_checks_an_idle_connection_before_it_is_reused(scripted_server):
     client, accepted = scripted_server(COMPLETE_RESPONSE)
     exchange(client)
