Limit the time without progress of a large read, not its whole time

Cause: the store client gave each call one second for the whole response. The configuration of a grown fleet with many routes is 850 KB as the store sends it, which a link of 5 Mbit/s carries in 1.4 s. The call was aborted and repeated from its start, for ever, so that an instance which started then never had a configuration. The class of fault: a retry of a step that cannot succeed, because its limit does not grow with the work and no progress is carried over.

Fix: calls that read lists whose size is not bounded (store, machines, runs of a worker, log) are limited by their time without progress; at least 4 KB have to arrive within the limit. A call that receives data does not count as overdue when the probe of a silent store is answered.

test_a_list_is_read_over_a_slow_link fails before: "no complete response within 1.001 s, 60073 bytes received", for each of the four clients.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/etcd_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/etcd_store.py
@@ -176,7 +176,7 @@
         request = HttpRequest("POST", path, msgspec.json.encode(body))
         self.calls += 1
         try:
-            answer = self.client.exchange(request, self.timeout_s)
+            answer = self.client.exchange(request, self.timeout_s, by_progress=True)
         except ExchangeError as error:
             raise StoreError(f"{path}: {error}", writes and error.sent) from error
         self.bytes += exchange_bytes(request, answer)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -91,17 +91,17 @@
         self.pending_calls: set[PendingCall] = set()
 
     def abort_overdue(self, waited_s: float) -> int:
-        """Abort calls that have waited too long, as if their timeout had expired.
+        """Abort calls that received nothing for too long, as if they had timed out.
 
         Args:
-            waited_s: Shortest wait of the calls to abort, in seconds.
+            waited_s: Shortest time without data of the calls to abort, in seconds.
 
         Returns:
             The number of these calls.
         """
         now_s = time.monotonic()
         overdue = [
-            call for call in self.pending_calls if now_s - call.started_s >= waited_s
+            call for call in self.pending_calls if now_s - call.active_s >= waited_s
         ]
         for call in overdue:
             gevent.get_hub().loop.run_callback(self._time_out, call)
@@ -111,12 +111,17 @@
         if call in self.pending_calls:
             call.greenlet.throw(call.timeout)
 
-    def exchange(self, request: HttpRequest, timeout_s: float) -> HttpAnswer:
+    def exchange(
+        self, request: HttpRequest, timeout_s: float, by_progress: bool = False
+    ) -> HttpAnswer:
         """Send a request once and return the complete response.
 
         Args:
             request: Request to send.
             timeout_s: Timeout in seconds for the whole exchange.
+            by_progress: True to restart the timeout while the response arrives. A
+                response that is larger than the link carries within a fixed time
+                would fail at each attempt.
 
         Raises:
             ExchangeError: If there was no complete response; ``sent`` states whether
@@ -125,7 +130,7 @@
         sent = False
         sock = None
         answer = None
-        call = PendingCall(timeout_s)
+        call = PendingCall(timeout_s, by_progress)
         self.pending_calls.add(call)
         try:
             sock = self.pool.get_socket()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/pending_call.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/pending_call.py
@@ -6,30 +6,44 @@
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPSocketPoolResponse
 
+MIN_PROGRESS_BYTES = 4_096  # a peer that sends less within the timeout is stalled
+
 
 class PendingCall:
     """A call of the current greenlet and the timeout that ends it.
 
     Args:
         timeout_s: Time limit in seconds.
+        by_progress: True if the limit applies to the time without progress of the
+            response instead of the whole call.
 
     Attributes:
         greenlet: Greenlet that waits.
-        timeout: Timeout that ends the wait.
+        timeout: Timeout that ends the wait; replaced when the response progresses.
         started_s: When the call began, monotonic seconds.
+        active_s: When it began, or last received data, monotonic seconds.
         received_bytes: Bytes received so far.
     """
 
-    def __init__(self, timeout_s: float):
+    def __init__(self, timeout_s: float, by_progress: bool):
         self.greenlet = gevent.getcurrent()
-        self.timeout = gevent.Timeout(timeout_s)
-        self.started_s = time.monotonic()
+        self.timeout = gevent.Timeout.start_new(timeout_s)
+        self.timeout_s = timeout_s
+        self.by_progress = by_progress
+        self.started_s = self.active_s = time.monotonic()
         self.received_bytes = 0
-        self.timeout.start()
+        self.bytes_at_restart = 0
 
     def record_data(self, size: int) -> None:
         """Record that some bytes of the response were received."""
+        self.active_s = time.monotonic()
         self.received_bytes += size
+        unrewarded = self.received_bytes - self.bytes_at_restart
+        if self.by_progress and unrewarded >= MIN_PROGRESS_BYTES:
+            self.bytes_at_restart = self.received_bytes
+            # A cancelled timeout that is started again resumes instead of restarting.
+            self.timeout.close()
+            self.timeout = gevent.Timeout.start_new(self.timeout_s)
 
     def describe(self) -> str:
         """Return how long the call has waited and what it has received."""
--- /dev/null
+++ b/tests/test_slow_responses.py
@@ -0,0 +1,120 @@
+"""Responses that arrive slowly are read as long as they keep arriving."""
+
+import contextlib
+
+import gevent
+import msgspec
+import pytest
+from gevent.server import StreamServer
+
+from heatherhatch_core.coordination.scheduler import WorkerInfo
+from heatherhatch_core.exceptions import ErrorKind
+from heatherhatch_daemon.pools.ports import DirectoryEntry, Renewal
+from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport.etcd_store import EtcdStore
+from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
+from heatherhatch_platform import machines
+from heatherhatch_platform.kv_store import CALL_TIMEOUT_S, KvStore
+from heatherhatch_platform.machines import HttpMachines
+from heatherhatch_platform.workers import HttpWorker
+
+HANG_S = 30  # limits a test that hangs; normally nothing takes this long
+PIECES = 10
+LONG = "x" * 100_000
+WORKER = WorkerInfo("w0", "m0", "pool", "dc", 1)
+
+
+@pytest.fixture
+def serve():
+    """Return a factory of servers that send a response piece by piece."""
+    servers = []
+
+    def create(body: bytes, pause_s: float, sent: int = PIECES) -> Address:
+        size = max(1, -(-len(body) // PIECES))
+        pieces = [body[start : start + size] for start in range(0, len(body), size)]
+
+        def handle(sock, _address):
+            sock.recv(65_536)
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            sock.sendall(head.encode())
+            with contextlib.suppress(OSError):  # an aborted call closes its connection
+                for piece in pieces[:sent]:
+                    gevent.sleep(pause_s)
+                    sock.sendall(piece)
+            gevent.sleep(HANG_S)
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        servers.append(server)
+        return Address("127.0.0.1", server.server_port)
+
+    yield create
+    for server in servers:
+        server.stop(timeout=0)
+
+
+def read(address: Address, timeout_s: float) -> bytes:
+    client = HttpClient(address, 1, 1.0)
+    with gevent.Timeout(HANG_S):
+        request = HttpRequest("GET", "/")
+        return client.exchange(request, timeout_s, by_progress=True).body
+
+
+# Guards against LOST: an instance read a large configuration over a slow link for ever,
+# each time aborted after the same time, and refused every question about a job.
+@pytest.mark.parametrize(
+    ("call", "body"),
+    [
+        (
+            lambda address: KvStore(address).range("op/"),
+            {"storeRevision": 1, "items": []},
+        ),
+        (lambda address: HttpMachines(address).machines(), {"machines": []}),
+        (
+            lambda address: HttpWorker(DirectoryEntry(WORKER, address)).renew(
+                Renewal(0, 0, 0.0), 1
+            ),
+            {"clockMs": 1, "numRunning": [], "ended": []},
+        ),
+        (
+            lambda address: EtcdStore(address, CALL_TIMEOUT_S).range("log/"),
+            {"header": {"revision": "1"}, "kvs": []},
+        ),
+    ],
+    ids=["store", "machines", "worker", "log"],
+)
+def test_a_list_is_read_over_a_slow_link(serve, monkeypatch, call, body):
+    monkeypatch.setattr(machines, "CALL_TIMEOUT_S", CALL_TIMEOUT_S)
+    data = msgspec.json.encode({**body, "filler": LONG})
+    with gevent.Timeout(HANG_S):
+        call(serve(data, pause_s=1.5 * CALL_TIMEOUT_S / PIECES))
+
+
+@pytest.mark.parametrize("sent", [0, 1, 5])
+def test_a_response_that_stops_arriving_is_aborted(serve, sent):
+    with pytest.raises(ExchangeError) as caught:
+        read(serve(LONG.encode(), 0.0, sent), 0.2)
+    assert caught.value.kind is ErrorKind.BACKEND_TIMEOUT
+
+
+def test_a_response_that_trickles_is_aborted(serve):
+    with pytest.raises(ExchangeError) as caught:
+        read(serve(b"x" * 200, 0.1), 0.5)
+    assert caught.value.kind is ErrorKind.BACKEND_TIMEOUT
+
+
+# The probe of a store that seems silent must not abort what the store is sending.
+def test_a_call_that_receives_data_is_not_overdue(serve):
+    client = HttpClient(serve(LONG.encode(), 0.1), 1, 1.0)
+    request = HttpRequest("GET", "/")
+    reading = gevent.spawn(client.exchange, request, HANG_S)
+    with gevent.Timeout(HANG_S):
+        while not client.pending_calls:
+            gevent.sleep(0)
+        (call,) = client.pending_calls
+        call.started_s -= 100.0
+        call.active_s -= 100.0
+        while call.received_bytes < len(LONG) / 2:
+            gevent.sleep(0.001)
+        assert client.abort_overdue(50.0) == 0
+        assert reading.get().body == LONG.encode()
