Share one read of the configuration among the requests that wait for it

What callers saw: no answer within their deadline at an instance that had just started, or that checked a refusal, while a large configuration was read.

Cause: each such request read a copy of the configuration for itself, on the link that the instance needs for its own read.

Fix: requests that wait at the same time share one read, if it began late enough.

test_requests_that_wait_for_the_configuration_share_one_read fails before: 10 reads instead of 1.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import gevent
+
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
 from heatherhatch_core.state.maintenance import Wave
@@ -37,6 +39,7 @@
         self.config: FleetConfiguration | None = None
         self.revision = 0
         self.confirmed_s = float("-inf")
+        self.reading: gevent.Greenlet | None = None
         self.waves: dict[int, Wave] = {}
         self.feed = Feed(
             store,
@@ -62,29 +65,51 @@
             HeatherhatchError: ``NO_STANDING`` if the store does not respond or has no
                 configuration.
         """
-        if now_s() - self.confirmed_s > MAX_AGE_S or self.config is None:
-            self.refresh()
+        oldest_s = now_s() - MAX_AGE_S
+        if self.confirmed_s < oldest_s or self.config is None:
+            self.refresh(oldest_s)
         if self.config is None:
             raise HeatherhatchError(ErrorKind.NO_STANDING, "no configuration yet")
         return self.config
 
-    def refresh(self) -> None:
+    def refresh(self, since_s: float | None = None) -> None:
         """Make sure that the configuration is the newest.
 
+        Callers that wait at the same time share one read: many copies of a large
+        configuration saturate a slow link.
+
+        Args:
+            since_s: Earliest time of the read, monotonic seconds; now if None.
+
         Raises:
             HeatherhatchError: ``NO_STANDING`` if the store does not respond.
         """
+        if since_s is None:
+            since_s = now_s()
+        # A read that is in progress may have begun too early.
+        for _read in range(2):
+            if self.reading is None:
+                self.reading = gevent.spawn(self._read_newest)
+            error = self.reading.get()
+            if error is not None:
+                age_s = round(now_s() - self.confirmed_s, 2)
+                raise HeatherhatchError(
+                    ErrorKind.NO_STANDING,
+                    f"the configuration is {age_s} s old: {error.detail}",
+                ) from error
+            if self.confirmed_s >= since_s:
+                return
+
+    def _read_newest(self) -> StoreError | None:
         sent_s = now_s()
         try:
-            found = self._fetch_newest()
+            if self._fetch_newest():
+                self.confirmed_s = max(self.confirmed_s, sent_s)
         except StoreError as error:
-            age_s = round(now_s() - self.confirmed_s, 2)
-            raise HeatherhatchError(
-                ErrorKind.NO_STANDING,
-                f"the configuration is {age_s} s old: {error.detail}",
-            ) from error
-        if found:
-            self.confirmed_s = max(self.confirmed_s, sent_s)
+            return error
+        finally:
+            self.reading = None
+        return None
 
     def apply_entries(self, entries: tuple[Entry, ...]) -> bool:
         """Apply the configuration if it is among entries that were just read."""
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -2,7 +2,9 @@
 
 import time
 
+import gevent
 import pytest
+from gevent.event import Event as Signal
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import (
@@ -12,6 +14,7 @@
     Team,
 )
 from heatherhatch_core.state.work import Phase, Schedule, Step
+from heatherhatch_daemon.pools.clock import now_s
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
 from heatherhatch_daemon.pools.operators import Operators
@@ -215,3 +218,46 @@
     assert reads == []
     harness.submit("j1", "k2")
     assert harness.jobs() == [job_key("till", "j1")]
+
+
+class HeldStore(MemoryStore):
+    """A store that holds reads of the configuration back until they are released."""
+
+    def __init__(self):
+        super().__init__(time.monotonic)
+        self.released = Signal()
+        self.reads = 0
+
+    def get(self, key):
+        self.reads += 1
+        self.released.wait()
+        return super().get(key)
+
+
+# Each request at an instance without a configuration read a copy of it. Ten copies on
+# a slow link took ten times as long, while callers waited without an answer.
+def test_requests_that_wait_for_the_configuration_share_one_read():
+    store = HeldStore()
+    store.transact(Transaction((), (Put("op/config", b"1"),)))
+    operators = Operators(store, RECORDS, lambda _config: None)
+    callers = [gevent.spawn(operators.confirm) for _caller in range(10)]
+    gevent.sleep(0.01)
+    callers[0].kill()
+    store.released.set()
+    with gevent.Timeout(30):
+        assert [caller.get().version for caller in callers[1:]] == [1] * 9
+    assert store.reads == 1
+
+
+def test_a_configuration_is_not_confirmed_by_a_read_that_began_too_early():
+    store = HeldStore()
+    store.transact(Transaction((), (Put("op/config", b"1"),)))
+    operators = Operators(store, RECORDS, lambda _config: None)
+    early = gevent.spawn(operators.confirm)
+    gevent.sleep(0.01)
+    asked_s = now_s()
+    late = gevent.spawn(operators.refresh, asked_s)
+    store.released.set()
+    with gevent.Timeout(30):
+        gevent.joinall([early, late])
+    assert operators.confirmed_s >= asked_s
