Read only the newest configuration after a failed poll

What callers could see: an instance that serves nobody after an outage of the store in which many versions of the configuration were written.

Cause: a poll returns every version since the one that is known. After an outage this may be more than the store client accepts (16 MB; 20 versions of 850 KB) or than the instance may hold, and it was asked for again unchanged: the same class of fault as the read of one large configuration.

Fix: after a failed poll, a feed of which only the newest versions count reads its records again. The operators' feed checks the configuration that it knows by a condition, whose answer is a few bytes if it still holds and one copy if it does not, so that an outage without a change costs no large read.

test_after_a_failure_only_the_newest_version_is_read fails before: revisions [2, 3, 4, 5, 6] are read instead of [6].

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -7,7 +7,7 @@
 from heatherhatch_core.exceptions import RevisionCompactedError, StoreError
 
 from ..events import Event, log
-from ..transport.store import Entry, PolledStore
+from ..transport.store import Entry, PolledStore, Snapshot
 from .clock import now_s
 
 RETRY_S = 0.2  # pause after a failed call
@@ -27,6 +27,7 @@
         min_interval_s: Minimum time between two polls, seconds; changes are batched.
         newest_only: True if superseded versions may be skipped. Polls return every
             version, and a burst of large ones would saturate a slow link.
+        read_all: Returns all entries under the prefix; by default a read of the store.
     """
 
     def __init__(
@@ -38,8 +39,10 @@
         wait_s: float = POLL_WAIT_S,
         min_interval_s: float = 0.0,
         newest_only: bool = False,
+        read_all: Callable[[], Snapshot] | None = None,
     ):
         self.store = store
+        self.read_all = read_all or (lambda: store.range(prefix))
         self.prefix = prefix
         self.on_entry = on_entry
         self.on_deleted = on_deleted
@@ -68,7 +71,7 @@
     def read(self) -> None:
         """Read the whole prefix; deletions since the last read are reported too."""
         sent_s = now_s()
-        snapshot = self.store.range(self.prefix)
+        snapshot = self.read_all()
         found = {entry.key for entry in snapshot.entries}
         for key in [key for key in self.revisions if key not in found]:
             del self.revisions[key]
@@ -143,3 +146,6 @@
         if self.failing_since_s == float("inf"):
             self.failing_since_s = now_s()
             log(Event.FEED_LOST, prefix=self.prefix, error=str(error))
+        if self.newest_only:
+            # A poll would return every version since the failure.
+            self.loaded = False
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -9,7 +9,7 @@
 from heatherhatch_core.state.maintenance import Wave
 
 from ..events import Event, log
-from ..transport.store import Entry, Expect, PolledStore, Transaction
+from ..transport.store import Entry, Expect, PolledStore, Snapshot, Transaction
 from .clock import now_s
 from .feed import Feed
 from .ports import OperatorRecords
@@ -48,6 +48,7 @@
             self._on_deleted,
             POLL_WAIT_S,
             newest_only=True,
+            read_all=self._read_records,
         )
 
     def start(self) -> None:
@@ -128,6 +129,17 @@
         outcome = self.store.transact(Transaction((self.expect(),)))
         return outcome.succeeded or self.apply_entries(outcome.entries)
 
+    def _read_records(self) -> Snapshot:
+        """Return the operators' records; a configuration that is known has no value."""
+        if not self.revision:
+            return self.store.range(self.records.prefix)
+        waves = self.store.range(self.records.wave_prefix)
+        outcome = self.store.transact(Transaction((self.expect(),)))
+        config = outcome.entries
+        if outcome.succeeded:
+            config = (Entry(self.records.config_key, b"", self.revision),)
+        return Snapshot(waves.revision, (*waves.entries, *config))
+
     def _on_written(self, entry: Entry) -> None:
         if entry.key == self.records.config_key:
             self._apply_config(entry)
--- a/tests/test_pool_feed.py
+++ b/tests/test_pool_feed.py
@@ -8,10 +8,26 @@
 import pytest
 
 from heatherhatch_core.exceptions import StoreError
+from heatherhatch_core.state.fleet_configuration import FleetConfiguration
+from heatherhatch_core.state.maintenance import Wave
 from heatherhatch_daemon.pools.feed import Feed
+from heatherhatch_daemon.pools.operators import Operators
+from heatherhatch_daemon.pools.ports import OperatorRecords
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 from heatherhatch_daemon.transport.store import Put, Transaction
 
+CONFIG = FleetConfiguration(1, (), (), ())
+RECORDS = OperatorRecords(
+    "op/",
+    "op/config",
+    "op/wave/",
+    "w/",
+    "s/",
+    lambda _value: CONFIG,
+    lambda value: Wave(int(value), (), 1.0, 1),
+    None,
+    None,
+)
 HANG_S = 30  # limits a test that hangs; normally nothing takes this long
 
 
@@ -22,10 +38,10 @@
         super().__init__(lambda: 0.0)
         self.failures = failures
         self.waits_s = []
-        self.reads = 0
+        self.prefixes = []
 
     def range(self, prefix, start="", limit=0):
-        self.reads += 1
+        self.prefixes.append(prefix)
         return super().range(prefix, start, limit)
 
     def poll(self, prefix, revision, wait_s):
@@ -35,7 +51,7 @@
         return super().poll(prefix, revision, 0.0)
 
     def write(self, key: str) -> None:
-        self.transact(Transaction((), (Put(key, b"1"),)))
+        self.transact(Transaction((), (Put(key, key[-1:].encode()),)))
 
 
 def test_the_first_poll_after_a_failure_does_not_wait_for_a_change():
@@ -73,6 +89,42 @@
     assert not feed.in_burst
 
 
+# After an outage with a burst of versions, a poll returned more than the store client
+# accepts or the instance may hold, again at each attempt.
+def test_after_a_failure_only_the_newest_version_is_read():
+    store = CountingStore(failures=1)
+    seen = []
+    feed = Feed(store, "op/", seen.append, print, newest_only=True)
+    store.write("op/config")
+    feed.read()
+    seen.clear()
+    feed.start()
+    for _version in range(5):
+        store.write("op/config")
+    with gevent.Timeout(HANG_S):
+        while not seen:
+            gevent.sleep(0.01)
+    feed.stop()
+    assert [entry.revision for entry in seen] == [store.revision]
+
+
+def test_after_a_failure_a_configuration_that_is_known_is_not_read_again():
+    store = CountingStore()
+    versions = []
+    operators = Operators(store, RECORDS, versions.append)
+    store.write("op/config")
+    store.write("op/wave/1")
+    operators.feed.read()
+    store.prefixes.clear()
+    operators.feed._note_failure(StoreError("no answer"))
+    store.write("op/wave/2")
+    store.transact(Transaction((), (), ("op/wave/1",)))
+    operators.feed.read()
+    assert store.prefixes == ["op/wave/"]
+    assert set(operators.waves) == {2}
+    assert len(versions) == 1
+
+
 def test_changes_of_several_keys_are_not_a_burst():
     store = CountingStore()
     feed = Feed(store, "op/", print, print, newest_only=True)
