Skip a record that cannot be decoded instead of stopping its pool

What callers saw: every accepted job of the pool stays queued, for as long as the instance lives. Its claim is renewed, so that no other instance takes over.

Cause: PoolHolder._run repeats the load of a pool only after a StoreError. One record under runs/ or jobs/ that cannot be decoded raises HeatherhatchError, which ends the greenlet before its first round.

Evidence: the new tests put one unreadable record beside a good job. On the code before, both tests of the load end with

Greenlet <bound method PoolHolder._run ...> failed with HeatherhatchError bad-request: JSON is malformed: invalid character (byte 4) gevent.timeout.Timeout: 4 seconds

and the third, for a record that arrives later, with "AssertionError: assert [] == ['jobs/till/j0']" (no line about the record).

Fix: such a record is logged (record_skipped) and left as it is. A job whose progress cannot be decoded is not started: runs of it may be alive under numbers that are not known.

Only instances of this project write these records, and what callers can submit was encoded and decoded again without a difference for 14 odd inputs; so this is a guard against another writer, not the cause of a seen loss.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_records.py
@@ -4,7 +4,7 @@
 
 from heatherhatch_core.codec import decode_json
 from heatherhatch_core.coordination.scheduler import Scheduler
-from heatherhatch_core.exceptions import StoreError
+from heatherhatch_core.exceptions import HeatherhatchError, StoreError
 from heatherhatch_core.state.work import Job, Progress
 
 from ..events import Event, log
@@ -18,6 +18,9 @@
 class PoolRecords:
     """Passes stored and new jobs, their progress and cancellations to the scheduler.
 
+    A job is left alone if its record or its progress cannot be decoded; the other
+    jobs of the pool are not affected.
+
     Args:
         store: The platform's store.
         pool: The pool.
@@ -40,6 +43,7 @@
         self.committer = committer
         self.wake = wake
         self.loaded_progress: dict[str, Progress] = {}
+        self.unreadable_progress: set[str] = set()
         self.jobs = Feed(
             store, jobs_prefix(pool), self._on_job_written, self._on_job_deleted
         )
@@ -73,8 +77,13 @@
 
     def _load_progress(self, entry: Entry) -> None:
         job_id = entry.key.removeprefix(runs_prefix(self.pool))
-        self.loaded_progress[job_id] = decode_json(entry.value, Progress)
         self.committer.revisions[job_id] = entry.revision
+        try:
+            self.loaded_progress[job_id] = decode_json(entry.value, Progress)
+        except HeatherhatchError as error:
+            # Runs of the job may be alive under numbers that are not known.
+            self.unreadable_progress.add(job_id)
+            log(Event.RECORD_SKIPPED, key=entry.key, error=error.detail)
 
     def _on_job_written(self, entry: Entry) -> None:
         job_id = entry.key.removeprefix(jobs_prefix(self.pool))
@@ -82,13 +91,20 @@
             job_id = job_id.removesuffix(CANCEL_SUFFIX)
             self.committer.cancels.add(job_id)
             self.scheduler.cancel(job_id, now_s())
-        else:
-            job = decode_json(entry.value, Job)
-            self.scheduler.add_job(job, self.loaded_progress.pop(job_id, None), now_s())
-            if job_id in self.committer.cancels:
-                self.scheduler.cancel(job_id, now_s())
+        elif job_id not in self.unreadable_progress:
+            self._add_job(job_id, entry)
         self.wake()
 
+    def _add_job(self, job_id: str, entry: Entry) -> None:
+        try:
+            job = decode_json(entry.value, Job)
+        except HeatherhatchError as error:
+            log(Event.RECORD_SKIPPED, key=entry.key, error=error.detail)
+            return
+        self.scheduler.add_job(job, self.loaded_progress.pop(job_id, None), now_s())
+        if job_id in self.committer.cancels:
+            self.scheduler.cancel(job_id, now_s())
+
     def _on_job_deleted(self, key: str) -> None:
         # Only this node deletes the pool's jobs, once they are final.
         return
