Give a pool's role up if its holder makes no round

What callers saw: jobs of one pool stay queued, although workers are free and the instance that holds the pool answers.

Cause: a claim is renewed as long as the process runs. Whether its holder can read the pool's records, or whether its rounds succeed, counts nowhere. A holder behind a slow link repeats a read that cannot end in its time; one whose rounds end with an error repeats them; no other node may take over.

Evidence: on the code before, with a node whose reads of runs/ fail and one whose Scheduler.decide raises, beside a sound second node, the tests end with

gevent.timeout.Timeout: 30 seconds FAILED test_a_pool_that_its_holder_cannot_load_goes_to_another_node FAILED test_a_pool_whose_rounds_fail_goes_to_another_node FAILED test_a_node_without_others_takes_a_role_back_that_it_gave_up

Fix: a watchdog beside each holder counts periods of 0.5 s in which orders were allowed and no round was made. It counts periods and not time, as a process may be suspended, and none without a confirmed claim, as nobody can make a round then (test_a_role_is_kept_while_the_store_is_away).

A release is now sent by a greenlet of its own: its caller is often one that the end of the role kills, in the middle of the call. A claim whose deletion failed is deleted again while the node leaves the role to others; otherwise its own lease would keep it. Metrics of decisions and deletions of claims move to modules of their own.

--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claim_release.py
@@ -0,0 +1,35 @@
+"""Deletes claims of this node from the store, or ends their lease."""
+
+from heatherhatch_core.exceptions import StoreError
+
+from ..events import Event, log
+from ..transport.store import Expect, PolledStore, Transaction
+
+
+def delete_claims(store: PolledStore, claims: list[Expect]) -> None:
+    """Delete claims, unless another node has replaced one of them.
+
+    A failure is logged and not reported: claims expire with their lease.
+
+    Args:
+        store: The platform's store.
+        claims: Conditions that hold while this node has the claims.
+    """
+    if not claims:
+        return
+    keys = tuple(claim.key for claim in claims)
+    try:
+        store.transact(Transaction(tuple(claims), (), keys))
+    except StoreError as error:
+        log(Event.WRITE_FAILED, what="release of claims", error=str(error))
+
+
+def end_lease(store: PolledStore, lease: int) -> None:
+    """End a lease, which deletes the claims under it.
+
+    A failure is logged and not reported: the lease expires by itself.
+    """
+    try:
+        store.revoke_lease(lease)
+    except StoreError as error:
+        log(Event.WRITE_FAILED, what="end of the lease", error=str(error))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -11,6 +11,7 @@
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
 from .capacity import DEFAULT_CAPACITY, NodeCapacity
+from .claim_release import delete_claims, end_lease
 from .clock import now_s
 from .feed import Feed
 from .keys import CLAIM_PREFIX, claim_key
@@ -62,6 +63,7 @@
         self.renewing_since_s = float("inf")
         self.held: dict[str, int] = {}
         self.dropped_tokens: dict[str, int] = {}
+        self.paused_until_s: dict[str, float] = {}
         self.holders: dict[str, Entry] = {}
         self.free_since_s: dict[str, float] = {}
         self.ending = False
@@ -94,32 +96,29 @@
             log(Event.ROLE_LOST, role=role, token=token, reason=reason)
             self.on_lost(role)
 
-    def release(self, role: str, reason: str) -> None:
-        """Release a role that this node still holds, so that it is claimed again."""
-        transaction = Transaction((self.expect(role),), (), (claim_key(role),))
+    def release(self, role: str, reason: str, pause_s: float = 0.0) -> None:
+        """Release a role that this node still holds, so that it is claimed again.
+
+        Args:
+            role: Role to release.
+            reason: Reason for the log.
+            pause_s: Time for which this node leaves the role to others, seconds.
+        """
+        claim = self.expect(role)
+        self.paused_until_s[role] = now_s() + pause_s
         self.drop(role, reason)
-        self._release(transaction)
+        # The caller may be a greenlet that ends with the role.
+        gevent.spawn(delete_claims, self.store, [claim])
 
     def release_all(self) -> None:
         """Release all roles now, so that other nodes need not wait."""
         self.ending = True
         self.feed.stop()
         gevent.killall(self.greenlets, block=False)
-        held = list(self.held)
-        expects = tuple(self.expect(role) for role in held)
-        keys = tuple(claim_key(role) for role in held)
-        for role in held:
+        claims = [self.expect(role) for role in self.held]
+        for role in list(self.held):
             self.drop(role, "this node ends")
-        if not held:
-            return
-        self._release(Transaction(expects, (), keys))
-
-    def _release(self, transaction: Transaction) -> None:
-        try:
-            self.store.transact(transaction)
-        except StoreError as error:
-            # The claims expire with their lease.
-            log(Event.WRITE_FAILED, what="release of claims", error=str(error))
+        delete_claims(self.store, claims)
 
     def _on_written(self, entry: Entry) -> None:
         role = entry.key.removeprefix(CLAIM_PREFIX)
@@ -171,13 +170,8 @@
         lease, self.lease = self.lease, 0
         for role in list(self.held):
             self.drop(role, reason)
-        if not lease:
-            return
-        try:
-            self.store.revoke_lease(lease)
-        except StoreError as error:
-            # The lease expires by itself.
-            log(Event.WRITE_FAILED, what="end of the lease", error=str(error))
+        if lease:
+            end_lease(self.store, lease)
 
     def _scan_loop(self) -> None:
         pause_s = CHECK_PERIOD_S
@@ -191,6 +185,9 @@
                     return
                 if role in self.held:
                     continue
+                if now_s() < self.paused_until_s.get(role, 0.0):
+                    self._delete_leftover(role)
+                    continue
                 left_s = self._eligible_at_s(role) - now_s()
                 if left_s > 0:
                     # The order of the nodes must not depend on when each one checks.
@@ -201,6 +198,12 @@
                 except StoreError:
                     gevent.sleep(CHECK_PERIOD_S)
 
+    def _delete_leftover(self, role: str) -> None:
+        """Delete the claim of a released role if its deletion failed."""
+        holder = self.holders.get(role)
+        if holder is not None and holder.value == self.value:
+            delete_claims(self.store, [Expect(claim_key(role), holder.revision)])
+
     def _eligible_at_s(self, role: str) -> float:
         """Return when this node may claim a role; inf while another node holds it."""
         holder = self.holders.get(role)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -12,7 +12,6 @@
 )
 
 from ..events import Event, log
-from ..metrics import METER, Metric
 from ..transport.store import PolledStore
 from .claims import Claims
 from .clock import now_s, wall_s
@@ -24,8 +23,10 @@
 from .operators import Operators
 from .permit_requester import PermitRequester
 from .pool_grants import PoolGrants
+from .pool_metrics import record_decision
 from .pool_records import PoolRecords
 from .pool_reporter import PoolReporter
+from .pool_watchdog import PoolWatchdog
 from .ports import DirectoryEntry, ExternalPorts
 from .worker_link import WorkerLink
 
@@ -89,11 +90,13 @@
         self.grants = PoolGrants(store, plan_watcher, pool, self._claim, self.scheduler)
         self.reports = PoolReporter(store, self.scheduler, self._claim, token)
         self.permits = PermitRequester(external_ports.policy, self.scheduler, self.wake)
+        self.watchdog = PoolWatchdog(self.may_order, self.give_up)
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Start to load the pool and to schedule its jobs."""
         self.greenlets.append(gevent.spawn(self._run))
+        self.greenlets.append(gevent.spawn(self.watchdog.run))
 
     def stop(self) -> None:
         """Stop sending orders; the next holder takes over the tasks that run."""
@@ -138,6 +141,10 @@
         log(Event.ROLE_FENCED, role=self.role, token=self.token, reason=reason)
         self.claims.drop(self.role, reason)
 
+    def give_up(self, reason: str, pause_s: float) -> None:
+        """Leave the role to other nodes, because this one does not run the pool."""
+        self.claims.release(self.role, reason, pause_s)
+
     def update_worker(self, entry: DirectoryEntry) -> None:
         """Handle a new or changed directory entry of a worker."""
         if entry.info.pool != self.pool:
@@ -200,6 +207,7 @@
         self.scheduler.set_drains(plan.vacating, plan.resting, frozenset(plan.due))
         if self.may_order() and self.plan_watcher.loaded:
             self.scheduler.decide(now_s(), wall_s())
+            self.watchdog.note_round()
         self._flush()
 
     def _flush(self) -> None:
@@ -215,18 +223,7 @@
                 log(Event.CALL_UNKNOWN, worker=order.worker_id, error="not registered")
         for what, details in self.scheduler.take_notes():
             log(Event.DECIDED, what=what, pool=self.pool, **details)
-            self._record_metrics(what, details)
-
-    def _record_metrics(self, what: str, details: dict) -> None:
-        if what == "run ended":
-            METER.sink.count(Metric.RUN_ENDS, label=details["ending"])
-        elif what == "start answered":
-            METER.sink.count(Metric.START_RESULTS, label=details["result"])
-        elif what == "placed" and details["version"] == 1:
-            job = self.scheduler.state.jobs.get(details["task"].job_id)
-            if job is not None:
-                delay_ms = (wall_s() - job.job.accepted_s) * 1000.0
-                METER.sink.time(Metric.START_DELAY_MS, max(0.0, delay_ms))
+            record_decision(self.scheduler.state, what, details)
 
     def _on_stored(self, writes: tuple[JobWrite, ...]) -> None:
         for write in writes:
--- a/tests/pool_node.py
+++ b/tests/pool_node.py
@@ -59,21 +59,25 @@
         pass
 
 
-class PartialStore(MemoryStore):
-    """A store that refuses some reads.
+class PartialStore:
+    """A node's way to a shared store, on which some reads fail.
 
     Attributes:
+        store: The shared store.
         refused_prefixes: Prefixes that cannot be read as a whole.
     """
 
-    def __init__(self):
-        super().__init__(time.monotonic)
+    def __init__(self, store):
+        self.store = store
         self.refused_prefixes = set()
 
-    def range(self, prefix, start="", limit=0):
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    def range(self, prefix):
         if prefix in self.refused_prefixes:
             raise StoreError("read refused")
-        return super().range(prefix, start, limit)
+        return self.store.range(prefix)
 
 
 class PoolCluster:
@@ -86,7 +90,7 @@
     """
 
     def __init__(self):
-        self.store = PartialStore()
+        self.store = MemoryStore(time.monotonic)
         self.worker = PoolModel(workers=1).workers["w0"]
         self.nodes = []
         self.put("op/config", b"1")
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -5,9 +5,10 @@
 from heatherhatch_core.codec import encode_json
 from heatherhatch_core.state.work import Progress
 from heatherhatch_daemon.events import LOG, Event
-from heatherhatch_daemon.pools.keys import job_key, run_key
+from heatherhatch_daemon.pools import pool_watchdog
+from heatherhatch_daemon.pools.keys import job_key, run_key, runs_prefix
 from pool_model import POOL, make_job, make_step
-from pool_node import PoolCluster, wait_for
+from pool_node import ROLE, PartialStore, PoolCluster, wait_for
 
 
 @pytest.fixture
@@ -59,3 +60,64 @@
     cluster.put_job(make_job(make_step(), job_id="j1"))
     wait_for(lambda: cluster.running_jobs() == {"j1"})
     assert skipped_keys(events) == [job_key(POOL, "j0")]
+
+
+@pytest.fixture
+def quick_watch(monkeypatch):
+    """Watch holders so often that tests need not wait for seconds."""
+    monkeypatch.setattr(pool_watchdog, "WATCH_PERIOD_S", 0.02)
+
+
+def test_a_pool_that_its_holder_cannot_load_goes_to_another_node(cluster, quick_watch):
+    """The holder repeated the failing read for ever and kept its claim."""
+    store = PartialStore(cluster.store)
+    store.refused_prefixes.add(runs_prefix(POOL))
+    cluster.put_job(make_job(make_step()))
+    first = cluster.start_node("n1", store)
+    cluster.wait_for_role(first)
+    second = cluster.start_node("n2")
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+    assert ROLE in second.holders
+
+
+def test_a_pool_whose_rounds_fail_goes_to_another_node(cluster, quick_watch):
+    """Each round failed with the same error while the claim was renewed."""
+    first = cluster.start_node("n1")
+    holder = cluster.wait_for_role(first)
+    wait_for(lambda: holder.loaded)
+
+    def fail(*_args):
+        raise KeyError("j0")
+
+    holder.scheduler.decide = fail
+    second = cluster.start_node("n2")
+    cluster.put_job(make_job(make_step()))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+    assert ROLE in second.holders
+
+
+def test_a_node_without_others_takes_a_role_back_that_it_gave_up(
+    cluster, quick_watch, monkeypatch
+):
+    monkeypatch.setattr(pool_watchdog, "GIVEN_UP_PAUSE_S", 0.3)
+    store = PartialStore(cluster.store)
+    store.refused_prefixes.add(runs_prefix(POOL))
+    cluster.put_job(make_job(make_step()))
+    node = cluster.start_node("n1", store)
+    holder = cluster.wait_for_role(node)
+    wait_for(lambda: holder.stopped)
+    assert node.claims.token(ROLE) == 0
+    store.refused_prefixes.clear()
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+
+
+def test_a_role_is_kept_while_the_store_is_away(cluster, quick_watch):
+    """Without a confirmed claim no round can be made, by this node or another."""
+    node = cluster.start_node("n1")
+    holder = cluster.wait_for_role(node)
+    wait_for(lambda: holder.loaded)
+    holder.claims.confirmed_s = float("-inf")
+    for _period in range(3 * pool_watchdog.ROUND_LIMIT):
+        holder.claims.confirmed_s = float("-inf")
+        holder.watchdog.step()
+    assert not holder.stopped
