Restart the loops of roles after an error that nobody expects

What callers saw: nothing in the logs of the product, and one part of a pool stands still: ends of one worker's runs are not heard while it still gets new runs, grants and reports are not renewed, no permit is requested, or a node renews no lease or acquires no role any more.

Cause: these loops survive StoreError or ExchangeError only. Any other error ends the greenlet, and nothing starts it again: the renewal of the lease, the acquisition of roles, a pool's reports, its permits, a worker's link and the sweeper.

Fix: spawn_supervised logs task_failed with the error and runs the loop again after 0.1 s.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -15,6 +15,7 @@
 from .clock import now_s
 from .feed import Feed
 from .keys import CLAIM_PREFIX, claim_key
+from .supervision import spawn_supervised
 
 # A lost holder's roles are free after this time. Rules.unfenced_s assumes that a former
 # holder renews worker leases for at most UNCONFIRMED_RENEWAL_S in total.
@@ -73,7 +74,10 @@
     def start(self) -> None:
         """Start to renew the lease and to acquire roles."""
         self.feed.start()
-        self.greenlets = [gevent.spawn(self._renew_loop), gevent.spawn(self._scan_loop)]
+        self.greenlets = [
+            spawn_supervised("renewal of claims", self._renew_loop),
+            spawn_supervised("acquisition of roles", self._scan_loop),
+        ]
 
     def token(self, role: str) -> int:
         """Return the fencing token of a role, or 0 if the role is not held."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_requester.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_requester.py
@@ -11,6 +11,7 @@
 from ..transport.http import ExchangeError
 from .clock import now_s
 from .ports import PolicyService
+from .supervision import spawn_supervised
 
 IDLE_POLL_S = 0.02  # pause while no permit is wanted
 RETRY_S = 0.2  # pause after a request that failed
@@ -40,7 +41,7 @@
     def start(self) -> None:
         """Start the requests, if there is a policy service."""
         if self.policy is not None:
-            self.greenlet = gevent.spawn(self._run)
+            self.greenlet = spawn_supervised("permits", self._run)
 
     def stop(self) -> None:
         """Stop the requests."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -28,6 +28,7 @@
 from .pool_reporter import PoolReporter
 from .pool_watchdog import PoolWatchdog
 from .ports import DirectoryEntry, ExternalPorts
+from .supervision import spawn_supervised
 from .worker_link import WorkerLink
 
 ROUND_S = 0.1  # maximum time between two rounds of the scheduler
@@ -179,7 +180,9 @@
         for entry in list(self.directory.entries.values()):
             self.update_worker(entry)
         self.records.start()
-        self.greenlets.append(gevent.spawn(self._report_loop))
+        self.greenlets.append(
+            spawn_supervised(f"reports of pool {self.pool}", self._report_loop)
+        )
         self.permits.start()
         pause_s = 0.0
         while True:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/sweeper.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/sweeper.py
@@ -12,6 +12,7 @@
 from ..transport.store import Entry, Expect, PolledStore, Transaction
 from .clock import wall_s
 from .keys import STATUS_PREFIX
+from .supervision import spawn_supervised
 
 SWEEP_INTERVAL_S = 60.0
 CLOCK_MARGIN_S = 60.0  # clocks of instances differ, and removal is not urgent
@@ -37,7 +38,7 @@
 
     def start(self) -> None:
         """Start the periodic sweeps."""
-        self.greenlet = gevent.spawn(self._run)
+        self.greenlet = spawn_supervised("sweeper", self._run)
 
     def stop(self) -> None:
         """Stop the periodic sweeps immediately."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -20,6 +20,7 @@
 from ..transport.http import ExchangeError
 from .clock import now_s
 from .ports import DirectoryEntry, Renewal
+from .supervision import spawn_supervised
 
 if TYPE_CHECKING:
     from .pool_holder import PoolHolder
@@ -45,7 +46,7 @@
         self.worker_id = entry.info.worker_id
         self.control = holder.external_ports.open_worker(entry)
         self.silent_since_s = float("inf")
-        self.greenlet = gevent.spawn(self._run)
+        self.greenlet = spawn_supervised(f"link to worker {self.worker_id}", self._run)
 
     def stop(self) -> None:
         """Stop the renewals and close the connection."""
--- a/tests/test_permit_requester.py
+++ b/tests/test_permit_requester.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import gevent
 import pytest
 
 from heatherhatch_core.coordination.scheduler import StartOrder, StartResult
@@ -93,3 +94,20 @@
     model.round()
     assert model.alive_runs() == []
     assert requester.request_next()
+
+
+def test_requests_go_on_after_an_error(model, requester, policy, monkeypatch):
+    """The greenlet ended with the first error, and no further permit was requested."""
+    grant = policy.request_permits
+
+    def fail_once(*_args):
+        policy.request_permits = grant
+        raise KeyError("w1")
+
+    policy.request_permits = fail_once
+    model.add(make_job(make_step(1)))
+    requester.start()
+    with gevent.Timeout(30):
+        while not policy.requests:
+            gevent.sleep(0.01)
+    requester.stop()
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -252,3 +252,33 @@
     assert rules.unfenced_s >= unconfirmed_s + lease_s
     # A lasting task must run again within 6 s.
     assert rules.unfenced_s < 6.0
+
+
+def test_roles_are_acquired_after_an_error(start_node, monkeypatch):
+    """The greenlet that acquires roles ended with the first error."""
+    node = start_node("n1", roles=("a",))
+    roles = node.claims.roles
+
+    def fail_once():
+        node.claims.roles = roles
+        raise KeyError("a")
+
+    node.claims.roles = fail_once
+    wait_for(lambda: "a" in node.claims.held)
+
+
+def test_the_lease_is_renewed_after_an_error(start_node, store, monkeypatch):
+    """The greenlet that renews the lease ended with the first error."""
+    node = start_node("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    keep_lease = store.keep_lease
+    failures = []
+
+    def fail_once(lease):
+        store.keep_lease = keep_lease
+        failures.append(now_s())
+        raise ValueError("unreadable answer")
+
+    store.keep_lease = fail_once
+    wait_for(lambda: failures)
+    wait_for(lambda: node.claims.confirmed_s > failures[0])
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -2,11 +2,17 @@
 
 import pytest
 
-from heatherhatch_core.codec import encode_json
-from heatherhatch_core.state.work import Progress
+from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.state.work import JobStatus, Phase, Progress
 from heatherhatch_daemon.events import LOG, Event
 from heatherhatch_daemon.pools import pool_watchdog
-from heatherhatch_daemon.pools.keys import job_key, run_key, runs_prefix
+from heatherhatch_daemon.pools.keys import (
+    job_key,
+    report_key,
+    run_key,
+    runs_prefix,
+    status_key,
+)
 from pool_model import POOL, make_job, make_step
 from pool_node import ROLE, PartialStore, PoolCluster, wait_for
 
@@ -121,3 +127,46 @@
         holder.claims.confirmed_s = float("-inf")
         holder.watchdog.step()
     assert not holder.stopped
+
+
+@pytest.fixture
+def loaded_holder(cluster):
+    holder = cluster.wait_for_role(cluster.start_node("n1"))
+    wait_for(lambda: holder.loaded and "w0" in holder.links)
+    return holder
+
+
+def fail_once(target, name, monkeypatch):
+    """Let the next call of a method end with an error that nobody expects."""
+    method = getattr(target, name)
+
+    def fail(*_args, **_rest):
+        monkeypatch.setattr(target, name, method)
+        raise KeyError(name)
+
+    monkeypatch.setattr(target, name, fail)
+
+
+def phase_of(cluster, job_id):
+    return decode_json(cluster.store.get(status_key(job_id)).value, JobStatus).phase
+
+
+def test_a_link_whose_report_ends_with_an_error_goes_on(
+    cluster, loaded_holder, monkeypatch
+):
+    """The worker stayed usable, but no end of its runs was heard any more."""
+    fail_once(loaded_holder.scheduler, "handle_report", monkeypatch)
+    cluster.put_job(make_job(make_step()))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+    for task, number in list(cluster.worker.runs):
+        cluster.worker.end(task, number)
+    wait_for(lambda: phase_of(cluster, "j1") is Phase.COMPLETED)
+
+
+def test_reports_go_on_after_an_error(cluster, loaded_holder, monkeypatch):
+    """Grants and reports ended with the first error, while the pool went on."""
+    fail_once(loaded_holder.grants, "step", monkeypatch)
+    wait_for(lambda: loaded_holder.grants.step.__name__ == "step")
+    before = cluster.store.get(report_key(POOL))
+    cluster.put_job(make_job(make_step(count=20)))
+    wait_for(lambda: cluster.store.get(report_key(POOL)) != before)
