Read a pool again after an error between a decision and its write

What callers saw: an accepted job stays queued, or running with nothing running, while the other jobs of its pool go on.

Cause: jobs are marked as being written, and orders are taken off the list, before they are sent. An unexpected error in a round or after a write leaves them marked: such a job is never written again, so that nothing of it starts or ends. The next round succeeds, and nothing shows the loss. Besides, an error in the placement of jobs also held up the writes and orders of that round, and so the ends of all runs.

Fix: the state in the store is complete, that in memory may not be, so the role is released with the error as its reason and the pool is read again. A holder whose role was taken over by a later holder of the same process can no longer release that one's claim.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
@@ -131,6 +131,14 @@
         return Batch(tuple(writes), transaction, values)
 
     def _commit(self, batch: Batch) -> None:
+        try:
+            self._store(batch)
+        except Exception as error:
+            # The jobs of the batch count as being written and must be read again.
+            log(Event.TASK_FAILED, task=f"writes of {self.pool}", error=repr(error))
+            self.on_conflict(f"writes ended with an error: {error!r}")
+
+    def _store(self, batch: Batch) -> None:
         tries = 0
         while self.holds():
             tries += 1
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -26,7 +26,7 @@
 from .pool_metrics import record_decision
 from .pool_records import PoolRecords
 from .pool_reporter import PoolReporter
-from .pool_watchdog import PoolWatchdog
+from .pool_watchdog import GIVEN_UP_PAUSE_S, PoolWatchdog
 from .ports import DirectoryEntry, ExternalPorts
 from .supervision import spawn_supervised
 from .worker_link import WorkerLink
@@ -97,7 +97,8 @@
     def start(self) -> None:
         """Start to load the pool and to schedule its jobs."""
         self.greenlets.append(gevent.spawn(self._run))
-        self.greenlets.append(gevent.spawn(self.watchdog.run))
+        watch_name = f"watchdog of pool {self.pool}"
+        self.greenlets.append(spawn_supervised(watch_name, self.watchdog.run))
 
     def stop(self) -> None:
         """Stop sending orders; the next holder takes over the tasks that run."""
@@ -144,7 +145,8 @@
 
     def give_up(self, reason: str, pause_s: float) -> None:
         """Leave the role to other nodes, because this one does not run the pool."""
-        self.claims.release(self.role, reason, pause_s)
+        if self.may_write():
+            self.claims.release(self.role, reason, pause_s)
 
     def update_worker(self, entry: DirectoryEntry) -> None:
         """Handle a new or changed directory entry of a worker."""
@@ -174,6 +176,14 @@
         return self.claims.expect(self.role)
 
     def _run(self) -> None:
+        try:
+            self._load_and_schedule()
+        except Exception as error:
+            # Writes and orders may be lost, so the records must be read again.
+            log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
+            self.give_up(f"ended with an error: {error!r}", GIVEN_UP_PAUSE_S)
+
+    def _load_and_schedule(self) -> None:
         while not self.records.load(self.token):
             gevent.sleep(RETRY_S)
         self.loaded = True
@@ -191,15 +201,16 @@
             self.signal.clear()
             begun_s = now_s()
             try:
-                self._round()
+                self._decide()
             except Exception as error:  # one fault must not stop the pool
                 log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
                 gevent.sleep(ROUND_S)
+            self._flush()
             # Long rounds run less often, so that they do not delay responses.
             duration_s = now_s() - begun_s
             pause_s = min(ROUND_S, duration_s * (1 / ROUNDS_CPU_SHARE - 1))
 
-    def _round(self) -> None:
+    def _decide(self) -> None:
         config = self.operators.config
         if config is None:
             return
@@ -211,7 +222,6 @@
         if self.may_order() and self.plan_watcher.loaded:
             self.scheduler.decide(now_s(), wall_s())
             self.watchdog.note_round()
-        self._flush()
 
     def _flush(self) -> None:
         most = self.committer.free_capacity()
@@ -235,7 +245,7 @@
         self.wake()
 
     def _on_conflict(self, reason: str) -> None:
-        self.claims.release(self.role, reason)
+        self.give_up(reason, 0.0)
 
     def _report_loop(self) -> None:
         """Update the pool's parts of the team limits and store its report."""
--- a/tests/test_pool_committer.py
+++ b/tests/test_pool_committer.py
@@ -126,3 +126,15 @@
     harness.wait_until_idle()
     assert len(harness.stored) == 30
     assert harness.store.calls - before <= 4
+
+
+def test_an_error_after_a_write_is_reported_to_the_holder(harness):
+    """The greenlet ended, and the other jobs of its batch were never written again."""
+
+    def fail(_writes):
+        raise KeyError("j1")
+
+    harness.committer.on_stored = fail
+    harness.committer.submit([make_write("j1")])
+    harness.wait_until_idle()
+    assert len(harness.conflicts) == 1
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -5,7 +5,7 @@
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.state.work import JobStatus, Phase, Progress
 from heatherhatch_daemon.events import LOG, Event
-from heatherhatch_daemon.pools import pool_watchdog
+from heatherhatch_daemon.pools import pool_holder, pool_watchdog
 from heatherhatch_daemon.pools.keys import (
     job_key,
     report_key,
@@ -151,6 +151,32 @@
     return decode_json(cluster.store.get(status_key(job_id)).value, JobStatus).phase
 
 
+def test_writes_that_an_error_interrupts_are_not_forgotten(
+    cluster, loaded_holder, monkeypatch
+):
+    """The job counted as being written, so it was never written or started."""
+    monkeypatch.setattr(pool_holder, "GIVEN_UP_PAUSE_S", 0.1)
+    fail_once(loaded_holder.committer, "submit", monkeypatch)
+    cluster.put_job(make_job(make_step()))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+
+
+def test_ends_are_stored_although_the_placement_of_jobs_fails(
+    cluster, loaded_holder, monkeypatch
+):
+    """Writes and orders waited for a placement that succeeds."""
+    cluster.put_job(make_job(make_step()))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+
+    def fail(*_args):
+        raise KeyError("j0")
+
+    monkeypatch.setattr(loaded_holder.scheduler, "decide", fail)
+    for task, number in list(cluster.worker.runs):
+        cluster.worker.end(task, number)
+    wait_for(lambda: phase_of(cluster, "j1") is Phase.COMPLETED)
+
+
 def test_a_link_whose_report_ends_with_an_error_goes_on(
     cluster, loaded_holder, monkeypatch
 ):
