Treat the outcome of an order as unknown after an unexpected error

What callers saw: a task of an accepted job is shown as running and is not.

Cause: an order is sent in a greenlet of its own, which handles only the errors that its interface names. With any other, nothing tells the scheduler: the run stays ordered, no report of the worker ends it, and its task is not placed again while this holder lives.

Fix: such a start counts as without an answer, so the next report of the worker decides: the run is there, or it is stopped by number and placed again.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -2,13 +2,11 @@
 
 import gevent
 from gevent.event import Event as Signal
-from gevent.pool import Group
 
 from heatherhatch_core.coordination.scheduler import (
     JobWrite,
     Rules,
     Scheduler,
-    StopOrder,
 )
 
 from ..events import Event, log
@@ -29,7 +27,7 @@
 from .pool_watchdog import GIVEN_UP_PAUSE_S, PoolWatchdog
 from .ports import DirectoryEntry, ExternalPorts
 from .supervision import spawn_supervised
-from .worker_link import WorkerLink
+from .worker_links import WorkerLinks
 
 ROUND_S = 0.1  # maximum time between two rounds of the scheduler
 BATCH_WINDOW_S = 0.004  # events that arrive within this time are handled in one round
@@ -76,12 +74,11 @@
         self.directory = directory
         self.plan_watcher = plan_watcher
         self.scheduler = Scheduler(pool, rules, now_s())
-        self.links: dict[str, WorkerLink] = {}
+        self.links = WorkerLinks(self)
         self.signal = Signal()
         self.stopped = False
         self.loaded = False
         self.config_version = -1
-        self.orders = Group()
         self.committer = Committer(
             store, pool, self._claim, self.may_write, self._on_stored, self._on_conflict
         )
@@ -105,12 +102,10 @@
         if self.stopped:
             return
         self.stopped = True
-        for link in self.links.values():
-            link.stop()
+        self.links.stop()
         self.records.stop()
         self.permits.stop()
         self.committer.stop()
-        self.orders.kill(block=False)
         gevent.killall(self.greenlets, block=False)
 
     def may_order(self) -> bool:
@@ -154,12 +149,8 @@
             self.remove_worker(entry.info.worker_id)
             return
         self.scheduler.update_worker(entry.info, now_s())
-        link = self.links.get(entry.info.worker_id)
-        if link is not None and link.entry.address != entry.address:
-            self.unlink(entry.info.worker_id)
-            link = None
-        if link is None and self.loaded:
-            self.links[entry.info.worker_id] = WorkerLink(self, entry)
+        if self.loaded:
+            self.links.update(entry)
 
     def remove_worker(self, worker_id: str) -> None:
         """Handle that a worker is no longer registered."""
@@ -168,9 +159,7 @@
 
     def unlink(self, worker_id: str) -> None:
         """Close the connection to a worker."""
-        link = self.links.pop(worker_id, None)
-        if link is not None:
-            link.stop()
+        self.links.close(worker_id)
 
     def _claim(self):
         return self.claims.expect(self.role)
@@ -229,11 +218,7 @@
         if writes:
             self.committer.submit(writes)
         for order in self.scheduler.take_orders():
-            link = self.links.get(order.worker_id)
-            if link is not None:
-                self.orders.spawn(link.send, order)
-            elif not isinstance(order, StopOrder):
-                log(Event.CALL_UNKNOWN, worker=order.worker_id, error="not registered")
+            self.links.send(order)
         for what, details in self.scheduler.take_notes():
             log(Event.DECIDED, what=what, pool=self.pool, **details)
             record_decision(self.scheduler.state, what, details)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -75,6 +75,14 @@
                 run=order.number,
                 error=str(error),
             )
+        except Exception as error:
+            # The order may have been sent. A start must not count as ordered for ever.
+            log(
+                Event.TASK_FAILED,
+                task=f"{type(order).__name__} for worker {self.worker_id}",
+                error=repr(error),
+            )
+            self._report_start(order, StartResult.UNKNOWN)
         self.holder.wake()
 
     @singledispatchmethod
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -132,7 +132,7 @@
 @pytest.fixture
 def loaded_holder(cluster):
     holder = cluster.wait_for_role(cluster.start_node("n1"))
-    wait_for(lambda: holder.loaded and "w0" in holder.links)
+    wait_for(lambda: holder.loaded and "w0" in holder.links.by_worker)
     return holder
 
 
@@ -177,6 +177,15 @@
     wait_for(lambda: phase_of(cluster, "j1") is Phase.COMPLETED)
 
 
+def test_an_order_that_ends_with_an_error_does_not_hold_its_task(
+    cluster, loaded_holder, monkeypatch
+):
+    """The run counted as ordered for ever, so its task was not started again."""
+    fail_once(loaded_holder.links.by_worker["w0"].control, "start", monkeypatch)
+    cluster.put_job(make_job(make_step()))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+
+
 def test_a_link_whose_report_ends_with_an_error_goes_on(
     cluster, loaded_holder, monkeypatch
 ):
