Acquire no role while polls of the store fail

What callers saw: jobs of a pool wait while its role changes hands several times a second.

Cause: a node whose lease is renewed while its polls fail releases its roles after 1 s, takes a new lease and acquires what is free, its own former roles first, as it believes to be their last holder. Its next renewal finds the polls still failing and releases them again.

Evidence: on the code before, with polls refused and all else answered, test_a_node_whose_polls_fail_acquires_no_role: "AssertionError: assert ['a', 'a', 'a', 'a'] == ['a']", three more losses of the role within 2 s.

Fix: the condition under which a node releases its roles also keeps it from acquiring any.

Result: tests/test_pool_claims.py passes.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -159,8 +159,7 @@
             for role in list(self.held):
                 self.drop(role, "the lease lapsed")
         self.renewing_since_s = min(self.renewing_since_s, sent_s)
-        since_s = max(self.feed.failing_since_s, self.renewing_since_s)
-        if self.lease and sent_s - since_s > POLL_FAILURE_LIMIT_S:
+        if self.lease and self._is_turned_away(sent_s):
             # A node whose lease is renewed while its other calls fail would keep
             # roles that it cannot serve. If the store is unavailable to all nodes,
             # renewals fail too, and roles are kept until it answers again.
@@ -170,6 +169,11 @@
             self.lease = self.store.grant_lease(LEASE_TTL_S)
         self.confirmed_s = sent_s
 
+    def _is_turned_away(self, at_s: float) -> bool:
+        """Return whether polls have failed for too long while renewals succeed."""
+        since_s = max(self.feed.failing_since_s, self.renewing_since_s)
+        return at_s - since_s > POLL_FAILURE_LIMIT_S
+
     def _drop_all(self, reason: str) -> None:
         lease, self.lease = self.lease, 0
         for role in list(self.held):
@@ -182,7 +186,8 @@
         while True:
             gevent.sleep(pause_s)
             pause_s = CHECK_PERIOD_S
-            if not self.lease or not self.feed.loaded:
+            turned_away = self._is_turned_away(now_s())
+            if not self.lease or not self.feed.loaded or turned_away:
                 continue
             for role in self.roles():
                 if self.ending:
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -282,3 +282,14 @@
     store.keep_lease = fail_once
     wait_for(lambda: failures)
     wait_for(lambda: node.claims.confirmed_s > failures[0])
+
+
+def test_a_node_whose_polls_fail_acquires_no_role(start_node, store):
+    """It acquired free roles and released them 0.3 s later, over and over."""
+    node = start_node("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    store.refuse_polls = True
+    wait_for(lambda: node.lost == ["a"])
+    gevent.sleep(2 * POLL_FAILURE_LIMIT_S)
+    assert node.lost == ["a"]
+    assert len(node.acquired) == 1
