Drop all roles when an acquisition finds the lease expired

What callers saw: nothing yet; two nodes may send orders for one pool until the workers or the store refuse the older one.

Cause: all claims of a node are written under one lease. If the renewal finds it expired, all roles are dropped; if the acquisition of a further role does, only the lease is forgotten. The next renewal takes a new one and confirms the old roles, whose claims are gone, until the feed reports their deletion.

Evidence: on the code before, with the feed stopped, test_no_role_is_kept_whose_lease_has_expired: "AssertionError: assert 1 != 1" (the old token is still held).

Fix: both ways drop all roles.

Result: tests/test_pool_claims.py passes.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -156,8 +156,7 @@
         sent_s = now_s()
         if self.lease and not self.store.keep_lease(self.lease):
             self.lease = 0
-            for role in list(self.held):
-                self.drop(role, "the lease lapsed")
+            self._drop_all("the lease lapsed")
         self.renewing_since_s = min(self.renewing_since_s, sent_s)
         if self.lease and self._is_turned_away(sent_s):
             # A node whose lease is renewed while its other calls fail would keep
@@ -239,6 +238,8 @@
         except LeaseExpiredError:
             if self.lease == lease:
                 self.lease = 0
+                # All claims were written under this lease.
+                self._drop_all("the lease lapsed")
             return
         if outcome.succeeded:
             self._mark_held(role, outcome.revision)
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -6,7 +6,7 @@
 import pytest
 
 from heatherhatch_core.coordination.scheduler.rules import CLOCK_DRIFT, Rules
-from heatherhatch_core.exceptions import StoreError
+from heatherhatch_core.exceptions import LeaseExpiredError, StoreError
 from heatherhatch_daemon.pools.capacity import MAX_STAGGER_S, NodeCapacity
 from heatherhatch_daemon.pools.claims import (
     JITTER_S,
@@ -284,6 +284,28 @@
     wait_for(lambda: node.claims.confirmed_s > failures[0])
 
 
+def test_no_role_is_kept_whose_lease_has_expired(start_node, store):
+    """An acquisition found the lease expired, and a new lease confirmed the old roles.
+
+    Their claims were gone, and only the feed could tell, which may hang.
+    """
+    node = start_node("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    token = node.claims.token("a")
+    gevent.killall(node.claims.greenlets)
+    node.claims.feed.stop()
+    store.revoke_lease(node.claims.lease)
+
+    def expired(_transaction):
+        raise LeaseExpiredError("the lease of a write has expired")
+
+    store.transact = expired
+    node.claims._acquire("b")
+    node.claims._renew()
+    assert node.claims.token("a") != token
+    assert not node.claims.holds("a")
+
+
 def test_a_node_whose_polls_fail_acquires_no_role(start_node, store):
     """It acquired free roles and released them 0.3 s later, over and over."""
     node = start_node("n1", roles=("a",))
