Release a role whose start fails

What callers saw: nothing yet; a pool would be claimed without a holder.

Cause: a role counts as held before its holder is created. If that fails, nothing creates it again, and the claim is renewed with the lease.

Evidence: on the code before, test_a_role_whose_start_fails_is_not_kept ended with "<bound method Claims._scan_loop ...> failed with KeyError" and "gevent.timeout.Timeout: 5 seconds".

Fix: the error is logged and the role released, for 1 s to other nodes only.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -1,6 +1,5 @@
 """Claims of this node on roles, kept alive by one lease in the store."""
 
-import zlib
 from collections.abc import Callable
 
 import gevent
@@ -14,6 +13,7 @@
 from .claim_release import delete_claims, end_lease
 from .clock import now_s
 from .feed import Feed
+from .free_roles import FreeRoles
 from .keys import CLAIM_PREFIX, claim_key
 from .supervision import spawn_supervised
 
@@ -23,7 +23,7 @@
 RENEW_INTERVAL_S = 0.3  # a slow store also answers two renewals within the lease TTL
 POLL_FAILURE_LIMIT_S = 1.0  # a node whose polls fail for this long releases its roles
 CHECK_PERIOD_S = 0.1  # pause between two checks for free roles, and before a retry
-JITTER_S = 0.05  # jitter between nodes of equal load
+FAILED_START_PAUSE_S = 1.0  # time for other nodes to take a role that did not start
 
 
 class Claims:
@@ -53,20 +53,16 @@
         capacity: NodeCapacity = DEFAULT_CAPACITY,
     ):
         self.store = store
-        self.node = node
         self.value = f"{node}/{incarnation}".encode()
         self.roles = roles
         self.on_acquired = on_acquired
         self.on_lost = on_lost
-        self.capacity = capacity
         self.lease = 0
         self.confirmed_s = float("-inf")
         self.renewing_since_s = float("inf")
         self.held: dict[str, int] = {}
         self.dropped_tokens: dict[str, int] = {}
-        self.paused_until_s: dict[str, float] = {}
-        self.holders: dict[str, Entry] = {}
-        self.free_since_s: dict[str, float] = {}
+        self.free_roles = FreeRoles(node, capacity)
         self.ending = False
         self.greenlets: list[gevent.Greenlet] = []
         self.feed = Feed(store, CLAIM_PREFIX, self._on_written, self._on_deleted)
@@ -109,7 +105,7 @@
             pause_s: Time for which this node leaves the role to others, seconds.
         """
         claim = self.expect(role)
-        self.paused_until_s[role] = now_s() + pause_s
+        self.free_roles.pause(role, pause_s)
         self.drop(role, reason)
         # The caller may be a greenlet that ends with the role.
         gevent.spawn(delete_claims, self.store, [claim])
@@ -126,8 +122,7 @@
 
     def _on_written(self, entry: Entry) -> None:
         role = entry.key.removeprefix(CLAIM_PREFIX)
-        self.holders[role] = entry
-        self.free_since_s.pop(role, None)
+        self.free_roles.note_claim(role, entry)
         if entry.value == self.value:
             # Also covers a claim that was applied late or whose response was lost.
             self._mark_held(role, entry.revision)
@@ -136,8 +131,7 @@
 
     def _on_deleted(self, key: str) -> None:
         role = key.removeprefix(CLAIM_PREFIX)
-        self.holders.pop(role, None)
-        self.free_since_s[role] = now_s()
+        self.free_roles.note_free(role)
         if role in self.held:
             self.drop(role, "the claim lapsed")
 
@@ -193,10 +187,11 @@
                     return
                 if role in self.held:
                     continue
-                if now_s() < self.paused_until_s.get(role, 0.0):
+                if self.free_roles.is_paused(role):
                     self._delete_leftover(role)
                     continue
-                left_s = self._eligible_at_s(role) - now_s()
+                eligible_at_s = self.free_roles.eligible_at_s(role, len(self.held))
+                left_s = eligible_at_s - now_s()
                 if left_s > 0:
                     # The order of the nodes must not depend on when each one checks.
                     pause_s = min(pause_s, left_s)
@@ -208,21 +203,9 @@
 
     def _delete_leftover(self, role: str) -> None:
         """Delete the claim of a released role if its deletion failed."""
-        holder = self.holders.get(role)
-        if holder is not None and holder.value == self.value:
-            delete_claims(self.store, [Expect(claim_key(role), holder.revision)])
-
-    def _eligible_at_s(self, role: str) -> float:
-        """Return when this node may claim a role; inf while another node holds it."""
-        holder = self.holders.get(role)
-        if holder is not None:
-            # An earlier process of this node is certainly gone. A claim that this
-            # process released but could not delete remains as long as its lease.
-            is_own = holder.value.rpartition(b"/")[0] == self.node.encode()
-            return float("-inf") if is_own else float("inf")
-        since_s = self.free_since_s.setdefault(role, now_s())
-        jitter = zlib.crc32(f"{role}@{self.node}".encode()) / 2**32
-        return since_s + self.capacity.claim_delay_s(len(self.held)) + JITTER_S * jitter
+        claim = self.free_roles.claims.get(role)
+        if claim is not None and claim.value == self.value:
+            delete_claims(self.store, [Expect(claim.key, claim.revision)])
 
     def _acquire(self, role: str) -> None:
         lease = self.lease
@@ -230,8 +213,8 @@
             # Lost during this round; a claim without a lease would never expire.
             return
         key = claim_key(role)
-        holder = self.holders.get(role)
-        expect = Expect(key, holder.revision if holder else 0)
+        claim = self.free_roles.claims.get(role)
+        expect = Expect(key, claim.revision if claim else 0)
         put = Put(key, self.value, lease)
         try:
             outcome = self.store.transact(Transaction((expect,), (put,)))
@@ -258,4 +241,9 @@
             return
         self.held[role] = token
         log(Event.ROLE_TAKEN, role=role, token=token)
-        self.on_acquired(role, token)
+        try:
+            self.on_acquired(role, token)
+        except Exception as error:
+            # The claim of a role that nobody works on keeps other nodes away.
+            log(Event.TASK_FAILED, task=f"start of {role}", error=repr(error))
+            self.release(role, "its start failed", FAILED_START_PAUSE_S)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -160,7 +160,7 @@
         """
         found = {}
         for pool, report in self.reports.reports.items():
-            claim = self.claims.holders.get(pool_role(pool))
+            claim = self.claims.free_roles.claims.get(pool_role(pool))
             if claim is not None and claim.revision == report.token:
                 found[pool] = report
         return found
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -9,12 +9,12 @@
 from heatherhatch_core.exceptions import LeaseExpiredError, StoreError
 from heatherhatch_daemon.pools.capacity import MAX_STAGGER_S, NodeCapacity
 from heatherhatch_daemon.pools.claims import (
-    JITTER_S,
     LEASE_TTL_S,
     POLL_FAILURE_LIMIT_S,
     Claims,
 )
 from heatherhatch_daemon.pools.clock import now_s
+from heatherhatch_daemon.pools.free_roles import JITTER_S
 from heatherhatch_daemon.pools.keys import claim_key
 from heatherhatch_daemon.pools.pool_holder import UNCONFIRMED_RENEWAL_S
 from heatherhatch_daemon.transport.memory_store import MemoryStore
@@ -284,6 +284,21 @@
     wait_for(lambda: node.claims.confirmed_s > failures[0])
 
 
+def test_a_role_whose_start_fails_is_not_kept(start_node):
+    """The role counted as held, and its claim was renewed, but nobody worked on it."""
+    node = start_node("n1", roles=())
+    start = node.claims.on_acquired
+
+    def fail_once(_role, _token):
+        node.claims.on_acquired = start
+        raise KeyError("a")
+
+    node.claims.on_acquired = fail_once
+    node.claims.roles = lambda: ["a"]
+    wait_for(lambda: node.acquired)
+    assert node.lost == ["a"]
+
+
 def test_no_role_is_kept_whose_lease_has_expired(start_node, store):
     """An acquisition found the lease expired, and a new lease confirmed the old roles.
 
