Go on with a feed after a change that cannot be handled

What callers saw: nothing yet. A pool would not see new jobs, or a node no change of claims, while its feed repeats one poll.

Cause: a poll was repeated as it was after any error. A deletion whose callback fails is reported again each time, and a change that the client of the store cannot read fails each time, so that nothing after it is seen. And a job that the scheduler does not accept was logged once and forgotten.

An entry whose callback fails was already skipped by the next poll, 0.2 s later, so that only deletions and unreadable changes could stop a feed.

Fix: each callback's error is logged and the other changes of the poll are reported; after an error of the poll itself the prefix is read as a whole. An error in the scheduler about a job's record releases the role, as its state may be incomplete.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -72,7 +72,7 @@
         found = {entry.key for entry in snapshot.entries}
         for key in [key for key in self.revisions if key not in found]:
             del self.revisions[key]
-            self.on_deleted(key)
+            self._call(self.on_deleted, key)
         fresh = [entry for entry in snapshot.entries if self._is_new(entry)]
         for entry in fresh:
             self._report_entry(entry)
@@ -93,7 +93,7 @@
                 self._report_entry(event.entry)
             elif self.revisions.get(event.entry.key, 0) < event.entry.revision:
                 self.revisions.pop(event.entry.key, None)
-                self.on_deleted(event.entry.key)
+                self._call(self.on_deleted, event.entry.key)
         self.revision = max(self.revision, changes.revision)
         if changes.events:
             keys = {event.entry.key for event in changes.events}
@@ -109,7 +109,13 @@
     def _report_entry(self, entry: Entry) -> None:
         if self._is_new(entry):
             self.revisions[entry.key] = entry.revision
-            self.on_entry(entry)
+            self._call(self.on_entry, entry)
+
+    def _call(self, callback: Callable, change: Entry | str) -> None:
+        try:
+            callback(change)
+        except Exception as error:  # the changes after it must not be held up
+            log(Event.TASK_FAILED, task=f"feed {self.prefix}", error=repr(error))
 
     def _run(self) -> None:
         while True:
@@ -127,8 +133,10 @@
             except StoreError as error:
                 self._note_failure(error)
                 gevent.sleep(RETRY_S)
-            except Exception as error:  # a fault in a callback must not stop the feed
+            except Exception as error:
                 log(Event.TASK_FAILED, task=f"feed {self.prefix}", error=repr(error))
+                # The same poll would fail again.
+                self.loaded = False
                 gevent.sleep(RETRY_S)
             gevent.sleep(max(0.0, begun_s + self.min_interval_s - now_s()))
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -83,7 +83,7 @@
             store, pool, self._claim, self.may_write, self._on_stored, self._on_conflict
         )
         self.records = PoolRecords(
-            store, pool, self.scheduler, self.committer, self.wake
+            store, pool, self.scheduler, self.committer, self.wake, self._on_error
         )
         self.grants = PoolGrants(store, plan_watcher, pool, self._claim, self.scheduler)
         self.reports = PoolReporter(store, self.scheduler, self._claim, token)
@@ -170,7 +170,7 @@
         except Exception as error:
             # Writes and orders may be lost, so the records must be read again.
             log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
-            self.give_up(f"ended with an error: {error!r}", GIVEN_UP_PAUSE_S)
+            self._on_error(f"ended with an error: {error!r}")
 
     def _load_and_schedule(self) -> None:
         while not self.records.load(self.token):
@@ -232,6 +232,9 @@
     def _on_conflict(self, reason: str) -> None:
         self.give_up(reason, 0.0)
 
+    def _on_error(self, reason: str) -> None:
+        self.give_up(reason, GIVEN_UP_PAUSE_S)
+
     def _report_loop(self) -> None:
         """Update the pool's parts of the team limits and store its report."""
         while True:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_records.py
@@ -27,6 +27,8 @@
         scheduler: The pool's scheduler.
         committer: Receives the revisions that its writes replace, and cancellations.
         wake: Called after a new job or a cancellation was passed on.
+        on_error: Called with the reason if the scheduler does not accept a record, so
+            that its state may be incomplete.
     """
 
     def __init__(
@@ -36,16 +38,18 @@
         scheduler: Scheduler,
         committer: Committer,
         wake: Callable[[], None],
+        on_error: Callable[[str], None],
     ):
         self.store = store
         self.pool = pool
         self.scheduler = scheduler
         self.committer = committer
         self.wake = wake
+        self.on_error = on_error
         self.loaded_progress: dict[str, Progress] = {}
         self.unreadable_progress: set[str] = set()
         self.jobs = Feed(
-            store, jobs_prefix(pool), self._on_job_written, self._on_job_deleted
+            store, jobs_prefix(pool), self._on_written, self._on_job_deleted
         )
 
     def load(self, token: int) -> bool:
@@ -85,7 +89,14 @@
             self.unreadable_progress.add(job_id)
             log(Event.RECORD_SKIPPED, key=entry.key, error=error.detail)
 
-    def _on_job_written(self, entry: Entry) -> None:
+    def _on_written(self, entry: Entry) -> None:
+        try:
+            self._pass_on(entry)
+        except Exception as error:
+            log(Event.TASK_FAILED, task=f"jobs of {self.pool}", error=repr(error))
+            self.on_error(f'record "{entry.key}" was not accepted: {error!r}')
+
+    def _pass_on(self, entry: Entry) -> None:
         job_id = entry.key.removeprefix(jobs_prefix(self.pool))
         if job_id.endswith(CANCEL_SUFFIX):
             job_id = job_id.removesuffix(CANCEL_SUFFIX)
--- a/tests/test_pool_feed.py
+++ b/tests/test_pool_feed.py
@@ -118,3 +118,44 @@
     changes = MemoryStore.poll(store, "op/", 0, 0.01)
     assert [event.entry.key for event in changes.events] == ["op/config"]
     assert changes.revision == store.revision
+
+
+def test_an_error_about_one_change_does_not_hold_up_the_others():
+    """A deletion whose callback failed was polled again for ever, and all after it."""
+    store = CountingStore()
+    seen = []
+
+    def refuse(key):
+        raise KeyError(key)
+
+    store.write("jobs/0")
+    feed = Feed(store, "jobs/", lambda entry: seen.append(entry.key), refuse)
+    feed.read()
+    store.transact(Transaction((), (), ("jobs/0",)))
+    store.write("jobs/1")
+    feed.poll()
+    feed.poll()
+    assert seen == ["jobs/0", "jobs/1"]
+
+
+def test_changes_that_cannot_be_read_are_skipped_by_a_full_read():
+    """The same poll was repeated for ever, and no later change was seen."""
+    store = CountingStore()
+    seen = []
+    feed = Feed(store, "jobs/", lambda entry: seen.append(entry.key), print)
+    feed.read()
+    first_revision = store.revision
+    poll = store.poll
+
+    def unreadable(prefix, revision, wait_s):
+        if revision <= first_revision:
+            raise ValueError("a change without a key")
+        return poll(prefix, revision, wait_s)
+
+    store.poll = unreadable
+    store.write("jobs/0")
+    with gevent.Timeout(HANG_S):
+        feed.start()
+        while "jobs/0" not in seen:
+            gevent.sleep(0.01)
+    feed.stop()
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -205,3 +205,13 @@
     before = cluster.store.get(report_key(POOL))
     cluster.put_job(make_job(make_step(count=20)))
     wait_for(lambda: cluster.store.get(report_key(POOL)) != before)
+
+
+def test_a_job_that_the_scheduler_does_not_accept_is_read_again(
+    cluster, loaded_holder, monkeypatch
+):
+    """The feed logged the error and never reported the job again."""
+    monkeypatch.setattr(pool_holder, "GIVEN_UP_PAUSE_S", 0.1)
+    fail_once(loaded_holder.scheduler, "add_job", monkeypatch)
+    cluster.put_job(make_job(make_step()))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
