Stop runs for their checkpoint before their worker leaves by itself

Callers saw jobs with checkpoints lose all work since their last saved checkpoint, and be late for it, when the worker that ran them left by itself.

Cause: step_evacuation kept the start of such a drain under the worker's identifier and deleted, at the beginning of each call, every key that is not a machine being drained. So the time waited was 0 in each round and the run was stopped only if the entry itself gave less than 0.5 s. Had the key stayed, the time would have been subtracted from entries that already give the time left as of their writing: runs would have been stopped after half of it.

Each worker now has the earliest time at which it leaves, taken from the entry when it is received; a late entry does not postpone it. A new incarnation and an entry that does not drain reset it.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
@@ -16,9 +16,8 @@
 
     Args:
         state: State of the pool.
-        drain_started_s: Start of the drain of each machine, and of each draining worker
-            whose machine is not being drained, monotonic seconds. Updated in
-            place; the caller keeps it between calls.
+        drain_started_s: Start of the drain of each machine, monotonic seconds.
+            Updated in place; the caller keeps it between calls.
         now_s: Monotonic time, seconds.
     """
     for machine in list(drain_started_s):
@@ -29,9 +28,8 @@
         if machine in state.draining:
             since_s = drain_started_s.setdefault(machine, now_s)
         elif worker.info.draining:
-            since_s = drain_started_s.setdefault(worker.worker_id, now_s)
+            since_s = now_s
         else:
-            drain_started_s.pop(worker.worker_id, None)
             continue
         for run in list(worker.runs.values()):
             if not run.stopping and _must_stop(
@@ -74,7 +72,7 @@
             state, now_s
         )
     if worker.info.draining and worker.info.machine not in state.draining:
-        left_s = worker.info.leaves_in_s - waited_s
+        left_s = worker.leaves_at_s - now_s
         return step.checkpoints and left_s < CHECKPOINT_MARGIN_S
     return step.checkpoints or waited_s > FINISH_GRACE_S
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -74,6 +74,7 @@
     worker.unknown_runs.clear()
     worker.fenced = False
     worker.claimed_s = now_s
+    worker.leaves_at_s = float("inf")
 
 
 def _handle_end(state: PoolState, worker: Worker, end: ListedEnd, now_s: float) -> None:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -99,7 +99,7 @@
         if info.born_ms > worker.info.born_ms:
             begin_incarnation(self.state, worker, info.born_ms, now_s)
         if info.born_ms >= worker.info.born_ms:
-            worker.info = info
+            worker.note_info(info, now_s)
         worker.present = True
         self._end_previous_incarnations(info, now_s)
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -93,6 +93,8 @@
             seconds.
         backoff_s: Duration of the last such pause, seconds.
         quarantine: Quarantine because of failed runs.
+        leaves_at_s: Earliest time at which the worker leaves, monotonic seconds; inf
+            unless it drains.
     """
 
     info: WorkerInfo
@@ -113,6 +115,7 @@
     backoff_until_s: float = float("-inf")
     backoff_s: float = 0.0
     quarantine: WorkerQuarantine = field(default_factory=WorkerQuarantine)
+    leaves_at_s: float = float("inf")
 
     @property
     def worker_id(self) -> str:
@@ -124,6 +127,15 @@
         """Free capacity."""
         return self.info.capacity - self.used
 
+    def note_info(self, info: WorkerInfo, now_s: float) -> None:
+        """Replace the directory entry."""
+        self.info = info
+        if info.draining:
+            # An entry that is received late must not postpone the time.
+            self.leaves_at_s = min(self.leaves_at_s, now_s + info.leaves_in_s)
+        else:
+            self.leaves_at_s = float("inf")
+
     def note_clock(self, clock_ms: float, at_s: float) -> None:
         """Record a reading of the worker's clock."""
         self.clock_ms = clock_ms
