End the probation of a worker also when its tasks are lasting ones

Callers saw tasks wait for good although workers had room: a worker that had been quarantined once and ran a lasting task got nothing more until that task ended.

Cause: after the pause of a quarantine a worker gets one run at a time until one succeeds, and only an end as done counted as a success. A lasting task has no such end. If it was the trial run, the probation never ended; if it had been there before, no trial run was placed beside it. A worker's pause after refused starts was likewise reset only by an end as done, so that it stayed at its maximum where all tasks are lasting.

A lasting run that is at work a second after its start now counts as a success, and runs that have succeeded do not keep a worker from getting its trial run.

Before: tests/test_scheduler_trust.py, both tests fail with "assert ['first'] == ['first', 'second']" and "assert ['before'] == ['before', 'after']". After: they pass, as do the tests of the scheduler, of pacing and of the turns.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -46,6 +46,7 @@
         stop_acked_s: When a stop order was first answered; inf before.
         at_work: True if the run works at its full share.
         away_since_s: When ``at_work`` last changed, or when the run was placed.
+        succeeded: True once a lasting run was at work for long enough.
         percent: Share of its speed that the worker last reported.
         measurement: Last reported measurement; see ``ListedRun.measurement``.
         pace: Share of its speed that was last ordered, percent.
@@ -67,6 +68,7 @@
     stop_acked_s: float = float("inf")
     at_work: bool = False
     away_since_s: float = 0.0
+    succeeded: bool = False
     percent: float = 0.0
     measurement: float = 0.0
     pace: int = FULL_PACE_PERCENT
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -51,8 +51,7 @@
     if worker is None or run.stopping:
         return
     if ending is Ending.DONE:
-        worker.quarantine.record_success()
-        worker.backoff_s = 0.0
+        worker.record_success()
         if run.begun_s < now_s and not run.task.checkpoint:
             state.run_times.learn(run.task, now_s - run.begun_s)
     elif ending is Ending.FAILED and worker.quarantine.record_failure(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -219,7 +219,7 @@
         return False
     if rack and rack not in worker.info.labels:
         return False
-    if worker.quarantine.on_probation and worker.runs:
+    if worker.on_trial:
         return False
     if step.spread and count + count_siblings(task, worker) >= step.spread:
         return False
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -18,6 +18,7 @@
 from .worker import Worker
 
 AT_WORK_PERCENT = 100  # a run counts as at work from this share of its speed
+LASTING_SUCCESS_S = 1.0  # a lasting run at work this long after its start is a success
 
 
 def handle_report(
@@ -125,12 +126,12 @@
         run.born_ms = worker.info.born_ms
         run.expected_from_s = sent_s
         run.begun_s = min(run.begun_s, now_s)
-        _update_progress(run, row, now_s)
+        _update_progress(worker, run, row, now_s)
     worker.unknown_runs = unknown_runs
     return listed
 
 
-def _update_progress(run: Run, row: ListedRun, now_s: float) -> None:
+def _update_progress(worker: Worker, run: Run, row: ListedRun, now_s: float) -> None:
     run.percent = row.percent
     run.measurement = row.measurement
     at_work = row.percent >= AT_WORK_PERCENT
@@ -138,8 +139,11 @@
         run.at_work = at_work
         run.away_since_s = now_s
     task = run.task
-    if at_work and task.step.lasting:
-        task.failures = 0 if now_s - run.begun_s > 1.0 else task.failures
+    worked = at_work and now_s - run.begun_s > LASTING_SUCCESS_S
+    if task.step.lasting and worked and not run.succeeded:
+        run.succeeded = True
+        task.failures = 0
+        worker.record_success()
     if row.checkpoint and not task.done:
         task.checkpoint = row.checkpoint
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -127,6 +127,13 @@
         """Free capacity."""
         return self.info.capacity - self.used
 
+    @property
+    def on_trial(self) -> bool:
+        """True while a run shows whether a worker on probation is sound."""
+        return self.quarantine.on_probation and not all(
+            run.succeeded for run in self.runs.values()
+        )
+
     def note_info(self, info: WorkerInfo, now_s: float) -> None:
         """Replace the directory entry."""
         self.info = info
@@ -163,6 +170,11 @@
         self.backoff_s = min(UNHEALTHY_BACKOFF_MAX_S, next_pause_s)
         self.backoff_until_s = now_s + self.backoff_s
 
+    def record_success(self) -> None:
+        """Record a run that succeeded."""
+        self.quarantine.record_success()
+        self.backoff_s = 0.0
+
     def is_usable(self, now_s: float) -> bool:
         """Return True if the worker may get new runs."""
         return (
@@ -173,7 +185,7 @@
             and self.silent_since_s == float("inf")
             and now_s >= self.backoff_until_s
             and now_s >= self.quarantine.until_s
-            and not (self.quarantine.on_probation and self.runs)
+            and not self.on_trial
         )
 
     def note_stored(self, job_id: str, version: int) -> bool:
--- /dev/null
+++ b/tests/test_scheduler_trust.py
@@ -0,0 +1,62 @@
+"""Workers that failed runs or refused starts get work again once they are sound."""
+
+import pytest
+
+from heatherhatch_core.coordination.scheduler import Ending
+from pool_model import PoolModel, make_job, make_step
+
+QUARANTINE_S = 4.0
+
+
+@pytest.fixture
+def model() -> PoolModel:
+    return PoolModel(workers=1)
+
+
+def quarantine_all(model: PoolModel) -> None:
+    """Let every worker fail three runs of two jobs."""
+    count = 2 * len(model.workers)
+    model.add(make_job(make_step(count, cores=4), job_id="failing-1"))
+    model.finish(Ending.FAILED)
+    model.scheduler.cancel("failing-1", model.now_s)
+    model.round()
+    model.receive_reports()
+    model.add(make_job(make_step(count, cores=4, spread=1), job_id="failing-2"))
+    model.finish(Ending.FAILED)
+    model.scheduler.cancel("failing-2", model.now_s)
+    model.round()
+    for worker in model.scheduler.state.workers.values():
+        assert worker.quarantine.on_probation
+        assert not worker.runs
+
+
+def test_a_lasting_task_at_work_ends_the_probation_of_its_worker(model):
+    """Only a run that was done ended it, so the worker got nothing more for good."""
+    quarantine_all(model)
+    model.round(QUARANTINE_S)
+    model.add(make_job(make_step(lasting=True), job_id="first"))
+    model.receive_reports()
+    model.round(1.5)
+    model.receive_reports()
+    model.add(make_job(make_step(lasting=True), job_id="second"))
+    jobs = [task.job_id for _worker, task, _run in model.alive_runs()]
+    assert jobs == ["first", "second"]
+
+
+def test_a_lasting_task_from_before_does_not_prolong_the_probation(model):
+    """No trial run was placed beside it, so the worker got nothing more for good."""
+    model.add(make_job(make_step(lasting=True, cores=0.5), job_id="before"))
+    model.receive_reports()
+    model.round(1.5)
+    model.receive_reports()
+    model.add(make_job(make_step(2), job_id="failing-1"))
+    model.add(make_job(make_step(), job_id="failing-2"))
+    for _worker, task, number in model.alive_runs()[1:]:
+        model.workers["w0"].end(task, number, Ending.FAILED)
+    model.receive_reports()
+    for number in (1, 2):
+        model.scheduler.cancel(f"failing-{number}", model.now_s)
+    model.round(QUARANTINE_S)
+    model.add(make_job(make_step(), job_id="after"))
+    jobs = [task.job_id for _worker, task, _run in model.alive_runs()]
+    assert jobs == ["before", "after"]
