Do not prolong the quarantine of a worker by runs from before it

Callers saw tasks wait for up to 30 s although a worker that was sound again had room.

Cause: while a worker is on probation each failed run doubles its pause, also one that was placed before the quarantine began. Eight runs that fail together, as when a worker goes bad for a moment, gave the maximum pause of 30 s at once instead of 4 s.

Failures during a quarantine now neither prolong it nor lengthen the next pause; a failed trial run does, as before.

After: it passes, as do the tests of the scheduler, of pacing and of the turns.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -39,9 +39,12 @@
     def record_failure(self, job_id: str, now_s: float) -> bool:
         """Record a failed run; return True if the worker is quarantined for it.
 
-        Failures of a single job do not start a quarantine.
+        Failures of a single job do not start a quarantine. Failures during one do
+        not prolong it, as these runs were placed before it.
         """
         self._record(False, job_id)
+        if now_s < self.until_s:
+            return False
         failed = [job for good, job in self.outcomes if not good]
         distinct = len(set(failed))
         if not self.pause_s and (
--- a/tests/test_scheduler_trust.py
+++ b/tests/test_scheduler_trust.py
@@ -60,3 +60,14 @@
     model.add(make_job(make_step(), job_id="after"))
     jobs = [task.job_id for _worker, task, _run in model.alive_runs()]
     assert jobs == ["before", "after"]
+
+
+def test_runs_that_fail_together_start_one_quarantine_of_the_shortest_duration(model):
+    """Each further failure doubled the pause, up to its maximum within a moment."""
+    for number in range(2):
+        model.add(make_job(make_step(4), job_id=f"failing-{number}"))
+    for _worker, task, number in model.alive_runs():
+        model.workers["w0"].end(task, number, Ending.FAILED)
+    model.receive_reports()
+    quarantine = model.scheduler.state.workers["w0"].quarantine
+    assert quarantine.until_s - model.now_s <= QUARANTINE_S
