Keep a job that waits for permits from holding up other jobs

Callers saw jobs wait although workers were free, behind a job of another queue.

Cause: once no worker can take a task, its requirements (resources and label) are noted, and later tasks of the round with the same ones are not tried. Whether a worker can run a task also depends on the permits of its step. A step whose permits were still requested, or refused for the workers that are free, marked the requirements as impossible for every job behind it, also for queues without a policy service; and further steps of its own queue did not even request permits, so that they got them one after the other.

Requirements are now noted only for queues whose workers need no permit.

Before: both tests of tests/test_scheduler_permits.py fail, with "assert [] == ['b']" and with only the first step in permits.wanted. After: they pass, as do the tests of the scheduler, of pacing and of the turns.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -90,6 +90,7 @@
             _place_gang(placement, tasks)
         return sum(1 for task in waiting if not task.runs)
     need = (step.need, step.label, step.fills)
+    needs_permits = job.job.queue in placement.state.permit_rules
     if need in placement.unplaceable and not step.lasting:
         return len(unserved)
     for done, task in enumerate(waiting):
@@ -97,7 +98,7 @@
             return len(unserved) - done
         worker = choose_worker(placement, task, {})
         if worker is None:
-            if not step.spread and not task.avoid:
+            if not step.spread and not task.avoid and not needs_permits:
                 placement.unplaceable.add(need)
             return len(unserved) - done
         _start(placement, task, worker, task.last_run + 1)
--- /dev/null
+++ b/tests/test_scheduler_permits.py
@@ -0,0 +1,38 @@
+"""Steps that wait for permits of the policy service do not hold up other jobs."""
+
+import dataclasses
+
+import pytest
+
+from heatherhatch_core.coordination.scheduler.permits import StepName
+from heatherhatch_core.state.fleet_configuration import PermitRules, Queue
+from pool_model import CONFIG, POOL, QUEUE, PoolModel, make_job, make_step
+
+RESTRICTED = Queue("restricted", "h", "/restricted/", POOL, permit_rules=PermitRules())
+
+
+@pytest.fixture
+def model() -> PoolModel:
+    config = dataclasses.replace(CONFIG, queues=(QUEUE, RESTRICTED))
+    return PoolModel(workers=2, config=config)
+
+
+def add_restricted(model: PoolModel, job_id: str) -> None:
+    """Submit a job whose workers need permits, due before all others."""
+    job = make_job(make_step(), job_id=job_id, at_s=model.now_s - 0.2)
+    model.add(dataclasses.replace(job, queue=RESTRICTED.name))
+
+
+def test_a_job_without_permits_does_not_hold_up_a_job_that_needs_none(model):
+    """Its requirements counted as ones that no worker could meet for any job."""
+    add_restricted(model, "a")
+    model.add(make_job(make_step(), job_id="b", at_s=model.now_s))
+    assert [task.job_id for _worker, task, _run in model.alive_runs()] == ["b"]
+
+
+def test_all_steps_that_wait_for_permits_request_them(model):
+    """Only the first of several steps with the same requirements requested any."""
+    add_restricted(model, "a")
+    add_restricted(model, "b")
+    permits = model.scheduler.state.permits
+    assert permits.wanted == {StepName("a", 0, 0), StepName("b", 0, 0)}
