Use a quarantined worker for a task that no other worker can run

Callers saw jobs with nothing running, and lasting tasks away, for up to 30 s after a fault that had hit all workers that could run them was over.

Cause: a quarantine was absolute. Where every worker that a task fits on is quarantined, by its label or because a fault hit the whole pool, the task waited for the end of a pause, which doubles with each failed trial run.

A quarantined worker, or one whose trial run is still in progress, now gets such a task as a last resort, one run every 2 s at most. A task that is not lasting gets it only while under half of the pool's CPU is in use and not on a worker that it has failed on: in a full pool it waits for a sound worker, as a failed run would use up one of its attempts. A gang does so only if its members fit nowhere else.

The state of a placement pass moves to a module of its own.

Before: the three cases of test_a_quarantined_worker_gets_a_task_that_no_other_can_run fail with "assert 0 == 1".

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -1,12 +1,10 @@
 """Places ready tasks on workers, in the order of their jobs."""
 
-from dataclasses import dataclass, field
-
 from ...state.resources import Resources
-from .free_capacity_index import FreeCapacityIndex
 from .live import LiveJob, Task
 from .ordering import sort_jobs
 from .permits import step_name
+from .placement_round import PlacementRound
 from .preference import count_siblings, lasting_score, penalties
 from .state import PoolState
 from .worker import Worker
@@ -14,37 +12,13 @@
 MAX_PLACEMENTS_PER_ROUND = 200  # lets the caller send orders between rounds
 
 
-@dataclass(slots=True)
-class PlacementRound:
-    """State of one placement pass over all jobs.
-
-    Attributes:
-        state: State of the pool.
-        workers: Workers that may get new runs.
-        free_index: The same workers, indexed by free CPU capacity.
-        now_s: Monotonic time, seconds.
-        placed: Number of tasks placed so far.
-        unplaceable: Requirements that no worker could meet in this round.
-    """
-
-    state: PoolState
-    workers: list[Worker]
-    free_index: FreeCapacityIndex
-    now_s: float
-    placed: int = 0
-    unplaceable: set[tuple] = field(default_factory=set)
-
-
 def place_tasks(state: PoolState, now_s: float, wall_s: float) -> None:
     """Place ready tasks on workers."""
-    workers = [worker for worker in state.workers.values() if worker.is_usable(now_s)]
-    excluded = state.draining.keys() | state.finishing.keys()
-    workers = [item for item in workers if item.info.machine not in excluded]
     state.allowance_shortfall.clear()
-    placement = PlacementRound(state, workers, FreeCapacityIndex(workers), now_s)
+    placement = PlacementRound(state, now_s)
     for job in list(state.jobs.values()):
         _expand_due(state, job, wall_s)
-    if not workers:
+    if not placement.workers and not placement.last_resorts:
         return
     for job in sort_jobs(state, wall_s):
         if placement.placed >= MAX_PLACEMENTS_PER_ROUND:
@@ -97,6 +71,8 @@
         if not _within_allowance(placement.state, task, step.occupies):
             return len(unserved) - done
         worker = choose_worker(placement, task, {})
+        if worker is None:
+            worker = choose_last_resort(placement, task, {})
         if worker is None:
             if not step.spread and not task.avoid and not needs_permits:
                 placement.unplaceable.add(need)
@@ -107,8 +83,7 @@
 
 def _start(placement: PlacementRound, task: Task, worker: Worker, number: int) -> None:
     placement.state.add_run(task, worker, number, placement.now_s)
-    placement.free_index.update(worker)
-    placement.placed += 1
+    placement.note_placed(worker)
     placement.state.note(
         "placed",
         task=task.name,
@@ -126,20 +101,35 @@
     ):
         return
     for rack in _candidate_racks(placement) if step.same_rack else [""]:
-        reserved: dict[str, tuple[Resources, int]] = {}
-        chosen = []
-        for task in tasks:
-            worker = choose_worker(placement, task, reserved, rack)
-            if worker is None:
-                break
-            held, count = reserved.get(worker.worker_id, (Resources(), 0))
-            reserved[worker.worker_id] = (held + step.need, count + 1)
-            chosen.append(worker)
-        if len(chosen) == len(tasks):
-            number = max(task.last_run for task in tasks) + 1
-            for task, worker in zip(tasks, chosen, strict=True):
-                _start(placement, task, worker, number)
-            return
+        chosen = _choose_gang_workers(placement, tasks, rack)
+        if chosen:
+            break
+    else:
+        chosen = _choose_gang_workers(placement, tasks, last_resort=True)
+    number = max(task.last_run for task in tasks) + 1
+    for task, worker in zip(tasks, chosen, strict=False):
+        _start(placement, task, worker, number)
+
+
+def _choose_gang_workers(
+    placement: PlacementRound,
+    tasks: list[Task],
+    rack: str = "",
+    last_resort: bool = False,
+) -> list[Worker]:
+    """Return a worker for each member of a gang, or an empty list."""
+    reserved: dict[str, tuple[Resources, int]] = {}
+    chosen: list[Worker] = []
+    for task in tasks:
+        worker = choose_worker(placement, task, reserved, rack)
+        if worker is None and last_resort:
+            worker = choose_last_resort(placement, task, reserved)
+        if worker is None:
+            return []
+        held, count = reserved.get(worker.worker_id, (Resources(), 0))
+        reserved[worker.worker_id] = (held + task.step.need, count + 1)
+        chosen.append(worker)
+    return chosen
 
 
 def _candidate_racks(placement: PlacementRound) -> list[str]:
@@ -205,6 +195,25 @@
     return best
 
 
+def choose_last_resort(
+    placement: PlacementRound, task: Task, reserved: dict[str, tuple[Resources, int]]
+) -> Worker | None:
+    """Return a quarantined worker for a task that no usable worker can run.
+
+    A task that is not lasting gets one only while under half of the pool's capacity is
+    in use: in a full pool it waits, as a failed run would use up one of its attempts.
+    """
+    if not task.step.lasting and not placement.mostly_idle:
+        return None
+    fitting = (
+        worker
+        for worker in placement.last_resorts.values()
+        if (task.step.lasting or worker.worker_id not in task.avoid)
+        and _can_run(placement, task, worker, reserved, "")
+    )
+    return min(fitting, key=lambda worker: worker.quarantine.pause_s, default=None)
+
+
 def _can_run(
     placement: PlacementRound,
     task: Task,
@@ -220,7 +229,7 @@
         return False
     if rack and rack not in worker.info.labels:
         return False
-    if worker.on_trial:
+    if worker.on_trial and worker.worker_id not in placement.last_resorts:
         return False
     if step.spread and count + count_siblings(task, worker) >= step.spread:
         return False
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -14,6 +14,7 @@
 MIN_FAILURES = 3  # number of failures below which there is no quarantine
 QUARANTINE_INITIAL_S = 4.0  # first pause of a worker whose runs fail
 QUARANTINE_MAX_S = 30.0  # longest pause; one trial run follows each pause
+LAST_RESORT_INTERVAL_S = 2.0  # between runs that no worker in better standing can take
 
 
 @dataclass(slots=True, eq=False)
@@ -25,11 +26,14 @@
             if it failed.
         until_s: End of the quarantine, monotonic seconds.
         pause_s: Duration of the last quarantine, seconds; 0 after a success.
+        next_last_resort_s: The worker gets no run as a last resort before this time,
+            monotonic seconds.
     """
 
     outcomes: list[tuple[bool, str]] = field(default_factory=list)
     until_s: float = float("-inf")
     pause_s: float = 0.0
+    next_last_resort_s: float = float("-inf")
 
     def record_success(self) -> None:
         """Record a run that succeeded."""
@@ -43,6 +47,7 @@
         not prolong it, as these runs were placed before it.
         """
         self._record(False, job_id)
+        self.next_last_resort_s = now_s + LAST_RESORT_INTERVAL_S
         if now_s < self.until_s:
             return False
         failed = [job for good, job in self.outcomes if not good]
@@ -180,6 +185,21 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Return True if the worker may get new runs."""
+        return (
+            self._takes_runs(now_s)
+            and now_s >= self.quarantine.until_s
+            and not self.on_trial
+        )
+
+    def is_last_resort(self, now_s: float) -> bool:
+        """Return True if the worker may get a run that no usable worker can take."""
+        return (
+            self._takes_runs(now_s)
+            and not self.is_usable(now_s)
+            and now_s >= self.quarantine.next_last_resort_s
+        )
+
+    def _takes_runs(self, now_s: float) -> bool:
         return (
             self.present
             and self.fenced
@@ -187,8 +207,6 @@
             and not self.unknown_runs
             and self.silent_since_s == float("inf")
             and now_s >= self.backoff_until_s
-            and now_s >= self.quarantine.until_s
-            and not self.on_trial
         )
 
     def note_stored(self, job_id: str, version: int) -> bool:
--- a/tests/test_scheduler_trust.py
+++ b/tests/test_scheduler_trust.py
@@ -83,3 +83,41 @@
     for _round in range(25):
         model.round(0.1)
     assert len(model.alive_runs()) == 1
+
+
+LAST_RESORT_S = 2.5  # a little over the time between two runs on such a worker
+
+
+@pytest.fixture
+def distrusted(model) -> PoolModel:
+    """A pool whose only worker is quarantined for longer than a task may wait."""
+    quarantine_all(model)
+    quarantine = model.scheduler.state.workers["w0"].quarantine
+    quarantine.pause_s = 30.0
+    quarantine.until_s = model.now_s + quarantine.pause_s
+    return model
+
+
+@pytest.mark.parametrize("kind", [{}, {"lasting": True}, {"gang": True}])
+def test_a_quarantined_worker_gets_a_task_that_no_other_can_run(distrusted, kind):
+    """Where a fault had hit all workers, jobs waited for up to 30 s after its end."""
+    distrusted.add(make_job(make_step(**kind)))
+    distrusted.round(LAST_RESORT_S)
+    assert len(distrusted.alive_runs()) == 1
+
+
+def test_a_quarantined_worker_gets_one_task_at_a_time(distrusted):
+    """A worker that is still faulty would use up an attempt of each waiting task."""
+    distrusted.add(make_job(make_step(8)))
+    for _round in range(10):
+        distrusted.round(LAST_RESORT_S / 10)
+    assert len(distrusted.alive_runs()) == 1
+
+
+def test_a_quarantined_worker_gets_nothing_while_the_others_are_busy(distrusted):
+    """In a full pool tasks wait for a sound worker instead of using up attempts."""
+    distrusted.add_worker("w1", "m1", cores=9)
+    distrusted.add(make_job(make_step(9, estimate_s=30.0), job_id="busy"))
+    distrusted.add(make_job(make_step(), job_id="waits"))
+    distrusted.round(LAST_RESORT_S)
+    assert {task.job_id for _worker, task, _run in distrusted.alive_runs()} == {"busy"}
