Prefer another worker for a task after a start without an answer

Callers saw jobs with nothing running although workers were free, as long as one worker answered renewals of its lease and no starts.

Cause: a start without an answer is stopped, and the task is placed again by best fit, which names the same worker. Nothing kept in mind that it had not answered, so the task went round for as long as that worker stayed so (about 1 s a try).

Such a worker now counts among those that the task avoids: it is chosen last, not never.

Before: test_a_task_is_tried_elsewhere_after_a_start_without_an_answer fails with "assert 0 == 2". After: it passes, as do the tests of the scheduler, of pacing and of the turns.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -88,7 +88,8 @@
         failures: Number of failed runs.
         done: True once a run has succeeded.
         checkpoint: Last saved checkpoint; empty for none.
-        avoid: Workers on which the task failed or stalled.
+        avoid: Workers on which the task failed or stalled, or that did not answer its
+            start.
         not_before_s: Earliest time for the next start, monotonic seconds.
         away_since_s: When a run of a lasting task last ended.
     """
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -192,6 +192,7 @@
     if result is StartResult.UNKNOWN:
         if run.state is RunState.ORDERED:
             run.state = RunState.DOUBTFUL
+            run.task.avoid.add(worker.worker_id)
         return
     if run.state is RunState.ALIVE:
         return
--- a/tests/test_scheduler_trust.py
+++ b/tests/test_scheduler_trust.py
@@ -121,3 +121,17 @@
     distrusted.add(make_job(make_step(), job_id="waits"))
     distrusted.round(LAST_RESORT_S)
     assert {task.job_id for _worker, task, _run in distrusted.alive_runs()} == {"busy"}
+
+
+def test_a_task_is_tried_elsewhere_after_a_start_without_an_answer():
+    """Best fit chose the same worker again, for as long as it answered no start."""
+    model = PoolModel(workers=2)
+    model.add_worker("mute", "m-mute", cores=4)
+    model.workers["mute"].start = lambda _order: StartResult.UNKNOWN
+    for kind in ({}, {"lasting": True}):
+        job_id = f"job-{len(model.scheduler.state.jobs)}"
+        model.add(make_job(make_step(**kind), job_id=job_id))
+    for _round in range(10):
+        model.receive_reports()
+        model.round()
+    assert len(model.alive_runs()) == 2
