Count members of a gang that fail in the same run as one failure

Callers could be shown a job as failed although its gang had attempts left.

Cause: each end as failed of a member counts a failure for all members, as only the first should: the others usually end because the first has. Members on several workers can fail by themselves before these are told, and then one run used up two or more attempts.

A failure now counts once for each run number. Only the stored number of failures outlives the holder: if a pool is taken over between two such ends, the second still counts.

Before: test_members_that_fail_in_the_same_run_count_as_one_failure fails with "assert set() == {2}": the job had failed after one run of three. After: it passes, as do the tests of the scheduler, of pacing and of the turns.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -86,6 +86,7 @@
         runs: Runs that may be alive, by run number.
         last_run: Highest run number used so far.
         failures: Number of failed runs.
+        failed_run: Run number of the last failed run; 0 for none.
         done: True once a run has succeeded.
         checkpoint: Last saved checkpoint; empty for none.
         avoid: Workers on which the task failed or stalled, or that did not answer its
@@ -100,6 +101,7 @@
     runs: dict[int, Run] = field(default_factory=dict)
     last_run: int = 0
     failures: int = 0
+    failed_run: int = 0
     done: bool = False
     checkpoint: str = ""
     avoid: set[str] = field(default_factory=set)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -74,9 +74,12 @@
 
 
 def _failed(run: Run, task: Task) -> None:
+    task.avoid.add(run.worker_id)
+    if run.number == task.failed_run:
+        return  # another member of the gang has failed in the same run
     for member in _gang_members(task):
         member.failures += 1
-    task.avoid.add(run.worker_id)
+        member.failed_run = run.number
     if task.failures >= task.job.job.terms.attempts:
         task.job.phase = Phase.FAILED
 
