--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -45,7 +45,8 @@
         stop_sent_s: When the last stop order was issued.
         stop_acked_s: When a stop order was first answered; inf before.
         at_work: True if the run works at its full share.
-        away_since_s: When ``at_work`` last changed, or when the run was placed.
+        slow_since_s: Since when reports show the run below its pace; inf if not.
+        succeeded: True once a lasting run was at work for long enough.
         percent: Share of its speed that the worker last reported.
         measurement: Last reported measurement; see ``ListedRun.measurement``.
         pace: Share of its speed that was last ordered, percent.
@@ -66,7 +67,8 @@
     stop_sent_s: float = float("-inf")
     stop_acked_s: float = float("inf")
     at_work: bool = False
-    away_since_s: float = 0.0
+    slow_since_s: float = float("inf")
+    succeeded: bool = False
     percent: float = 0.0
     measurement: float = 0.0
     pace: int = FULL_PACE_PERCENT
@@ -84,9 +86,11 @@
         runs: Runs that may be alive, by run number.
         last_run: Highest run number used so far.
         failures: Number of failed runs.
+        failed_run: Run number of the last failed run; 0 for none.
         done: True once a run has succeeded.
         checkpoint: Last saved checkpoint; empty for none.
-        avoid: Workers on which the task failed or stalled.
+        avoid: Workers on which the task failed or stalled, or that did not answer its
+            start.
         not_before_s: Earliest time for the next start, monotonic seconds.
         away_since_s: When a run of a lasting task last ended.
     """
@@ -97,6 +101,7 @@
     runs: dict[int, Run] = field(default_factory=dict)
     last_run: int = 0
     failures: int = 0
+    failed_run: int = 0
     done: bool = False
     checkpoint: str = ""
     avoid: set[str] = field(default_factory=set)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -8,12 +8,13 @@
 from .rules import CLOCK_DRIFT, Rules
 
 UNHEALTHY_BACKOFF_INITIAL_S = 0.5  # first pause after a worker reports a problem
-UNHEALTHY_BACKOFF_MAX_S = 8.0  # longest pause; also about how often it is tried again
+UNHEALTHY_BACKOFF_MAX_S = 2.0  # longest pause; a refused start costs only a call
 MAX_OUTCOMES = 6  # number of last runs that decide on a quarantine
 MIN_FAILURE_SHARE = 0.5  # share of failures that leads to a quarantine
 MIN_FAILURES = 3  # number of failures below which there is no quarantine
 QUARANTINE_INITIAL_S = 4.0  # first pause of a worker whose runs fail
 QUARANTINE_MAX_S = 30.0  # longest pause; one trial run follows each pause
+LAST_RESORT_INTERVAL_S = 2.0  # between runs that no worker in better standing can take
 
 
 @dataclass(slots=True, eq=False)
@@ -25,11 +26,14 @@
             if it failed.
         until_s: End of the quarantine, monotonic seconds.
         pause_s: Duration of the last quarantine, seconds; 0 after a success.
+        next_last_resort_s: The worker gets no run as a last resort before this time,
+            monotonic seconds.
     """
 
     outcomes: list[tuple[bool, str]] = field(default_factory=list)
     until_s: float = float("-inf")
     pause_s: float = 0.0
+    next_last_resort_s: float = float("-inf")
 
     def record_success(self) -> None:
         """Record a run that succeeded."""
@@ -39,9 +43,13 @@
     def record_failure(self, job_id: str, now_s: float) -> bool:
         """Record a failed run; return True if the worker is quarantined for it.
 
-        Failures of a single job do not start a quarantine.
+        Failures of a single job do not start a quarantine. Failures during one do
+        not prolong it, as these runs were placed before it.
         """
         self._record(False, job_id)
+        self.next_last_resort_s = now_s + LAST_RESORT_INTERVAL_S
+        if now_s < self.until_s:
+            return False
         failed = [job for good, job in self.outcomes if not good]
         distinct = len(set(failed))
         if not self.pause_s and (
@@ -93,6 +101,8 @@
             seconds.
         backoff_s: Duration of the last such pause, seconds.
         quarantine: Quarantine because of failed runs.
+        leaves_at_s: Earliest time at which the worker leaves, monotonic seconds; inf
+            unless it drains.
     """
 
     info: WorkerInfo
@@ -113,6 +123,7 @@
     backoff_until_s: float = float("-inf")
     backoff_s: float = 0.0
     quarantine: WorkerQuarantine = field(default_factory=WorkerQuarantine)
+    leaves_at_s: float = float("inf")
 
     @property
     def worker_id(self) -> str:
@@ -124,6 +135,22 @@
         """Free capacity."""
         return self.info.capacity - self.used
 
+    @property
+    def on_trial(self) -> bool:
+        """True while a run shows whether a worker on probation is sound."""
+        return self.quarantine.on_probation and not all(
+            run.succeeded for run in self.runs.values()
+        )
+
+    def note_info(self, info: WorkerInfo, now_s: float) -> None:
+        """Replace the directory entry."""
+        self.info = info
+        if info.draining:
+            # An entry that is received late must not postpone the time.
+            self.leaves_at_s = min(self.leaves_at_s, now_s + info.leaves_in_s)
+        else:
+            self.leaves_at_s = float("inf")
+
     def note_clock(self, clock_ms: float, at_s: float) -> None:
         """Record a reading of the worker's clock."""
         self.clock_ms = clock_ms
@@ -151,8 +178,28 @@
         self.backoff_s = min(UNHEALTHY_BACKOFF_MAX_S, next_pause_s)
         self.backoff_until_s = now_s + self.backoff_s
 
+    def record_success(self) -> None:
+        """Record a run that succeeded."""
+        self.quarantine.record_success()
+        self.backoff_s = 0.0
+
     def is_usable(self, now_s: float) -> bool:
         """Return True if the worker may get new runs."""
+        return (
+            self._takes_runs(now_s)
+            and now_s >= self.quarantine.until_s
+            and not self.on_trial
+        )
+
+    def is_last_resort(self, now_s: float) -> bool:
+        """Return True if the worker may get a run that no usable worker can take."""
+        return (
+            self._takes_runs(now_s)
+            and not self.is_usable(now_s)
+            and now_s >= self.quarantine.next_last_resort_s
+        )
+
+    def _takes_runs(self, now_s: float) -> bool:
         return (
             self.present
             and self.fenced
@@ -160,8 +207,6 @@
             and not self.unknown_runs
             and self.silent_since_s == float("inf")
             and now_s >= self.backoff_until_s
-            and now_s >= self.quarantine.until_s
-            and not (self.quarantine.on_probation and self.runs)
         )
 
     def note_stored(self, job_id: str, version: int) -> bool:
