--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -1,6 +1,5 @@
 """Claims of this node on roles, kept alive by one lease in the store."""
 
-import zlib
 from collections.abc import Callable
 
 import gevent
@@ -11,9 +10,12 @@
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
 from .capacity import DEFAULT_CAPACITY, NodeCapacity
+from .claim_release import delete_claims, end_lease
 from .clock import now_s
 from .feed import Feed
+from .free_roles import FreeRoles
 from .keys import CLAIM_PREFIX, claim_key
+from .supervision import spawn_supervised
 
 # A lost holder's roles are free after this time. Rules.unfenced_s assumes that a former
 # holder renews worker leases for at most UNCONFIRMED_RENEWAL_S in total.
@@ -21,7 +23,7 @@
 RENEW_INTERVAL_S = 0.3  # a slow store also answers two renewals within the lease TTL
 POLL_FAILURE_LIMIT_S = 1.0  # a node whose polls fail for this long releases its roles
 CHECK_PERIOD_S = 0.1  # pause between two checks for free roles, and before a retry
-JITTER_S = 0.05  # jitter between nodes of equal load
+FAILED_START_PAUSE_S = 1.0  # time for other nodes to take a role that did not start
 
 
 class Claims:
@@ -51,19 +53,16 @@
         capacity: NodeCapacity = DEFAULT_CAPACITY,
     ):
         self.store = store
-        self.node = node
         self.value = f"{node}/{incarnation}".encode()
         self.roles = roles
         self.on_acquired = on_acquired
         self.on_lost = on_lost
-        self.capacity = capacity
         self.lease = 0
         self.confirmed_s = float("-inf")
         self.renewing_since_s = float("inf")
         self.held: dict[str, int] = {}
         self.dropped_tokens: dict[str, int] = {}
-        self.holders: dict[str, Entry] = {}
-        self.free_since_s: dict[str, float] = {}
+        self.free_roles = FreeRoles(node, capacity)
         self.ending = False
         self.greenlets: list[gevent.Greenlet] = []
         self.feed = Feed(store, CLAIM_PREFIX, self._on_written, self._on_deleted)
@@ -71,7 +70,10 @@
     def start(self) -> None:
         """Start to renew the lease and to acquire roles."""
         self.feed.start()
-        self.greenlets = [gevent.spawn(self._renew_loop), gevent.spawn(self._scan_loop)]
+        self.greenlets = [
+            spawn_supervised("renewal of claims", self._renew_loop),
+            spawn_supervised("acquisition of roles", self._scan_loop),
+        ]
 
     def token(self, role: str) -> int:
         """Return the fencing token of a role, or 0 if the role is not held."""
@@ -94,37 +96,33 @@
             log(Event.ROLE_LOST, role=role, token=token, reason=reason)
             self.on_lost(role)
 
-    def release(self, role: str, reason: str) -> None:
-        """Release a role that this node still holds, so that it is claimed again."""
-        transaction = Transaction((self.expect(role),), (), (claim_key(role),))
+    def release(self, role: str, reason: str, pause_s: float = 0.0) -> None:
+        """Release a role that this node still holds, so that it is claimed again.
+
+        Args:
+            role: Role to release.
+            reason: Reason for the log.
+            pause_s: Time for which this node leaves the role to others, seconds.
+        """
+        claim = self.expect(role)
+        self.free_roles.pause(role, pause_s)
         self.drop(role, reason)
-        self._release(transaction)
+        # The caller may be a greenlet that ends with the role.
+        gevent.spawn(delete_claims, self.store, [claim])
 
     def release_all(self) -> None:
         """Release all roles now, so that other nodes need not wait."""
         self.ending = True
         self.feed.stop()
         gevent.killall(self.greenlets, block=False)
-        held = list(self.held)
-        expects = tuple(self.expect(role) for role in held)
-        keys = tuple(claim_key(role) for role in held)
-        for role in held:
+        claims = [self.expect(role) for role in self.held]
+        for role in list(self.held):
             self.drop(role, "this node ends")
-        if not held:
-            return
-        self._release(Transaction(expects, (), keys))
-
-    def _release(self, transaction: Transaction) -> None:
-        try:
-            self.store.transact(transaction)
-        except StoreError as error:
-            # The claims expire with their lease.
-            log(Event.WRITE_FAILED, what="release of claims", error=str(error))
+        delete_claims(self.store, claims)
 
     def _on_written(self, entry: Entry) -> None:
         role = entry.key.removeprefix(CLAIM_PREFIX)
-        self.holders[role] = entry
-        self.free_since_s.pop(role, None)
+        self.free_roles.note_claim(role, entry)
         if entry.value == self.value:
             # Also covers a claim that was applied late or whose response was lost.
             self._mark_held(role, entry.revision)
@@ -133,8 +131,7 @@
 
     def _on_deleted(self, key: str) -> None:
         role = key.removeprefix(CLAIM_PREFIX)
-        self.holders.pop(role, None)
-        self.free_since_s[role] = now_s()
+        self.free_roles.note_free(role)
         if role in self.held:
             self.drop(role, "the claim lapsed")
 
@@ -153,11 +150,9 @@
         sent_s = now_s()
         if self.lease and not self.store.keep_lease(self.lease):
             self.lease = 0
-            for role in list(self.held):
-                self.drop(role, "the lease lapsed")
+            self._drop_all("the lease lapsed")
         self.renewing_since_s = min(self.renewing_since_s, sent_s)
-        since_s = max(self.feed.failing_since_s, self.renewing_since_s)
-        if self.lease and sent_s - since_s > POLL_FAILURE_LIMIT_S:
+        if self.lease and self._is_turned_away(sent_s):
             # A node whose lease is renewed while its other calls fail would keep
             # roles that it cannot serve. If the store is unavailable to all nodes,
             # renewals fail too, and roles are kept until it answers again.
@@ -167,31 +162,36 @@
             self.lease = self.store.grant_lease(LEASE_TTL_S)
         self.confirmed_s = sent_s
 
+    def _is_turned_away(self, at_s: float) -> bool:
+        """Return whether polls have failed for too long while renewals succeed."""
+        since_s = max(self.feed.failing_since_s, self.renewing_since_s)
+        return at_s - since_s > POLL_FAILURE_LIMIT_S
+
     def _drop_all(self, reason: str) -> None:
         lease, self.lease = self.lease, 0
         for role in list(self.held):
             self.drop(role, reason)
-        if not lease:
-            return
-        try:
-            self.store.revoke_lease(lease)
-        except StoreError as error:
-            # The lease expires by itself.
-            log(Event.WRITE_FAILED, what="end of the lease", error=str(error))
+        if lease:
+            end_lease(self.store, lease)
 
     def _scan_loop(self) -> None:
         pause_s = CHECK_PERIOD_S
         while True:
             gevent.sleep(pause_s)
             pause_s = CHECK_PERIOD_S
-            if not self.lease or not self.feed.loaded:
+            turned_away = self._is_turned_away(now_s())
+            if not self.lease or not self.feed.loaded or turned_away:
                 continue
             for role in self.roles():
                 if self.ending:
                     return
                 if role in self.held:
                     continue
-                left_s = self._eligible_at_s(role) - now_s()
+                if self.free_roles.is_paused(role):
+                    self._delete_leftover(role)
+                    continue
+                eligible_at_s = self.free_roles.eligible_at_s(role, len(self.held))
+                left_s = eligible_at_s - now_s()
                 if left_s > 0:
                     # The order of the nodes must not depend on when each one checks.
                     pause_s = min(pause_s, left_s)
@@ -201,17 +201,11 @@
                 except StoreError:
                     gevent.sleep(CHECK_PERIOD_S)
 
-    def _eligible_at_s(self, role: str) -> float:
-        """Return when this node may claim a role; inf while another node holds it."""
-        holder = self.holders.get(role)
-        if holder is not None:
-            # An earlier process of this node is certainly gone. A claim that this
-            # process released but could not delete remains as long as its lease.
-            is_own = holder.value.rpartition(b"/")[0] == self.node.encode()
-            return float("-inf") if is_own else float("inf")
-        since_s = self.free_since_s.setdefault(role, now_s())
-        jitter = zlib.crc32(f"{role}@{self.node}".encode()) / 2**32
-        return since_s + self.capacity.claim_delay_s(len(self.held)) + JITTER_S * jitter
+    def _delete_leftover(self, role: str) -> None:
+        """Delete the claim of a released role if its deletion failed."""
+        claim = self.free_roles.claims.get(role)
+        if claim is not None and claim.value == self.value:
+            delete_claims(self.store, [Expect(claim.key, claim.revision)])
 
     def _acquire(self, role: str) -> None:
         lease = self.lease
@@ -219,14 +213,16 @@
             # Lost during this round; a claim without a lease would never expire.
             return
         key = claim_key(role)
-        holder = self.holders.get(role)
-        expect = Expect(key, holder.revision if holder else 0)
+        claim = self.free_roles.claims.get(role)
+        expect = Expect(key, claim.revision if claim else 0)
         put = Put(key, self.value, lease)
         try:
             outcome = self.store.transact(Transaction((expect,), (put,)))
         except LeaseExpiredError:
             if self.lease == lease:
                 self.lease = 0
+                # All claims were written under this lease.
+                self._drop_all("the lease lapsed")
             return
         if outcome.succeeded:
             self._mark_held(role, outcome.revision)
@@ -245,4 +241,9 @@
             return
         self.held[role] = token
         log(Event.ROLE_TAKEN, role=role, token=token)
-        self.on_acquired(role, token)
+        try:
+            self.on_acquired(role, token)
+        except Exception as error:
+            # The claim of a role that nobody works on keeps other nodes away.
+            log(Event.TASK_FAILED, task=f"start of {role}", error=repr(error))
+            self.release(role, "its start failed", FAILED_START_PAUSE_S)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -7,7 +7,7 @@
 from heatherhatch_core.exceptions import RevisionCompactedError, StoreError
 
 from ..events import Event, log
-from ..transport.store import Entry, PolledStore
+from ..transport.store import Entry, PolledStore, Snapshot
 from .clock import now_s
 
 RETRY_S = 0.2  # pause after a failed call
@@ -27,6 +27,7 @@
         min_interval_s: Minimum time between two polls, seconds; changes are batched.
         newest_only: True if superseded versions may be skipped. Polls return every
             version, and a burst of large ones would saturate a slow link.
+        read_all: Returns all entries under the prefix; by default a read of the store.
     """
 
     def __init__(
@@ -38,8 +39,10 @@
         wait_s: float = POLL_WAIT_S,
         min_interval_s: float = 0.0,
         newest_only: bool = False,
+        read_all: Callable[[], Snapshot] | None = None,
     ):
         self.store = store
+        self.read_all = read_all or (lambda: store.range(prefix))
         self.prefix = prefix
         self.on_entry = on_entry
         self.on_deleted = on_deleted
@@ -68,11 +71,11 @@
     def read(self) -> None:
         """Read the whole prefix; deletions since the last read are reported too."""
         sent_s = now_s()
-        snapshot = self.store.range(self.prefix)
+        snapshot = self.read_all()
         found = {entry.key for entry in snapshot.entries}
         for key in [key for key in self.revisions if key not in found]:
             del self.revisions[key]
-            self.on_deleted(key)
+            self._call(self.on_deleted, key)
         fresh = [entry for entry in snapshot.entries if self._is_new(entry)]
         for entry in fresh:
             self._report_entry(entry)
@@ -93,7 +96,7 @@
                 self._report_entry(event.entry)
             elif self.revisions.get(event.entry.key, 0) < event.entry.revision:
                 self.revisions.pop(event.entry.key, None)
-                self.on_deleted(event.entry.key)
+                self._call(self.on_deleted, event.entry.key)
         self.revision = max(self.revision, changes.revision)
         if changes.events:
             keys = {event.entry.key for event in changes.events}
@@ -109,7 +112,13 @@
     def _report_entry(self, entry: Entry) -> None:
         if self._is_new(entry):
             self.revisions[entry.key] = entry.revision
-            self.on_entry(entry)
+            self._call(self.on_entry, entry)
+
+    def _call(self, callback: Callable, change: Entry | str) -> None:
+        try:
+            callback(change)
+        except Exception as error:  # the changes after it must not be held up
+            log(Event.TASK_FAILED, task=f"feed {self.prefix}", error=repr(error))
 
     def _run(self) -> None:
         while True:
@@ -127,8 +136,10 @@
             except StoreError as error:
                 self._note_failure(error)
                 gevent.sleep(RETRY_S)
-            except Exception as error:  # a fault in a callback must not stop the feed
+            except Exception as error:
                 log(Event.TASK_FAILED, task=f"feed {self.prefix}", error=repr(error))
+                # The same poll would fail again.
+                self.loaded = False
                 gevent.sleep(RETRY_S)
             gevent.sleep(max(0.0, begun_s + self.min_interval_s - now_s()))
 
@@ -143,3 +154,6 @@
         if self.failing_since_s == float("inf"):
             self.failing_since_s = now_s()
             log(Event.FEED_LOST, prefix=self.prefix, error=str(error))
+        if self.newest_only:
+            # A poll would return every version since the failure.
+            self.loaded = False
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -10,7 +10,7 @@
 from heatherhatch_core.state.maintenance import Wave
 
 from ..events import Event, log
-from ..transport.store import Entry, Expect, PolledStore, Transaction
+from ..transport.store import Entry, Expect, PolledStore, Snapshot, Transaction
 from .clock import now_s
 from .feed import Feed
 from .ports import OperatorRecords
@@ -45,7 +45,7 @@
         self.revision = 0
         self.loaded = Signal()
         self.confirmed_s = float("-inf")
-        self.refresher: gevent.Greenlet | None = None
+        self.reading: gevent.Greenlet | None = None
         self.waves: dict[int, Wave] = {}
         self.feed = Feed(
             store,
@@ -54,6 +54,7 @@
             self._on_deleted,
             POLL_WAIT_S,
             newest_only=True,
+            read_all=self._read_records,
         )
 
     def start(self) -> None:
@@ -90,37 +91,12 @@
                 ErrorKind.NO_STANDING, "this node has not read a configuration yet"
             )
         if self.config_age_s() > max_age_s:
-            self._refresh_shared(max_age_s)
-        return self.config
-
-    def _refresh_shared(self, max_age_s: float) -> None:
-        """Confirm the configuration by one refresh for all concurrent callers."""
-        asked_s = now_s()
-        # The response to a failed condition is as large as the feed's read.
-        if self.feed_failing_s() > POLL_FAILURE_S:
-            raise self._unconfirmed_error()
-        # A refresh that was already running may be too old; the next one is not.
-        for _round in range(2):
-            if asked_s - self.confirmed_s <= max_age_s:
-                return
-            if self.refresher is None:
-                self.refresher = gevent.spawn(self._run_refresh)
-            refresher = self.refresher
-            refresher.join(max(0.0, asked_s + CONFIRM_WAIT_S - now_s()))
-            if not refresher.ready():
+            # The response to a failed condition is as large as the feed's read.
+            if self.feed_failing_s() > POLL_FAILURE_S:
                 raise self._unconfirmed_error()
-            error = refresher.get()
-            if error is not None:
-                raise error
-
-    def _run_refresh(self) -> HeatherhatchError | None:
-        try:
-            self.refresh()
-        except HeatherhatchError as error:
-            return error
-        finally:
-            self.refresher = None
-        return None
+            with gevent.Timeout(CONFIRM_WAIT_S, self._unconfirmed_error()):
+                self.refresh(now_s() - max_age_s)
+        return self.config
 
     def _unconfirmed_error(self) -> HeatherhatchError:
         return HeatherhatchError(
@@ -128,23 +104,44 @@
             f"the configuration was last confirmed {self.config_age_s():.1f} s ago",
         )
 
-    def refresh(self) -> None:
+    def refresh(self, since_s: float | None = None) -> None:
         """Make sure that the configuration is the newest.
 
+        Callers that wait at the same time share one read: many copies of a large
+        configuration saturate a slow link.
+
+        Args:
+            since_s: Earliest time of the read, monotonic seconds; now if None.
+
         Raises:
             HeatherhatchError: ``NO_STANDING`` if the store does not respond.
         """
+        if since_s is None:
+            since_s = now_s()
+        # A read that is in progress may have begun too early.
+        for _read in range(2):
+            if self.reading is None:
+                self.reading = gevent.spawn(self._read_newest)
+            error = self.reading.get()
+            if error is not None:
+                age_s = round(self.config_age_s(), 2)
+                raise HeatherhatchError(
+                    ErrorKind.NO_STANDING,
+                    f"the configuration is {age_s} s old: {error.detail}",
+                ) from error
+            if self.confirmed_s >= since_s:
+                return
+
+    def _read_newest(self) -> StoreError | None:
         sent_s = now_s()
         try:
-            found = self._fetch_newest()
+            if self._fetch_newest():
+                self.confirmed_s = max(self.confirmed_s, sent_s)
         except StoreError as error:
-            age_s = round(self.config_age_s(), 2)
-            raise HeatherhatchError(
-                ErrorKind.NO_STANDING,
-                f"the configuration is {age_s} s old: {error.detail}",
-            ) from error
-        if found:
-            self.confirmed_s = max(self.confirmed_s, sent_s)
+            return error
+        finally:
+            self.reading = None
+        return None
 
     def apply_entries(self, entries: tuple[Entry, ...]) -> bool:
         """Apply the configuration if it is among entries that were just read."""
@@ -163,6 +160,17 @@
         outcome = self.store.transact(Transaction((self.expect(),)))
         return outcome.succeeded or self.apply_entries(outcome.entries)
 
+    def _read_records(self) -> Snapshot:
+        """Return the operators' records; a configuration that is known has no value."""
+        if not self.revision:
+            return self.store.range(self.records.prefix)
+        waves = self.store.range(self.records.wave_prefix)
+        outcome = self.store.transact(Transaction((self.expect(),)))
+        config = outcome.entries
+        if outcome.succeeded:
+            config = (Entry(self.records.config_key, b"", self.revision),)
+        return Snapshot(waves.revision, (*waves.entries, *config))
+
     def _on_written(self, entry: Entry) -> None:
         if entry.key == self.records.config_key:
             self._apply_config(entry)
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -6,15 +6,15 @@
 import pytest
 
 from heatherhatch_core.coordination.scheduler.rules import CLOCK_DRIFT, Rules
-from heatherhatch_core.exceptions import StoreError
+from heatherhatch_core.exceptions import LeaseExpiredError, StoreError
 from heatherhatch_daemon.pools.capacity import MAX_STAGGER_S, NodeCapacity
 from heatherhatch_daemon.pools.claims import (
-    JITTER_S,
     LEASE_TTL_S,
     POLL_FAILURE_LIMIT_S,
     Claims,
 )
 from heatherhatch_daemon.pools.clock import now_s
+from heatherhatch_daemon.pools.free_roles import JITTER_S
 from heatherhatch_daemon.pools.keys import claim_key
 from heatherhatch_daemon.pools.pool_holder import UNCONFIRMED_RENEWAL_S
 from heatherhatch_daemon.transport.memory_store import MemoryStore
@@ -252,3 +252,81 @@
     assert rules.unfenced_s >= unconfirmed_s + lease_s
     # A lasting task must run again within 6 s.
     assert rules.unfenced_s < 6.0
+
+
+def test_roles_are_acquired_after_an_error(start_node, monkeypatch):
+    """The greenlet that acquires roles ended with the first error."""
+    node = start_node("n1", roles=("a",))
+    roles = node.claims.roles
+
+    def fail_once():
+        node.claims.roles = roles
+        raise KeyError("a")
+
+    node.claims.roles = fail_once
+    wait_for(lambda: "a" in node.claims.held)
+
+
+def test_the_lease_is_renewed_after_an_error(start_node, store, monkeypatch):
+    """The greenlet that renews the lease ended with the first error."""
+    node = start_node("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    keep_lease = store.keep_lease
+    failures = []
+
+    def fail_once(lease):
+        store.keep_lease = keep_lease
+        failures.append(now_s())
+        raise ValueError("unreadable answer")
+
+    store.keep_lease = fail_once
+    wait_for(lambda: failures)
+    wait_for(lambda: node.claims.confirmed_s > failures[0])
+
+
+def test_a_role_whose_start_fails_is_not_kept(start_node):
+    """The role counted as held, and its claim was renewed, but nobody worked on it."""
+    node = start_node("n1", roles=())
+    start = node.claims.on_acquired
+
+    def fail_once(_role, _token):
+        node.claims.on_acquired = start
+        raise KeyError("a")
+
+    node.claims.on_acquired = fail_once
+    node.claims.roles = lambda: ["a"]
+    wait_for(lambda: node.acquired)
+    assert node.lost == ["a"]
+
+
+def test_no_role_is_kept_whose_lease_has_expired(start_node, store):
+    """An acquisition found the lease expired, and a new lease confirmed the old roles.
+
+    Their claims were gone, and only the feed could tell, which may hang.
+    """
+    node = start_node("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    token = node.claims.token("a")
+    gevent.killall(node.claims.greenlets)
+    node.claims.feed.stop()
+    store.revoke_lease(node.claims.lease)
+
+    def expired(_transaction):
+        raise LeaseExpiredError("the lease of a write has expired")
+
+    store.transact = expired
+    node.claims._acquire("b")
+    node.claims._renew()
+    assert node.claims.token("a") != token
+    assert not node.claims.holds("a")
+
+
+def test_a_node_whose_polls_fail_acquires_no_role(start_node, store):
+    """It acquired free roles and released them 0.3 s later, over and over."""
+    node = start_node("n1", roles=("a",))
+    wait_for(lambda: "a" in node.claims.held)
+    store.refuse_polls = True
+    wait_for(lambda: node.lost == ["a"])
+    gevent.sleep(2 * POLL_FAILURE_LIMIT_S)
+    assert node.lost == ["a"]
+    assert len(node.acquired) == 1
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -2,7 +2,9 @@
 
 import time
 
+import gevent
 import pytest
+from gevent.event import Event as Signal
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import (
@@ -13,6 +15,7 @@
 )
 from heatherhatch_core.state.work import Phase, Schedule, Step
 from heatherhatch_daemon.pools import retries
+from heatherhatch_daemon.pools.clock import now_s
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
 from heatherhatch_daemon.pools.operators import Operators
@@ -235,6 +238,63 @@
     assert harness.jobs() == [job_key("till", "j1")]
 
 
+class HeldStore(MemoryStore):
+    """A store that holds confirmations of the configuration until they are released."""
+
+    def __init__(self):
+        super().__init__(time.monotonic)
+        self.released = Signal()
+        self.confirmations = 0
+
+    def transact(self, transaction):
+        if not transaction.puts:
+            self.confirmations += 1
+            self.released.wait()
+        return super().transact(transaction)
+
+
+@pytest.fixture
+def held_store() -> HeldStore:
+    store = HeldStore()
+    store.transact(Transaction((), (Put("op/config", b"1"),)))
+    return store
+
+
+@pytest.fixture
+def unconfirmed(held_store) -> Operators:
+    operators = Operators(held_store, RECORDS, lambda _config: None)
+    operators.feed.read()
+    operators.feed.last_response_s = float("-inf")
+    return operators
+
+
+# Each request at an instance with an old configuration read a copy of the newest. Ten
+# copies on a slow link took ten times as long, while callers waited without an answer.
+def test_requests_that_wait_for_the_configuration_share_one_read(
+    held_store, unconfirmed
+):
+    callers = [gevent.spawn(unconfirmed.confirm) for _caller in range(10)]
+    gevent.sleep(0.01)
+    callers[0].kill()
+    held_store.released.set()
+    with gevent.Timeout(30):
+        assert [caller.get().version for caller in callers[1:]] == [1] * 9
+    assert held_store.confirmations == 1
+
+
+def test_a_configuration_is_not_confirmed_by_a_read_that_began_too_early(
+    held_store, unconfirmed
+):
+    early = gevent.spawn(unconfirmed.confirm)
+    gevent.sleep(0.01)
+    asked_s = now_s()
+    late = gevent.spawn(unconfirmed.refresh, asked_s)
+    held_store.released.set()
+    with gevent.Timeout(30):
+        gevent.joinall([early, late], raise_error=True)
+    assert unconfirmed.confirmed_s >= asked_s
+
+
 # Guards against callers that get 503 because one read of the store was lost or refused.
 @pytest.mark.parametrize(
     "script", [["lost"], ["refused"], ["refused", "lost"], ["refused"] * 3]
--- a/tests/test_pool_serving.py
+++ b/tests/test_pool_serving.py
@@ -40,6 +40,8 @@
     "op/", "op/config", "op/wave/", "w/", "s/", CONFIGS.get, None, None, None
 )
 RENEWALS = {"grant_lease", "keep_lease"}
+# After a failed poll, the feed reads the waves and checks the configuration.
+OPERATORS_FEED = {"poll op/", "range op/wave/"}
 READS = {"get", "range", "poll", "transact"}
 HANG_S = 30  # limits a test that hangs; normally nothing takes this long
 
@@ -199,7 +201,7 @@
     assert changes(log_lines) == [("NOT_SERVING", "no configuration has been read yet")]
     store.refused = set()
     instance.run(3.0)
-    store.refused = {"poll op/"}
+    store.refused = OPERATORS_FEED
     instance.run(5.0)
     store.refused = set()
     instance.run(1.0)
@@ -264,8 +266,8 @@
         (set(), True),
         (RENEWALS, True),
         ({"poll claims/"}, True),
-        ({"poll op/"}, False),
-        ({"poll"}, False),
+        (OPERATORS_FEED, False),
+        ({"poll", "range"}, False),
         (READS, False),
         (READS | RENEWALS, False),
     ],
@@ -311,7 +313,7 @@
 # over a slow link then does not end in time.
 def test_callers_do_not_read_the_configuration_while_its_feed_fails(instance, store):
     instance.run(1.0)
-    store.refused = {"poll op/"}
+    store.refused = OPERATORS_FEED
     instance.run(4.0)
     calls = store.calls
     for path in ("/q/j1", "/none/"):
@@ -377,3 +379,15 @@
     calls = store.calls
     assert refusal(instance.status).kind is ErrorKind.NO_STANDING
     assert store.calls == calls
+
+
+# Guards against callers that wait for a large configuration until their deadline.
+def test_callers_wait_for_a_confirmation_for_a_bounded_time(
+    instance, store, monkeypatch
+):
+    monkeypatch.setattr(operators, "CONFIRM_WAIT_S", 0.01)
+    instance.run(1.0)
+    freeze(instance, 4.0)
+    store.transact = lambda _item: gevent.event.Event().wait()
+    with gevent.Timeout(HANG_S):
+        assert refusal(instance.status).kind is ErrorKind.NO_STANDING
