Give a pool up for failed loads only, not for a load that takes long

Cause: the watchdog gave a pool up that was not loaded within 8 s. Records that take longer over a slow link would then go from node to node, each of which starts from the beginning: the same class of fault as the read of a large configuration.

test_a_pool_that_takes_long_to_load_is_not_given_up fails before: the job does not run within 30 s.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -174,8 +174,10 @@
 
     def _load_and_schedule(self) -> None:
         while not self.records.load(self.token):
+            self.watchdog.note_failed_load()
             gevent.sleep(RETRY_S)
         self.loaded = True
+        self.watchdog.note_loaded()
         for entry in list(self.directory.entries.values()):
             self.update_worker(entry)
         self.records.start()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_watchdog.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_watchdog.py
@@ -14,7 +14,7 @@
 WATCH_PERIOD_S = 0.5
 # Numbers of periods rather than times, because a process may be suspended.
 ROUND_LIMIT = 8  # periods without a round after which a role is given up
-LOAD_LIMIT = 16  # the same until the pool is loaded, which is slow on a slow link
+LOAD_LIMIT = 6  # periods with a failed load after which a role is given up
 HEALTH_LOG_PERIODS = 10  # periods between two log lines about the pool
 GIVEN_UP_PAUSE_S = 5.0  # time for other nodes to take a role that was given up
 
@@ -39,13 +39,26 @@
         self.may_order = may_order
         self.give_up = give_up
         self.loaded = False
+        self.load_failed = False
         self.progressed = False
         self.idle_periods = 0
         self.last_round_s = now_s()
 
+    def note_failed_load(self) -> None:
+        """Record that the pool could not be loaded.
+
+        A load that has not failed may take any time: the same records would take as
+        long on another node, and no node could load a large pool over a slow link.
+        """
+        self.load_failed = True
+
+    def note_loaded(self) -> None:
+        """Record that the pool has been loaded."""
+        self.loaded = True
+        self.progressed = True
+
     def note_round(self) -> None:
         """Record that the holder has completed a round."""
-        self.loaded = True
         self.progressed = True
         self.last_round_s = now_s()
 
@@ -55,6 +68,9 @@
             self.progressed = False
             self.idle_periods = 0
             return
+        if not self.loaded and not self.load_failed:
+            return
+        self.load_failed = False
         self.idle_periods += 1
         if self.idle_periods >= (ROUND_LIMIT if self.loaded else LOAD_LIMIT):
             self.idle_periods = 0
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -1,5 +1,6 @@
 """A pool whose role is held is worked on, whatever fails in its holder."""
 
+import gevent
 import pytest
 
 from heatherhatch_core.codec import decode_json, encode_json
@@ -86,6 +87,24 @@
     assert ROLE in second.holders
 
 
+# A pool whose load took longer than a fixed limit would go from node to node for ever.
+def test_a_pool_that_takes_long_to_load_is_not_given_up(
+    cluster, quick_watch, monkeypatch
+):
+    range_of = cluster.store.range
+
+    def read_slowly(prefix, *args):
+        if prefix == runs_prefix(POOL):
+            gevent.sleep(50 * pool_watchdog.WATCH_PERIOD_S)
+        return range_of(prefix, *args)
+
+    monkeypatch.setattr(cluster.store, "range", read_slowly)
+    cluster.put_job(make_job(make_step()))
+    holder = cluster.wait_for_role(cluster.start_node("n1"))
+    wait_for(lambda: cluster.running_jobs() == {"j1"})
+    assert not holder.stopped
+
+
 def test_a_pool_whose_rounds_fail_goes_to_another_node(cluster, quick_watch):
     """Each round failed with the same error while the claim was renewed."""
     first = cluster.start_node("n1")
