--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,10 +9,12 @@
 import gevent
 import pytest
 
+from heatherhatch_daemon.settings import Address
+from heatherhatch_platform.kv_store import KvStore
 from heatherhatch_platform_standin.deployment import Deployment, Instance
 from heatherhatch_platform_standin.load import Callers
 from heatherhatch_platform_standin.soak import Soak
-from heatherhatch_platform_standin.store import StoreMode
+from heatherhatch_platform_standin.store import MAX_PAGE_ITEMS, StandinStore, StoreMode
 
 READY_TIMEOUT_S = 30  # limits a test that hangs; a start takes far less
 COMPLETION_TIMEOUT_S = 60  # limits the wait for the end of all jobs
@@ -95,6 +97,17 @@
             gevent.sleep(0.1)
 
 
+def test_a_prefix_of_several_pages_is_read_completely():
+    """Guards against a stand-in that returns more at once than the platform does."""
+    store = StandinStore()
+    keys = [f"jobs/till/{number:04}" for number in range(2 * MAX_PAGE_ITEMS + 1)]
+    for key in keys:
+        store.put(key, b"{}")
+    snapshot = KvStore(Address.parse(store.address)).range("jobs/till/")
+    assert [entry.key for entry in snapshot.entries] == keys
+    store.stop()
+
+
 def test_a_short_soak_violates_no_invariant():
     result = Soak(seed=1, seconds=6.0).run()
     assert result.violations == ()
