--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -64,8 +64,7 @@
     return answer
 
 
-# Guards against an instance that never gets a configuration larger than its link
-# carries within the time limit of a call, and answers every request with 503.
+# Guards against an instance that repeats a large read for ever and answers only 503.
 def test_an_instance_reads_a_configuration_that_takes_its_link_longer_than_a_call(
     deployment, callers, slow_instance
 ):
@@ -78,8 +77,7 @@
         callers.wait_until_ready()
 
 
-# Guards against a pool that is held and runs nothing, because its holder never gets a
-# page of its jobs that takes its link longer than the time limit of a call.
+# Guards against a holder that never loads its pool and runs nothing, as long as it lives.
 def test_a_pool_is_run_although_a_page_of_its_jobs_takes_longer_than_a_call(
     deployment, callers, slow_instance
 ):
