--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -2,18 +2,26 @@
 
 from collections.abc import Callable
 
+import gevent
+from gevent.event import Event as Signal
+
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
 from heatherhatch_core.state.maintenance import Wave
 
 from ..events import Event, log
-from ..transport.store import Entry, Expect, PolledStore, Transaction
+from ..transport.store import Entry, Expect, PolledStore, Snapshot, Transaction
 from .clock import now_s
 from .feed import Feed
 from .ports import OperatorRecords
+from .retries import call_with_retries
 
 POLL_WAIT_S = 1.0  # maximum wait of one poll; each response confirms the records
 MAX_AGE_S = 0.3  # a refusal needs a configuration that was confirmed within this time
+MAX_SERVING_AGE_S = 2.5  # the same for any other answer
+POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
+FIRST_READ_S = 1.0  # how long callers of a process that has just started may wait
+REFRESH_PAUSE_S = 1.0  # while the feed fails, pause after a failed confirmation
 
 
 class Operators:
@@ -36,7 +44,12 @@
         self.on_config = on_config
         self.config: FleetConfiguration | None = None
         self.revision = 0
+        self.loaded = Signal()
+        self.confirmed_s = float("-inf")
+        self.loaded = Signal()
         self.confirmed_s = float("-inf")
+        self.refresh_failed_s = float("-inf")
+        self.reading: gevent.Greenlet | None = None
         self.waves: dict[int, Wave] = {}
         self.feed = Feed(
             store,
@@ -45,6 +58,7 @@
             self._on_deleted,
             POLL_WAIT_S,
             newest_only=True,
+            read_all=self._read_records,
         )
 
     def start(self) -> None:
@@ -55,36 +69,90 @@
         """Return the condition that fails if the configuration is not the newest."""
         return Expect(self.records.config_key, self.revision)
 
-    def confirm(self) -> FleetConfiguration:
+    def config_age_s(self) -> float:
+        """Return the time since the configuration was confirmed, seconds."""
+        return now_s() - max(self.confirmed_s, self.feed.last_response_s)
+
+    def feed_failing_s(self) -> float:
+        """Return how long the feed has failed, seconds; -inf if it works."""
+        return now_s() - self.feed.failing_since_s
+
+    def confirm(self, max_age_s: float = MAX_AGE_S) -> FleetConfiguration:
         """Return a configuration that was recently confirmed as the newest.
 
+        Args:
+            max_age_s: Maximum time since the confirmation, seconds.
+
         Raises:
             HeatherhatchError: ``NO_STANDING`` if the store does not respond or has no
                 configuration.
         """
-        if now_s() - self.confirmed_s > MAX_AGE_S or self.config is None:
-            self.refresh()
+        if self.config is None and self.feed_failing_s() <= POLL_FAILURE_S:
+            # A second read beside the feed's would delay both.
+            self.loaded.wait(FIRST_READ_S)
         if self.config is None:
-            raise HeatherhatchError(ErrorKind.NO_STANDING, "no configuration yet")
+            raise HeatherhatchError(
+                ErrorKind.NO_STANDING, "this node has not read a configuration yet"
+            )
+        if self.config_age_s() > max_age_s:
+            self._check_recent_failure()
+            self.refresh(now_s() - max_age_s)
         return self.config
 
-    def refresh(self) -> None:
+    def _check_recent_failure(self) -> None:
+        """Raise ``NO_STANDING`` while another confirmation would fail as well."""
+        failed_ago_s = now_s() - self.refresh_failed_s
+        if self.feed_failing_s() > 0.0 and failed_ago_s < REFRESH_PAUSE_S:
+            raise HeatherhatchError(
+                ErrorKind.NO_STANDING,
+                f"the configuration was confirmed {self.config_age_s():.1f} s ago,"
+                " and the store does not confirm it now",
+            )
+
+    def refresh(self, since_s: float | None = None) -> None:
         """Make sure that the configuration is the newest.
 
+        Callers that wait at the same time share one read: many copies of a large
+        configuration saturate a slow link.
+
+        Args:
+            since_s: Earliest time of the read, monotonic seconds; now if None.
+
         Raises:
             HeatherhatchError: ``NO_STANDING`` if the store does not respond.
         """
+        if since_s is None:
+            since_s = now_s()
+        # A read that is in progress may have begun too early.
+        for _read in range(2):
+            if self.reading is None:
+                self.reading = gevent.spawn(self._read_newest)
+            error = self.reading.get()
+            if error is not None:
+                age_s = round(self.config_age_s(), 2)
+                raise HeatherhatchError(
+                    ErrorKind.NO_STANDING,
+                    f"the configuration is {age_s} s old: {error.detail}",
+                ) from error
+            if self.confirmed_s >= since_s:
+                return
+
+    def _read_newest(self) -> StoreError | None:
         sent_s = now_s()
         try:
-            found = self._fetch_newest()
+            found = call_with_retries(
+                self._fetch_newest,
+                lambda: max(0.0, self.feed_failing_s()),
+                subject=self.records.config_key,
+            )
+            if found:
+                self.confirmed_s = max(self.confirmed_s, sent_s)
         except StoreError as error:
-            age_s = round(now_s() - self.confirmed_s, 2)
-            raise HeatherhatchError(
-                ErrorKind.NO_STANDING,
-                f"the configuration is {age_s} s old: {error.detail}",
-            ) from error
-        if found:
-            self.confirmed_s = max(self.confirmed_s, sent_s)
+            self.refresh_failed_s = now_s()
+            return error
+        finally:
+            self.reading = None
+        return None
 
     def apply_entries(self, entries: tuple[Entry, ...]) -> bool:
         """Apply the configuration if it is among entries that were just read."""
@@ -103,6 +171,17 @@
         outcome = self.store.transact(Transaction((self.expect(),)))
         return outcome.succeeded or self.apply_entries(outcome.entries)
 
+    def _read_records(self) -> Snapshot:
+        """Return the operators' records; a configuration that is known has no value."""
+        if not self.revision:
+            return self.store.range(self.records.prefix)
+        waves = self.store.range(self.records.wave_prefix)
+        outcome = self.store.transact(Transaction((self.expect(),)))
+        config = outcome.entries
+        if outcome.succeeded:
+            config = (Entry(self.records.config_key, b"", self.revision),)
+        return Snapshot(waves.revision, (*waves.entries, *config))
+
     def _on_written(self, entry: Entry) -> None:
         if entry.key == self.records.config_key:
             self._apply_config(entry)
@@ -129,6 +208,7 @@
             return
         self.revision = entry.revision
         self.config = config
+        self.loaded.set()
         log(Event.CONFIG_APPLIED, version=config.version, revision=entry.revision)
         self.on_config(config)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -2,17 +2,14 @@
 
 import gevent
 from gevent.event import Event as Signal
-from gevent.pool import Group
 
 from heatherhatch_core.coordination.scheduler import (
     JobWrite,
     Rules,
     Scheduler,
-    StopOrder,
 )
 
 from ..events import Event, log
-from ..metrics import METER, Metric
 from ..transport.store import PolledStore
 from .claims import Claims
 from .clock import now_s, wall_s
@@ -24,10 +21,13 @@
 from .operators import Operators
 from .permit_requester import PermitRequester
 from .pool_grants import PoolGrants
+from .pool_metrics import record_decision
 from .pool_records import PoolRecords
 from .pool_reporter import PoolReporter
+from .pool_watchdog import GIVEN_UP_PAUSE_S, PoolWatchdog
 from .ports import DirectoryEntry, ExternalPorts
-from .worker_link import WorkerLink
+from .supervision import spawn_supervised
+from .worker_links import WorkerLinks
 
 ROUND_S = 0.1  # maximum time between two rounds of the scheduler
 BATCH_WINDOW_S = 0.004  # events that arrive within this time are handled in one round
@@ -74,38 +74,38 @@
         self.directory = directory
         self.plan_watcher = plan_watcher
         self.scheduler = Scheduler(pool, rules, now_s())
-        self.links: dict[str, WorkerLink] = {}
+        self.links = WorkerLinks(self)
         self.signal = Signal()
         self.stopped = False
         self.loaded = False
         self.config_version = -1
-        self.orders = Group()
         self.committer = Committer(
             store, pool, self._claim, self.may_write, self._on_stored, self._on_conflict
         )
         self.records = PoolRecords(
-            store, pool, self.scheduler, self.committer, self.wake
+            store, pool, self.scheduler, self.committer, self.wake, self._on_error
         )
         self.grants = PoolGrants(store, plan_watcher, pool, self._claim, self.scheduler)
         self.reports = PoolReporter(store, self.scheduler, self._claim, token)
         self.permits = PermitRequester(external_ports.policy, self.scheduler, self.wake)
+        self.watchdog = PoolWatchdog(self.may_order, self.give_up)
         self.greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Start to load the pool and to schedule its jobs."""
         self.greenlets.append(gevent.spawn(self._run))
+        watch_name = f"watchdog of pool {self.pool}"
+        self.greenlets.append(spawn_supervised(watch_name, self.watchdog.run))
 
     def stop(self) -> None:
         """Stop sending orders; the next holder takes over the tasks that run."""
         if self.stopped:
             return
         self.stopped = True
-        for link in self.links.values():
-            link.stop()
+        self.links.stop()
         self.records.stop()
         self.permits.stop()
         self.committer.stop()
-        self.orders.kill(block=False)
         gevent.killall(self.greenlets, block=False)
 
     def may_order(self) -> bool:
@@ -138,18 +138,19 @@
         log(Event.ROLE_FENCED, role=self.role, token=self.token, reason=reason)
         self.claims.drop(self.role, reason)
 
+    def give_up(self, reason: str, pause_s: float) -> None:
+        """Leave the role to other nodes, because this one does not run the pool."""
+        if self.may_write():
+            self.claims.release(self.role, reason, pause_s)
+
     def update_worker(self, entry: DirectoryEntry) -> None:
         """Handle a new or changed directory entry of a worker."""
         if entry.info.pool != self.pool:
             self.remove_worker(entry.info.worker_id)
             return
         self.scheduler.update_worker(entry.info, now_s())
-        link = self.links.get(entry.info.worker_id)
-        if link is not None and link.entry.address != entry.address:
-            self.unlink(entry.info.worker_id)
-            link = None
-        if link is None and self.loaded:
-            self.links[entry.info.worker_id] = WorkerLink(self, entry)
+        if self.loaded:
+            self.links.update(entry)
 
     def remove_worker(self, worker_id: str) -> None:
         """Handle that a worker is no longer registered."""
@@ -158,21 +159,29 @@
 
     def unlink(self, worker_id: str) -> None:
         """Close the connection to a worker."""
-        link = self.links.pop(worker_id, None)
-        if link is not None:
-            link.stop()
+        self.links.close(worker_id)
 
     def _claim(self):
         return self.claims.expect(self.role)
 
     def _run(self) -> None:
+        try:
+            self._load_and_schedule()
+        except Exception as error:
+            # Writes and orders may be lost, so the records must be read again.
+            log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
+            self._on_error(f"ended with an error: {error!r}")
+
+    def _load_and_schedule(self) -> None:
         while not self.records.load(self.token):
             gevent.sleep(RETRY_S)
         self.loaded = True
         for entry in list(self.directory.entries.values()):
             self.update_worker(entry)
         self.records.start()
-        self.greenlets.append(gevent.spawn(self._report_loop))
+        self.greenlets.append(
+            spawn_supervised(f"reports of pool {self.pool}", self._report_loop)
+        )
         self.permits.start()
         pause_s = 0.0
         while True:
@@ -181,15 +190,16 @@
             self.signal.clear()
             begun_s = now_s()
             try:
-                self._round()
+                self._decide()
             except Exception as error:  # one fault must not stop the pool
                 log(Event.TASK_FAILED, task=f"pool {self.pool}", error=repr(error))
                 gevent.sleep(ROUND_S)
+            self._flush()
             # Long rounds run less often, so that they do not delay responses.
             duration_s = now_s() - begun_s
             pause_s = min(ROUND_S, duration_s * (1 / ROUNDS_CPU_SHARE - 1))
 
-    def _round(self) -> None:
+    def _decide(self) -> None:
         config = self.operators.config
         if config is None:
             return
@@ -200,7 +210,7 @@
         self.scheduler.set_drains(plan.vacating, plan.resting, frozenset(plan.due))
         if self.may_order() and self.plan_watcher.loaded:
             self.scheduler.decide(now_s(), wall_s())
-        self._flush()
+            self.watchdog.note_round()
 
     def _flush(self) -> None:
         most = self.committer.free_capacity()
@@ -208,25 +218,10 @@
         if writes:
             self.committer.submit(writes)
         for order in self.scheduler.take_orders():
-            link = self.links.get(order.worker_id)
-            if link is not None:
-                self.orders.spawn(link.send, order)
-            elif not isinstance(order, StopOrder):
-                log(Event.CALL_UNKNOWN, worker=order.worker_id, error="not registered")
+            self.links.send(order)
         for what, details in self.scheduler.take_notes():
             log(Event.DECIDED, what=what, pool=self.pool, **details)
-            self._record_metrics(what, details)
-
-    def _record_metrics(self, what: str, details: dict) -> None:
-        if what == "run ended":
-            METER.sink.count(Metric.RUN_ENDS, label=details["ending"])
-        elif what == "start answered":
-            METER.sink.count(Metric.START_RESULTS, label=details["result"])
-        elif what == "placed" and details["version"] == 1:
-            job = self.scheduler.state.jobs.get(details["task"].job_id)
-            if job is not None:
-                delay_ms = (wall_s() - job.job.accepted_s) * 1000.0
-                METER.sink.time(Metric.START_DELAY_MS, max(0.0, delay_ms))
+            record_decision(self.scheduler.state, what, details)
 
     def _on_stored(self, writes: tuple[JobWrite, ...]) -> None:
         for write in writes:
@@ -235,7 +230,10 @@
         self.wake()
 
     def _on_conflict(self, reason: str) -> None:
-        self.claims.release(self.role, reason)
+        self.give_up(reason, 0.0)
+
+    def _on_error(self, reason: str) -> None:
+        self.give_up(reason, GIVEN_UP_PAUSE_S)
 
     def _report_loop(self) -> None:
         """Update the pool's parts of the team limits and store its report."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -20,6 +20,7 @@
 from ..transport.http import ExchangeError
 from .clock import now_s
 from .ports import DirectoryEntry, Renewal
+from .supervision import spawn_supervised
 
 if TYPE_CHECKING:
     from .pool_holder import PoolHolder
@@ -45,7 +46,7 @@
         self.worker_id = entry.info.worker_id
         self.control = holder.external_ports.open_worker(entry)
         self.silent_since_s = float("inf")
-        self.greenlet = gevent.spawn(self._run)
+        self.greenlet = spawn_supervised(f"link to worker {self.worker_id}", self._run)
 
     def stop(self) -> None:
         """Stop the renewals and close the connection."""
@@ -74,6 +75,14 @@
                 run=order.number,
                 error=str(error),
             )
+        except Exception as error:
+            # The order may have been sent. A start must not count as ordered for ever.
+            log(
+                Event.TASK_FAILED,
+                task=f"{type(order).__name__} for worker {self.worker_id}",
+                error=repr(error),
+            )
+            self._report_start(order, StartResult.UNKNOWN)
         self.holder.wake()
 
     @singledispatchmethod
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -2,7 +2,9 @@
 
 import time
 
+import gevent
 import pytest
+from gevent.event import Event as Signal
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.fleet_configuration import (
@@ -12,6 +14,8 @@
     Team,
 )
 from heatherhatch_core.state.work import Phase, Schedule, Step
+from heatherhatch_daemon.pools import retries
+from heatherhatch_daemon.pools.clock import now_s
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
 from heatherhatch_daemon.pools.operators import Operators
@@ -31,7 +35,7 @@
 
 
 class ScriptedStore(MemoryStore):
-    """A store whose next transactions fail as a test specifies.
+    """A store whose next transactions and reads fail as a test specifies.
 
     A ``lost`` transaction is applied but not answered, a ``cut`` one is neither
     applied nor answered, and a ``refused`` one is answered as not applied.
@@ -40,6 +44,15 @@
     def __init__(self):
         super().__init__(time.monotonic)
         self.script = []
+        self.read_script = []
+        self.reads = 0
+
+    def get(self, key):
+        self.reads += 1
+        action = self.read_script.pop(0) if self.read_script else ""
+        if action:
+            raise StoreError(action, action == "lost")
+        return super().get(key)
 
     def transact(self, transaction):
         action = self.script.pop(0) if self.script else ""
@@ -75,6 +88,14 @@
         return [entry.key for entry in self.store.range(prefix).entries]
 
 
+@pytest.fixture
+def pauses(monkeypatch) -> list[float]:
+    """Return the pauses between attempts, which take no time."""
+    pauses = []
+    monkeypatch.setattr(retries, "sleep", pauses.append)
+    return pauses
+
+
 @pytest.fixture
 def harness() -> IntakeHarness:
     return IntakeHarness()
@@ -215,3 +236,136 @@
     assert reads == []
     harness.submit("j1", "k2")
     assert harness.jobs() == [job_key("till", "j1")]
+
+
+class HeldStore(MemoryStore):
+    """A store that holds confirmations of the configuration until they are released."""
+
+    def __init__(self):
+        super().__init__(time.monotonic)
+        self.released = Signal()
+        self.confirmations = 0
+
+    def transact(self, transaction):
+        if not transaction.puts:
+            self.confirmations += 1
+            self.released.wait()
+        return super().transact(transaction)
+
+
+@pytest.fixture
+def held_store() -> HeldStore:
+    store = HeldStore()
+    store.transact(Transaction((), (Put("op/config", b"1"),)))
+    return store
+
+
+@pytest.fixture
+def unconfirmed(held_store) -> Operators:
+    operators = Operators(held_store, RECORDS, lambda _config: None)
+    operators.feed.read()
+    operators.feed.last_response_s = float("-inf")
+    return operators
+
+
+# Each request at an instance with an old configuration read a copy of the newest. Ten
+# copies on a slow link took ten times as long, while callers waited without an answer.
+def test_requests_that_wait_for_the_configuration_share_one_read(
+    held_store, unconfirmed
+):
+    callers = [gevent.spawn(unconfirmed.confirm) for _caller in range(10)]
+    gevent.sleep(0.01)
+    callers[0].kill()
+    held_store.released.set()
+    with gevent.Timeout(30):
+        assert [caller.get().version for caller in callers[1:]] == [1] * 9
+    assert held_store.confirmations == 1
+
+
+def test_a_configuration_is_not_confirmed_by_a_read_that_began_too_early(
+    held_store, unconfirmed
+):
+    early = gevent.spawn(unconfirmed.confirm)
+    gevent.sleep(0.01)
+    asked_s = now_s()
+    late = gevent.spawn(unconfirmed.refresh, asked_s)
+    held_store.released.set()
+    with gevent.Timeout(30):
+        gevent.joinall([early, late], raise_error=True)
+    assert unconfirmed.confirmed_s >= asked_s
+
+
+# Guards against callers that get 503 because one read of the store was lost or refused.
+@pytest.mark.parametrize(
+    "script", [["lost"], ["refused"], ["refused", "lost"], ["refused"] * 3]
+)
+def test_a_status_is_answered_although_reads_fail_briefly(harness, pauses, script):
+    harness.submit()
+    harness.store.read_script = list(script)
+    assert harness.intake.status("h", "/q/j1", "k1").phase is Phase.QUEUED
+    assert len(pauses) == len(script)
+    assert harness.store.read_script == []
+
+
+# Guards against attempts that burden a store that refuses reads.
+def test_reads_are_repeated_a_bounded_number_of_times(harness, pauses):
+    harness.submit()
+    harness.store.reads = 0
+    harness.store.read_script = ["refused"] * 100
+    kind = error_kind(harness.intake.status, "h", "/q/j1", "k1")
+    assert kind is ErrorKind.STORE_UNAVAILABLE
+    assert harness.store.reads == retries.STORE_ATTEMPTS
+    assert pauses == sorted(pauses)
+
+
+# Guards against attempts that go on after the store is known not to answer.
+def test_reads_are_not_repeated_in_a_known_outage(harness, pauses):
+    harness.submit()
+    harness.store.reads = 0
+    harness.store.read_script = ["lost"] * 100
+    harness.intake.store_outage_s = lambda: 2.0 if harness.store.reads else 0.0
+    with pytest.raises(HeatherhatchError) as caught:
+        harness.intake.status("h", "/q/j1", "k1")
+    assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
+    assert caught.value.retry_after_s == 2.0
+    assert harness.store.reads == 1
+
+
+# Guards against callers that get 503 because one confirmation was lost or refused.
+@pytest.mark.parametrize("script", [["cut"], ["refused"], ["refused", "cut"]])
+def test_a_failed_confirmation_of_the_configuration_is_repeated(
+    harness, pauses, script
+):
+    harness.submit()
+    harness.operators.confirmed_s = float("-inf")
+    harness.store.script = list(script)
+    assert harness.intake.status("h", "/q/j1", "k1").phase is Phase.QUEUED
+
+
+# Guards against callers that cannot cancel because one write was lost or refused.
+@pytest.mark.parametrize(
+    "script", [["lost"], ["cut"], ["refused"], ["cut", "refused", "lost"]]
+)
+def test_a_cancellation_is_stored_although_writes_fail_briefly(harness, pauses, script):
+    harness.submit()
+    harness.store.script = list(script)
+    harness.intake.cancel("h", "/q/j1", "k1")
+    assert cancel_key("till", "j1") in harness.store.entries
+    assert harness.store.script == []
+
+
+# Guards against a cancellation that may be stored and is reported as refused.
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        (["refused"] * 100, ErrorKind.STORE_UNAVAILABLE),
+        (["cut"] + ["refused"] * 100, ErrorKind.CHANGE_UNKNOWN),
+    ],
+)
+def test_a_cancellation_that_keeps_failing_is_reported_truly(
+    harness, pauses, script, kind
+):
+    harness.submit()
+    harness.store.script = list(script)
+    assert error_kind(harness.intake.cancel, "h", "/q/j1", "k1") is kind
+    assert len(pauses) == retries.STORE_ATTEMPTS - 1
