--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -77,7 +77,7 @@
         callers.wait_until_ready()
 
 
-# Guards against a holder that never loads its pool and runs nothing, as long as it lives.
+# Guards against a holder that keeps its pool and never loads or runs the jobs in it.
 def test_a_pool_is_run_although_a_page_of_its_jobs_takes_longer_than_a_call(
     deployment, callers, slow_instance
 ):
