--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -51,8 +51,7 @@
     if worker is None or run.stopping:
         return
     if ending is Ending.DONE:
-        worker.quarantine.record_success()
-        worker.backoff_s = 0.0
+        worker.record_success()
         if run.begun_s < now_s and not run.task.checkpoint:
             state.run_times.learn(run.task, now_s - run.begun_s)
     elif ending is Ending.FAILED and worker.quarantine.record_failure(
@@ -75,9 +74,12 @@
 
 
 def _failed(run: Run, task: Task) -> None:
+    task.avoid.add(run.worker_id)
+    if run.number == task.failed_run:
+        return  # another member of the gang has failed in the same run
     for member in _gang_members(task):
         member.failures += 1
-    task.avoid.add(run.worker_id)
+        member.failed_run = run.number
     if task.failures >= task.job.job.terms.attempts:
         task.job.phase = Phase.FAILED
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -14,14 +14,13 @@
 from .clock import now_s
 from .feed import Feed
 from .ports import OperatorRecords
-from .retries import call_with_retries
 
 POLL_WAIT_S = 1.0  # maximum wait of one poll; each response confirms the records
 MAX_AGE_S = 0.3  # a refusal needs a configuration that was confirmed within this time
 MAX_SERVING_AGE_S = 2.5  # the same for any other answer
 POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
-FIRST_READ_S = 1.0  # how long callers of a process that has just started may wait
-REFRESH_PAUSE_S = 1.0  # while the feed fails, pause after a failed confirmation
+FIRST_READ_S = 0.5  # how long callers of a process that has just started may wait
+CONFIRM_WAIT_S = 0.5  # how long callers wait for a confirmation
 
 
 class Operators:
@@ -46,9 +45,6 @@
         self.revision = 0
         self.loaded = Signal()
         self.confirmed_s = float("-inf")
-        self.loaded = Signal()
-        self.confirmed_s = float("-inf")
-        self.refresh_failed_s = float("-inf")
         self.reading: gevent.Greenlet | None = None
         self.waves: dict[int, Wave] = {}
         self.feed = Feed(
@@ -95,19 +91,18 @@
                 ErrorKind.NO_STANDING, "this node has not read a configuration yet"
             )
         if self.config_age_s() > max_age_s:
-            self._check_recent_failure()
-            self.refresh(now_s() - max_age_s)
+            # The response to a failed condition is as large as the feed's read.
+            if self.feed_failing_s() > POLL_FAILURE_S:
+                raise self._unconfirmed_error()
+            with gevent.Timeout(CONFIRM_WAIT_S, self._unconfirmed_error()):
+                self.refresh(now_s() - max_age_s)
         return self.config
 
-    def _check_recent_failure(self) -> None:
-        """Raise ``NO_STANDING`` while another confirmation would fail as well."""
-        failed_ago_s = now_s() - self.refresh_failed_s
-        if self.feed_failing_s() > 0.0 and failed_ago_s < REFRESH_PAUSE_S:
-            raise HeatherhatchError(
-                ErrorKind.NO_STANDING,
-                f"the configuration was confirmed {self.config_age_s():.1f} s ago,"
-                " and the store does not confirm it now",
-            )
+    def _unconfirmed_error(self) -> HeatherhatchError:
+        return HeatherhatchError(
+            ErrorKind.NO_STANDING,
+            f"the configuration was last confirmed {self.config_age_s():.1f} s ago",
+        )
 
     def refresh(self, since_s: float | None = None) -> None:
         """Make sure that the configuration is the newest.
@@ -140,15 +135,9 @@
     def _read_newest(self) -> StoreError | None:
         sent_s = now_s()
         try:
-            found = call_with_retries(
-                self._fetch_newest,
-                lambda: max(0.0, self.feed_failing_s()),
-                subject=self.records.config_key,
-            )
-            if found:
+            if self._fetch_newest():
                 self.confirmed_s = max(self.confirmed_s, sent_s)
         except StoreError as error:
-            self.refresh_failed_s = now_s()
             return error
         finally:
             self.reading = None
