--- a/tests/scheduler_environment.py
+++ b/tests/scheduler_environment.py
@@ -86,7 +86,7 @@
         starts_s: Start times of the runs of each task, seconds.
         done_s: When each task was first done, seconds.
         acknowledged: Tasks whose successful end was acknowledged to the worker.
-        reported: Tasks with an end in a report that a holder received.
+        reported: Tasks with a successful end in a report that a holder received.
         failures: Number of acknowledged failures of each task.
         holder: The current holder.
     """
@@ -247,7 +247,8 @@
         )
         self.now_s += 0.01
         if answered:
-            self.reported.update(end.task for end in worker.ends)
+            done = [end.task for end in worker.ends if end.ending is Ending.DONE]
+            self.reported.update(done)
             holder.scheduler.handle_report(worker.worker_id, report, sent_s, self.now_s)
         else:
             holder.scheduler.handle_no_response(worker.worker_id, self.now_s)
