Ask the policy service again about a worker that was restarted

Callers of a queue with a policy could see a job wait although a worker could run it: a worker may restart under its former identifier and be of another kind.

Cause: the answers of the policy service are kept by step and worker, a refusal for good. They outlived the incarnation of the worker that they were given for. A permit of the former incarnation cost a rejected start before it was dropped.

Both are now dropped when a new incarnation is seen.

Before: test_a_restarted_worker_is_asked_about_again fails with "assert ['w1'] == ['w0', 'w1']". After: it passes, as do the tests of the scheduler and of the requests for permits.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
@@ -46,7 +46,8 @@
 
     Attributes:
         held: Permits by step, then by worker.
-        refused: Workers that may not run a step; a refusal is final.
+        refused: Workers that may not run a step; a refusal is final for this
+            incarnation of the worker.
         wanted: Steps for which permits must be requested.
     """
 
@@ -94,6 +95,13 @@
         """Drop a permit that a worker did not accept."""
         self.held.get(step, {}).pop(worker_id, None)
 
+    def forget_worker(self, worker_id: str) -> None:
+        """Drop all entries of a worker that was restarted."""
+        for held in self.held.values():
+            held.pop(worker_id, None)
+        for refused in self.refused.values():
+            refused.discard(worker_id)
+
     def forget_job(self, job_id: str) -> None:
         """Drop all entries of a job."""
         for table in (self.held, self.refused):
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -76,6 +76,7 @@
     worker.fenced = False
     worker.claimed_s = now_s
     worker.leaves_at_s = float("inf")
+    state.permits.forget_worker(worker.worker_id)
 
 
 def _handle_end(state: PoolState, worker: Worker, end: ListedEnd, now_s: float) -> None:
--- a/tests/test_scheduler_permits.py
+++ b/tests/test_scheduler_permits.py
@@ -36,3 +36,15 @@
     add_restricted(model, "b")
     permits = model.scheduler.state.permits
     assert permits.wanted == {StepName("a", 0, 0), StepName("b", 0, 0)}
+
+
+def test_a_restarted_worker_is_asked_about_again(model):
+    """It may be of another kind, but a refusal of its former life stayed for good."""
+    add_restricted(model, "a")
+    permits = model.scheduler.state.permits
+    step = StepName("a", 0, 0)
+    permits.record_answer(step, ["w0", "w1"], {"w1": "ticket"}, model.now_s + 9.0)
+    model.add_worker("w0", "m0", born_ms=2)
+    model.add_worker("w1", "m1", born_ms=2)
+    assert permits.not_refused(step, ["w0", "w1"]) == ["w0", "w1"]
+    assert not permits.allows(step, "w1", model.now_s)
