Request permits for quarantined workers that may be a last resort

Callers of a queue with a policy would still wait for the end of a quarantine where only quarantined workers may run a step: permits were requested for usable workers alone.

These workers are now asked about as well, after all others.

Before: test_permits_are_requested_for_quarantined_workers_too fails with "assert set() == {'w1'}". After: it passes, as do the tests of the scheduler.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_requester.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_requester.py
@@ -76,13 +76,20 @@
         return False
 
     def _candidates(self, step: StepName) -> list[str]:
-        """Return the workers to request permits for, most free capacity first."""
+        """Return the workers to request permits for, most free capacity first.
+
+        Quarantined workers that may get a run as a last resort come after all others.
+        """
         state = self.scheduler.state
         now = now_s()
         usable = [item for item in state.workers.values() if item.is_usable(now)]
-        usable.sort(key=lambda item: (-item.free.cpu_m, item.worker_id))
+        last_resorts = [
+            item for item in state.workers.values() if item.is_last_resort(now)
+        ]
+        for workers in (usable, last_resorts):
+            workers.sort(key=lambda item: (-item.free.cpu_m, item.worker_id))
         not_refused = state.permits.not_refused(
-            step, [worker.worker_id for worker in usable]
+            step, [worker.worker_id for worker in usable + last_resorts]
         )
         without_permit = [
             worker_id
--- a/tests/test_permit_requester.py
+++ b/tests/test_permit_requester.py
@@ -93,3 +93,14 @@
     model.round()
     assert model.alive_runs() == []
     assert requester.request_next()
+
+
+def test_permits_are_requested_for_quarantined_workers_too(model, requester, policy):
+    """A step that only such a worker may run waited for the end of its quarantine."""
+    quarantine = model.scheduler.state.workers["w1"].quarantine
+    quarantine.pause_s = 30.0
+    quarantine.until_s = model.now_s + quarantine.pause_s
+    model.add(make_job(make_step()))
+    assert requester.request_next()
+    model.round()
+    assert {worker for worker, _task, _run in model.alive_runs()} == {"w1"}
