Release idle reserves of a team's limit while another pool is short

What callers saw: jobs of a team wait with workers free, while the team uses a quarter of its limit.

Cause: each pool keeps up to a quarter of a team's limit beyond its use, an eighth as its reserve and as much again before it writes. Nothing tells it that another pool needs it. With four pools, three idle ones can keep three quarters for as long as they stay idle.

Evidence: on the code before, in virtual time,

test_reserves_of_idle_pools_do_not_hold_back_a_pool_with_demand AssertionError: assert 20000 >= ((80000 * 3) // 4) test_parts_follow_the_demand_from_pool_to_pool AssertionError: assert 58000 >= ((80000 * 3) // 4)

Fix: the record of a team's grant names the pools that are short. While there is another one, a pool keeps a sixteenth beyond its use. Records without the field are read as before. A pool that is short still does not take from one that uses its part: which of two busy pools gets the limit is not changed.

Result: tests/test_pool_grants.py, 5 passed; make test, 632 passed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
@@ -156,9 +156,11 @@
 
     Attributes:
         parts: Part of each pool: thousandths of a core, MB, accelerators.
+        short: Pools whose demand exceeds what the parts of the others leave them.
     """
 
     parts: dict[str, tuple[int, int, int]] = {}
+    short: tuple[str, ...] = ()
 
 
 class PlanWatcher:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -15,6 +15,7 @@
 from .keys import grant_key
 
 RESERVE_DIVISOR = 8  # a pool reserves 1/8 of the limit, to write less often
+CONTENDED_RESERVE_DIVISOR = 16  # while another pool is short, a pool reserves 1/16
 RELEASE_AFTER_S = 1.0  # an excess that was unused for this long is released
 EMPTY_PART = (0, 0, 0)
 
@@ -24,7 +25,8 @@
 
     The parts of one team never add up to more than its limit, so that no pool
     needs to know what the others have running. After a limit was lowered, no
-    pool starts anything for the team until the parts fit into it again.
+    pool starts anything for the team until the parts fit into it again. While a
+    pool is short, the others keep only a small reserve beyond their use.
 
     Args:
         store: The platform's store.
@@ -68,8 +70,16 @@
                 others = others + Resources(*part)
         used = self.scheduler.state.team_used.get(team, NO_RESOURCES)
         unmet = self.scheduler.state.allowance_shortfall.get(team, NO_RESOURCES)
+        is_short = unmet != NO_RESOURCES and not (others + used + unmet).within(limit)
+        short = set(grant.short) - {self.pool}
         target = self._target_part(team, used, unmet, own, limit, others)
-        if target != own and self._write(team, grant, target):
+        if short:
+            reserve = _divided(limit, CONTENDED_RESERVE_DIVISOR)
+            target = target.elementwise_min(used + reserve)
+        if is_short:
+            short.add(self.pool)
+        updated = _with_part(grant, self.pool, target, short)
+        if updated != grant and self._write(team, updated):
             own = target
         if not (own + others).within(limit):
             return _as_allowance(NO_RESOURCES, limit)
@@ -84,11 +94,7 @@
         limit: Resources,
         others: Resources,
     ) -> Resources:
-        reserve = Resources(
-            limit.cpu_m // RESERVE_DIVISOR,
-            limit.memory_mb // RESERVE_DIVISOR,
-            limit.accelerators // RESERVE_DIVISOR,
-        )
+        reserve = _divided(limit, RESERVE_DIVISOR)
         available = (limit - others).elementwise_max(NO_RESOURCES)
         if not (own + others).within(limit):
             return used.elementwise_min(own)
@@ -106,11 +112,8 @@
             return own
         return (used + reserve).elementwise_min(own)
 
-    def _write(self, team: str, grant: Grant, target: Resources) -> bool:
+    def _write(self, team: str, updated: Grant) -> bool:
         key = grant_key(team)
-        parts = dict(grant.parts)
-        parts[self.pool] = (target.cpu_m, target.memory_mb, target.accelerators)
-        updated = Grant(parts)
         revision = self.plan_watcher.grant_revisions.get(team, 0)
         put = Put(key, encode_json(updated))
         try:
@@ -129,6 +132,23 @@
         return outcome.succeeded
 
 
+def _divided(limit: Resources, divisor: int) -> Resources:
+    return Resources(
+        limit.cpu_m // divisor,
+        limit.memory_mb // divisor,
+        limit.accelerators // divisor,
+    )
+
+
+def _with_part(grant: Grant, pool: str, part: Resources, short: set[str]) -> Grant:
+    """Return a grant with another part of one pool, unless the part is the same."""
+    parts = dict(grant.parts)
+    row = (part.cpu_m, part.memory_mb, part.accelerators)
+    if row != parts.get(pool, EMPTY_PART):
+        parts[pool] = row
+    return Grant(parts, tuple(sorted(short)))
+
+
 def _as_allowance(part: Resources, limit: Resources) -> Resources:
     """Return a part as an allowance, in which 0 would mean no bound."""
     return Resources(
--- /dev/null
+++ b/tests/test_pool_grants.py
@@ -0,0 +1,140 @@
+"""Each team's limit is divided among the pools as they need it."""
+
+import dataclasses
+from types import SimpleNamespace
+
+import pytest
+
+from heatherhatch_core.state.fleet_configuration import Team
+from heatherhatch_core.state.resources import NO_RESOURCES, Resources
+from heatherhatch_daemon.pools import pool_grants
+from heatherhatch_daemon.pools.fleet_records import PlanWatcher
+from heatherhatch_daemon.pools.pool_grants import RELEASE_AFTER_S, PoolGrants
+from heatherhatch_daemon.transport.memory_store import MemoryStore
+from heatherhatch_daemon.transport.store import Expect
+from pool_model import CONFIG
+
+POOLS = ("a", "b", "c", "d")
+LIMIT = Resources(80_000, 80_000)
+TEAM_CONFIG = dataclasses.replace(CONFIG, teams=(Team("red", limit=LIMIT),))
+STEPS = 40  # enough for each pool to react to all others
+
+
+class DemandModel:
+    """A scheduler that starts what its allowance covers.
+
+    Attributes:
+        cpu_m: Demand for the team, thousandths of a core.
+    """
+
+    def __init__(self):
+        self.cpu_m = 0
+        self.allowed = NO_RESOURCES
+        self.state = SimpleNamespace(team_used={}, allowance_shortfall={})
+
+    def set_allowances(self, allowances):
+        self.allowed = allowances["red"]
+        used_m = min(self.cpu_m, self.allowed.cpu_m) // 1000 * 1000
+        self.state.team_used = {"red": Resources(used_m, used_m)}
+        unmet_m = self.cpu_m - used_m
+        self.state.allowance_shortfall = (
+            {"red": Resources(unmet_m, unmet_m)} if unmet_m else {}
+        )
+
+
+class GrantsModel:
+    """Four pools that divide the limit of one team, with a clock that a test sets."""
+
+    def __init__(self, monkeypatch):
+        self.now_s = 100.0
+        monkeypatch.setattr(pool_grants, "now_s", lambda: self.now_s)
+        self.store = MemoryStore(lambda: 0.0)
+        self.watcher = PlanWatcher(self.store)
+        self.demands = {pool: DemandModel() for pool in POOLS}
+        self.grants = [
+            PoolGrants(
+                self.store,
+                self.watcher,
+                pool,
+                lambda: Expect("claims/pool/x", 0),
+                self.demands[pool],
+            )
+            for pool in POOLS
+        ]
+
+    def step(self, seconds=0.05):
+        """Let each pool adjust its part once."""
+        self.now_s += seconds
+        for grants in self.grants:
+            grants.step(TEAM_CONFIG)
+        assert sum(item.allowed.cpu_m for item in self.demands.values()) <= (
+            LIMIT.cpu_m + len(POOLS)
+        )
+
+    def settle(self):
+        """Let the pools adjust their parts until nothing changes any more."""
+        for _step in range(STEPS):
+            self.step()
+
+    def used_cpu_m(self, pool):
+        """Return what the team uses in a pool."""
+        return self.demands[pool].state.team_used["red"].cpu_m
+
+
+@pytest.fixture
+def model(monkeypatch) -> GrantsModel:
+    return GrantsModel(monkeypatch)
+
+
+def test_reserves_of_idle_pools_do_not_hold_back_a_pool_with_demand(model):
+    """Each of three idle pools kept a quarter of the limit."""
+    for pool in ("b", "c", "d"):
+        model.demands[pool].cpu_m = 10_000
+    model.settle()
+    for pool in ("b", "c", "d"):
+        model.demands[pool].cpu_m = 0
+    model.settle()
+    model.demands["a"].cpu_m = 80_000
+    model.settle()
+    assert model.used_cpu_m("a") >= LIMIT.cpu_m * 3 // 4
+
+
+def test_parts_follow_the_demand_from_pool_to_pool(model):
+    for pool in (*POOLS, *POOLS):
+        for other in POOLS:
+            model.demands[other].cpu_m = 80_000 if other == pool else 1_000
+        model.settle()
+        assert model.used_cpu_m(pool) >= LIMIT.cpu_m * 3 // 4
+
+
+def test_pools_without_unmet_demand_rarely_write(model):
+    for pool in POOLS:
+        model.demands[pool].cpu_m = 5_000
+    model.settle()
+    before = model.store.revision
+    for number in range(STEPS):
+        for pool in POOLS:
+            model.demands[pool].cpu_m = 5_000 - 1_000 * (number % 3)
+        model.step(2 * RELEASE_AFTER_S)
+    assert model.store.revision == before
+
+
+def test_a_limit_that_is_used_up_is_not_rewritten_in_each_step(model):
+    for pool in POOLS:
+        model.demands[pool].cpu_m = 80_000
+    model.settle()
+    before = model.store.revision
+    model.settle()
+    assert model.store.revision == before
+
+
+def test_a_pool_keeps_a_reserve_while_another_is_short(model):
+    """A few small jobs must not wait for the demand of another pool to end."""
+    model.demands["b"].cpu_m = 10_000
+    model.settle()
+    model.demands["a"].cpu_m = 80_000
+    model.demands["b"].cpu_m = 0
+    model.settle()
+    model.demands["b"].cpu_m = 5_000
+    model.step()
+    assert model.used_cpu_m("b") == 5_000
