--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_watchdog.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_watchdog.py
@@ -13,8 +13,10 @@
 
 WATCH_PERIOD_S = 0.5
 # Numbers of periods rather than times, because a process may be suspended.
-ROUND_LIMIT = 8  # periods without a round after which a role is given up
-LOAD_LIMIT = 16  # the same until the pool is loaded, which is slow on a slow link
+ROUND_LIMIT_PERIODS = 8  # periods without a round after which a role is given up
+LOAD_LIMIT_PERIODS = (
+    16  # the same until the pool is loaded, which is slow on a slow link
+)
 HEALTH_LOG_PERIODS = 10  # periods between two log lines about the pool
 GIVEN_UP_PAUSE_S = 5.0  # time for other nodes to take a role that was given up
 
@@ -56,7 +58,9 @@
             self.idle_periods = 0
             return
         self.idle_periods += 1
-        if self.idle_periods >= (ROUND_LIMIT if self.loaded else LOAD_LIMIT):
+        if self.idle_periods >= (
+            ROUND_LIMIT_PERIODS if self.loaded else LOAD_LIMIT_PERIODS
+        ):
             self.idle_periods = 0
             idle_s = now_s() - self.last_round_s
             self.give_up(f"no round for {idle_s:.1f} s", GIVEN_UP_PAUSE_S)
--- a/tests/test_pool_holder.py
+++ b/tests/test_pool_holder.py
@@ -123,7 +123,7 @@
     holder = cluster.wait_for_role(node)
     wait_for(lambda: holder.loaded)
     holder.claims.confirmed_s = float("-inf")
-    for _period in range(3 * pool_watchdog.ROUND_LIMIT):
+    for _period in range(3 * pool_watchdog.ROUND_LIMIT_PERIODS):
         holder.claims.confirmed_s = float("-inf")
         holder.watchdog.step()
     assert not holder.stopped
