--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_watchdog.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_watchdog.py
@@ -13,8 +13,8 @@
 
 WATCH_PERIOD_S = 0.5
 # Numbers of periods rather than times, because a process may be suspended.
-ROUND_LIMIT = 8  # periods without a round after which a role is given up
-LOAD_LIMIT = 6  # periods with a failed load after which a role is given up
+ROUND_LIMIT_PERIODS = 8  # periods without a round after which a role is given up
+LOAD_LIMIT_PERIODS = 6  # periods with a failed load after which a role is given up
 HEALTH_LOG_PERIODS = 10  # periods between two log lines about the pool
 GIVEN_UP_PAUSE_S = 5.0  # time for other nodes to take a role that was given up
 
@@ -72,7 +72,9 @@
             return
         self.load_failed = False
         self.idle_periods += 1
-        if self.idle_periods >= (ROUND_LIMIT if self.loaded else LOAD_LIMIT):
+        if self.idle_periods >= (
+            ROUND_LIMIT_PERIODS if self.loaded else LOAD_LIMIT_PERIODS
+        ):
             self.idle_periods = 0
             idle_s = now_s() - self.last_round_s
             self.give_up(f"no round for {idle_s:.1f} s", GIVEN_UP_PAUSE_S)
