--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -156,3 +156,18 @@
     gevent.joinall([*starts, stop])
     assert SlowProcess.started == 1
     assert instance.process is not None
+
+
+def test_a_process_whose_start_is_interrupted_still_belongs_to_its_instance(
+    tmp_path, monkeypatch
+):
+    """Guards against processes that serve for ever because no instance stops them."""
+    monkeypatch.setattr(SlowProcess, "started", 0)
+    monkeypatch.setattr(subprocess, "Popen", SlowProcess)
+    instance = Instance("n0", "127.0.0.1:1", tmp_path)
+    start = gevent.spawn(instance.start)
+    while not SlowProcess.started:
+        gevent.sleep(0)
+    start.kill()
+    instance.stop()
+    assert instance.process is not None
