Let submissions wait for a configuration that is arriving

What callers saw: submissions answered with 504, or not at all within their deadline, while a large configuration changed; on links of 2 Mbit/s tasks that were ended although others of their step were away.

Cause: a submission is stored on the condition that the configuration is the newest. If it is not, the store sends the newest with its refusal. Each submission during a change received a copy of its own beside the feed's, and several copies on one link delayed each other, the requests of callers and the renewals of claims and worker leases: the same class of fault, work repeated that delays its own end.

Fix: the store client tells whether a large change under a prefix is being received, from the calls that are in flight. A submission, and a refusal that must be confirmed, waits for it up to 0.5 s and is then refused as not accepted.

test_a_submission_waits_for_a_configuration_that_is_arriving fails before: the submission is sent, and refused, by the old configuration.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -88,6 +88,7 @@
             HeatherhatchError: The error kind says whether the job may still run.
         """
         for _attempt in range(CONFLICT_ATTEMPTS):
+            self.operators.await_change()
             caller = self.identify(host, path, key)
             job_id = path.removeprefix(caller.queue.prefix)
             if not job_id or "/" in job_id:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -21,6 +21,7 @@
 POLL_FAILURE_S = 0.5  # a poll may be aborted; the next one then succeeds immediately
 FIRST_READ_S = 0.5  # how long callers of a process that has just started may wait
 CONFIRM_WAIT_S = 0.5  # how long callers wait for a confirmation
+CHANGE_CHECK_S = 0.02  # pause between two checks whether a change has been received
 
 
 class Operators:
@@ -90,6 +91,8 @@
             raise HeatherhatchError(
                 ErrorKind.NO_STANDING, "this node has not read a configuration yet"
             )
+        if self.config_age_s() > max_age_s:
+            self.await_change()
         if self.config_age_s() > max_age_s:
             # The response to a failed condition is as large as the feed's read.
             if self.feed_failing_s() > POLL_FAILURE_S:
@@ -98,6 +101,21 @@
                 self.refresh(now_s() - max_age_s)
         return self.config
 
+    def await_change(self) -> None:
+        """Wait while a new configuration is being received.
+
+        A call that depends on the newest one would receive another copy, and many
+        copies saturate a slow link.
+
+        Raises:
+            HeatherhatchError: ``NO_STANDING`` if that takes too long for a caller.
+        """
+        deadline_s = now_s() + CONFIRM_WAIT_S
+        while self.store.is_receiving(self.records.prefix):
+            if now_s() >= deadline_s:
+                raise self._unconfirmed_error()
+            gevent.sleep(CHANGE_CHECK_S)
+
     def _unconfirmed_error(self) -> HeatherhatchError:
         return HeatherhatchError(
             ErrorKind.NO_STANDING,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
@@ -73,6 +73,10 @@
         """Return the changes after a revision, waiting for the first."""
         return self._forward(lambda: self.store.poll(prefix, revision, wait_s))
 
+    def is_receiving(self, prefix: str) -> bool:
+        """Return whether a large change under a prefix is being received."""
+        return self.store.is_receiving(prefix)
+
     def _forward(self, call: Callable[[], T]) -> T:
         try:
             answer = call()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -130,7 +130,7 @@
         sent = False
         sock = None
         answer = None
-        call = PendingCall(timeout_s, by_progress)
+        call = PendingCall(request.path, timeout_s, by_progress)
         self.pending_calls.add(call)
         try:
             sock = self.pool.get_socket()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -159,6 +159,10 @@
         """Return True: the memory is always available."""
         return True
 
+    def is_receiving(self, prefix: str) -> bool:
+        """Return False: changes take no time."""
+        return False
+
     def abort_overdue(self, waited_s: float) -> int:
         """Return 0: calls only wait for changes, never for a response."""
         return 0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/pending_call.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/pending_call.py
@@ -13,6 +13,7 @@
     """A call of the current greenlet and the timeout that ends it.
 
     Args:
+        path: Path and query string of the request.
         timeout_s: Time limit in seconds.
         by_progress: True if the limit applies to the time without progress of the
             response instead of the whole call.
@@ -25,7 +26,8 @@
         received_bytes: Bytes received so far.
     """
 
-    def __init__(self, timeout_s: float, by_progress: bool):
+    def __init__(self, path: str, timeout_s: float, by_progress: bool):
+        self.path = path
         self.greenlet = gevent.getcurrent()
         self.timeout = gevent.Timeout.start_new(timeout_s)
         self.timeout_s = timeout_s
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -156,6 +156,9 @@
     def is_available(self) -> bool:
         """Return whether the store responds to a small read now; never raises."""
 
+    def is_receiving(self, prefix: str) -> bool:
+        """Return whether a large change under a prefix is being received."""
+
     def abort_overdue(self, waited_s: float) -> int:
         """Abort calls that have waited ``waited_s`` or longer; return their number."""
 
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -14,7 +14,7 @@
     Team,
 )
 from heatherhatch_core.state.work import Phase, Schedule, Step
-from heatherhatch_daemon.pools import retries
+from heatherhatch_daemon.pools import operators, retries
 from heatherhatch_daemon.pools.clock import now_s
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
@@ -372,3 +372,40 @@
     harness.store.script = list(script)
     assert error_kind(harness.intake.cancel, "h", "/q/j1", "k1") is kind
     assert len(pauses) == retries.STORE_ATTEMPTS - 1
+
+
+@pytest.fixture
+def change_arrives(harness, monkeypatch) -> list[bool]:
+    """Whether a change of the configuration is being received, one entry if so."""
+    arriving = [True]
+    monkeypatch.setattr(harness.store, "is_receiving", lambda _prefix: bool(arriving))
+    return arriving
+
+
+# Guards against a conflict, with another copy of a large configuration, for each job
+# that is submitted while the configuration changes.
+def test_a_submission_waits_for_a_configuration_that_is_arriving(
+    harness, change_arrives
+):
+    transactions = []
+    transact = harness.store.transact
+    harness.store.transact = lambda item: transactions.append(item) or transact(item)
+    submitting = gevent.spawn(harness.submit, "j1", "k2")
+    gevent.sleep(0.05)
+    assert transactions == []
+    transact(Transaction((), (Put("op/config", b"2"),)))
+    harness.operators.feed.read()
+    change_arrives.clear()
+    submitting.get(timeout=30)
+    accepted = [item for item in transactions if item.puts]
+    assert len(accepted) == 1
+    assert harness.jobs() == [job_key("till", "j1")]
+
+
+# Guards against callers that are held until their deadline by a slow change.
+def test_a_submission_is_refused_if_the_configuration_takes_long_to_arrive(
+    harness, change_arrives, monkeypatch
+):
+    monkeypatch.setattr(operators, "CONFIRM_WAIT_S", 0.05)
+    assert error_kind(harness.submit) is ErrorKind.NO_STANDING
+    assert harness.jobs() == []
--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 
 from heatherhatch_core.coordination.scheduler import WorkerInfo
-from heatherhatch_core.exceptions import ErrorKind
+from heatherhatch_core.exceptions import ErrorKind, StoreError
 from heatherhatch_daemon.pools.ports import DirectoryEntry, Renewal
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.etcd_store import EtcdStore
@@ -118,3 +118,16 @@
             gevent.sleep(0.001)
         assert client.abort_overdue(50.0) == 0
         assert reading.get().body == LONG.encode()
+
+
+# Each submission during a change of a large configuration received a copy of it.
+def test_a_store_tells_that_a_large_change_is_arriving(serve):
+    store = KvStore(serve(LONG.encode(), 0.1))
+    reading = gevent.spawn(store.poll, "op/", 1, 1.0)
+    with gevent.Timeout(HANG_S):
+        while not store.is_receiving("op/"):
+            gevent.sleep(0.001)
+        assert not store.is_receiving("jobs/")
+        with pytest.raises(StoreError):
+            reading.get()
+    assert not store.is_receiving("op/")
