Limit the time without progress of a large request, too

Callers could see a pool stand still: its holder stored nothing, so that nothing started or ended.

Cause: the same as for the read of a large configuration, in the other direction. The writes of many jobs are sent in several transactions at once; each was aborted after one second and sent again from its start.

Evidence (found in review, on loopback with a limited rate): the progress of 60 jobs with 60 tasks each, 2 Mbit/s, or 160 tasks, 5 Mbit/s: none stored in 25 s.

Fix: sending counts as progress, and the limit grows with the size of the request, which may wait in the send buffer.

test_a_large_request_is_sent_over_a_slow_link and test_a_request_that_waits_in_the_send_buffer_is_not_aborted fail before: "no complete response within 0.401 s, 0 bytes received".

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -119,9 +119,9 @@
         Args:
             request: Request to send.
             timeout_s: Timeout in seconds for the whole exchange.
-            by_progress: True to restart the timeout while the response arrives. A
-                response that is larger than the link carries within a fixed time
-                would fail at each attempt.
+            by_progress: True to restart the timeout while data is transferred. A
+                request or response that is larger than the link carries within a fixed
+                time would fail at each attempt.
 
         Raises:
             ExchangeError: If there was no complete response; ``sent`` states whether
@@ -136,7 +136,7 @@
             sock = self.pool.get_socket()
             data = request.encode(str(self.address))
             sent = True
-            sock.sendall(data)
+            call.send(sock, data)
             # From here on the response object owns the socket. It returns it to the
             # pool, even if its constructor fails.
             owned, sock = sock, None
--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -131,3 +131,48 @@
         with pytest.raises(StoreError):
             reading.get()
     assert not store.is_receiving("op/")
+
+
+# Guards against writes of a pool that are sent again and again over a slow link, each
+# time aborted after the same time.
+def test_a_large_request_is_sent_over_a_slow_link():
+    body = b"x" * 16_000_000
+    timeout_s = 0.4
+
+    def handle(sock, _address):
+        received = 0
+        while received < len(body):
+            received += len(sock.recv(len(body) // 100))
+            gevent.sleep(2 * timeout_s / 100)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        gevent.sleep(HANG_S)
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    client = HttpClient(Address("127.0.0.1", server.server_port), 1, 1.0)
+    request = HttpRequest("POST", "/", body)
+    with gevent.Timeout(HANG_S):
+        assert client.exchange(request, timeout_s, by_progress=True).status == 200
+    server.stop(timeout=0)
+
+
+# The same where the send buffer takes the request at once and the link is slow.
+def test_a_request_that_waits_in_the_send_buffer_is_not_aborted():
+    body = b"x" * 200_000
+    timeout_s = 0.3
+
+    def handle(sock, _address):
+        received = 0
+        while received < len(body):
+            received += len(sock.recv(65_536))
+        gevent.sleep(2 * timeout_s)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        gevent.sleep(HANG_S)
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    client = HttpClient(Address("127.0.0.1", server.server_port), 1, 1.0)
+    request = HttpRequest("POST", "/", body)
+    with gevent.Timeout(HANG_S):
+        assert client.exchange(request, timeout_s, by_progress=True).status == 200
+    server.stop(timeout=0)
