--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -133,6 +133,54 @@
     assert not store.is_receiving("op/")
 
 
+class KeepAliveServer:
+    """Answers each request for a key; open connections may be muted.
+
+    Attributes:
+        large_key: Key whose value arrives too slowly to be useful.
+        generation: Connections of an earlier generation get no answer.
+    """
+
+    def __init__(self):
+        self.large_key = b""
+        self.generation = 0
+        self.server = StreamServer(("127.0.0.1", 0), self.handle)
+        self.server.start()
+        self.address = Address("127.0.0.1", self.server.server_port)
+
+    def handle(self, sock, _address):
+        generation = self.generation
+        while request := sock.recv(65_536):
+            gevent.sleep(0.01)  # lets calls overlap, so that each has a connection
+            if generation != self.generation:
+                gevent.sleep(HANG_S)
+            if self.large_key and self.large_key in request:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 800000\r\n\r\n")
+                gevent.sleep(HANG_S)
+            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}")
+
+
+@pytest.fixture
+def keep_alive_server():
+    server = KeepAliveServer()
+    yield server
+    server.server.stop(timeout=0)
+
+
+# Guards against an outage that lasts longer the more connections were open before it.
+def test_a_probe_of_the_store_uses_no_connection_that_may_be_dead(keep_alive_server):
+    store = KvStore(keep_alive_server.address)
+    gevent.joinall([gevent.spawn(store.get, "k") for _call in range(8)])
+    keep_alive_server.generation += 1
+    assert store.is_available()
+
+
+# Guards against probes that each read the whole configuration and fill a slow link.
+def test_a_probe_of_the_store_needs_no_large_response(keep_alive_server):
+    keep_alive_server.large_key = b"config"
+    assert KvStore(keep_alive_server.address).is_available()
+
+
 # Guards against writes of a pool that are sent again and again over a slow link, each
 # time aborted after the same time.
 def test_a_large_request_is_sent_over_a_slow_link():
