Close idle connections after a call that got no response

What callers could see: no answer within their deadline after all connections to the store went silent, although new ones work at once.

Cause: each call after the first took another of the idle connections and waited for its whole timeout.

Fix: when a call times out, connections that have been idle since before it began are closed.

test_calls_after_a_timeout_use_new_connections fails before: the second call waits for another silent connection.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/connections.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/connections.py
@@ -39,6 +39,23 @@
         self.idle_since_s[sock] = time.monotonic()
         super().return_socket(sock)
 
+    def close_idle(self, before_s: float) -> None:
+        """Close the connections that have been idle since before a time.
+
+        Args:
+            before_s: The time, monotonic seconds.
+        """
+        kept = []
+        while not self._socket_queue.empty():
+            sock = self._socket_queue.get(block=False)
+            if self.idle_since_s.get(sock, 0.0) < before_s:
+                self.idle_since_s.pop(sock, None)
+                sock.close()
+            else:
+                kept.append(sock)
+        for sock in reversed(kept):
+            self._socket_queue.put(sock, block=False)
+
     def _resolve(self):
         # Addresses are IP addresses, so no name is resolved.
         host, port = self._connection_host, self._connection_port
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -146,6 +146,8 @@
         except gevent.Timeout as error:
             if error is not call.timeout:
                 raise
+            # Connections that were open before may have gone silent with this one.
+            self.pool.close_idle(call.started_s)
             raise ExchangeError(
                 ErrorKind.BACKEND_TIMEOUT, call.describe(), sent
             ) from error
--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -175,6 +175,16 @@
     assert store.is_available()
 
 
+# Guards against calls that each wait for one of the connections that went silent.
+def test_calls_after_a_timeout_use_new_connections(keep_alive_server):
+    store = KvStore(keep_alive_server.address)
+    gevent.joinall([gevent.spawn(store.get, "k") for _call in range(8)])
+    keep_alive_server.generation += 1
+    with pytest.raises(StoreError):
+        store.get("k")
+    assert store.get("k") is None
+
+
 # Guards against probes that each read the whole configuration and fill a slow link.
 def test_a_probe_of_the_store_needs_no_large_response(keep_alive_server):
     keep_alive_server.large_key = b"config"
