Report claims of refused writes through the feed

A node could ignore a free role for good. If all nodes were in this state, the role stayed without a holder, and its callers got no answer.

A contender whose write was refused noted the rival's claim from the response, past the feed. The feed did not know of the key, so a full read after the deletion, as after a compaction, did not report it. The same happened without a compaction if the response arrived after the feed had reported the deletion.

The feed now reports such entries itself and remembers their revisions, so the next full read finds them gone. It ignores an entry that is not newer than the feed and that it does not know, since that entry was deleted. The revision of the feed is advanced before the callbacks, which may switch to a greenlet that reports an entry.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -231,7 +231,7 @@
         if not outcome.entries:
             self._on_deleted(key)
         for entry in outcome.entries:
-            self._on_written(entry)
+            self.feed.report(entry)
 
     def _mark_held(self, role: str, token: int) -> None:
         # Orders with a dropped token may still be in flight, so a role is not held
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/feed.py
@@ -72,15 +72,18 @@
         """Read the whole prefix; deletions since the last read are reported too."""
         sent_s = now_s()
         snapshot = self.read_all()
+        self.revision = snapshot.revision
         found = {entry.key for entry in snapshot.entries}
-        for key in [key for key in self.revisions if key not in found]:
-            del self.revisions[key]
-            self._call(self.on_deleted, key)
+        # Entries that report() added after the snapshot are not in it.
+        known = [key for key, at in self.revisions.items() if at <= snapshot.revision]
+        for key in known:
+            if key not in found:
+                del self.revisions[key]
+                self._call(self.on_deleted, key)
         fresh = [entry for entry in snapshot.entries if self._is_new(entry)]
         for entry in fresh:
             self._report_entry(entry)
         self.in_burst = self.newest_only and self.loaded and bool(fresh)
-        self.revision = snapshot.revision
         self.loaded = True
         self._note_answer(sent_s)
 
@@ -91,13 +94,13 @@
         # be delayed.
         wait_s = self.wait_s if self.failing_since_s == float("inf") else 0.0
         changes = self.store.poll(self.prefix, self.revision, wait_s)
+        self.revision = max(self.revision, changes.revision)
         for event in changes.events:
             if not event.deleted:
                 self._report_entry(event.entry)
             elif self.revisions.get(event.entry.key, 0) < event.entry.revision:
                 self.revisions.pop(event.entry.key, None)
                 self._call(self.on_deleted, event.entry.key)
-        self.revision = max(self.revision, changes.revision)
         if changes.events:
             keys = {event.entry.key for event in changes.events}
             frequent = now_s() - self.last_change_s < BURST_INTERVAL_S
@@ -106,6 +109,14 @@
             self.last_change_s = now_s()
         self._note_answer(sent_s)
 
+    def report(self, entry: Entry) -> None:
+        """Report an entry that another response showed, unless it is superseded."""
+        known = self.revisions.get(entry.key, 0)
+        # Up to its own revision, the feed knows of each entry that still exists.
+        if entry.revision == known or entry.revision > max(known, self.revision):
+            self.revisions[entry.key] = entry.revision
+            self._call(self.on_entry, entry)
+
     def _is_new(self, entry: Entry) -> bool:
         return self.revisions.get(entry.key, 0) < entry.revision
 
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -343,3 +343,46 @@
     node.claims.release_all()
     assert store.get(claim_key("a")).value == b"n2/1"
     assert store.get(claim_key("b")) is None
+
+
+def test_a_claim_that_only_a_refused_write_showed_does_not_block_a_role(store):
+    """The feed never saw it, so a full read did not report that it was gone."""
+    claims = Claims(store, "n1", "1", list, lambda *_role: None, print)
+    claims.lease = store.grant_lease(LEASE_TTL_S)
+    claims.feed.read()
+    store.transact(Transaction((), (Put(claim_key("a"), b"n2/1"),)))
+    claims._acquire("a")
+    store.transact(Transaction((), (), (claim_key("a"),)))
+    claims.feed.read()  # as after a compaction
+    assert claims.free_roles.eligible_at_s("a", 0) < float("inf")
+
+
+def test_a_refused_write_answered_after_the_deletion_does_not_block_a_role(store):
+    """The feed had reported the deletion already, and nothing reported it again."""
+    claims = Claims(store, "n1", "1", list, lambda *_role: None, print)
+    claims.lease = store.grant_lease(LEASE_TTL_S)
+    claims.feed.read()
+    store.transact(Transaction((), (Put(claim_key("a"), b"n2/1"),)))
+    transact = store.transact
+
+    def answer_late(transaction):
+        outcome = transact(transaction)
+        transact(Transaction((), (), (claim_key("a"),)))
+        claims.feed.poll()
+        return outcome
+
+    store.transact = answer_late
+    claims._acquire("a")
+    assert claims.free_roles.eligible_at_s("a", 0) < float("inf")
+
+
+def test_a_full_read_from_before_a_refused_write_keeps_the_claim_it_showed(store):
+    """The claim is newer than the snapshot, so it was not deleted before it."""
+    claims = Claims(store, "n1", "1", list, lambda *_role: None, print)
+    claims.lease = store.grant_lease(LEASE_TTL_S)
+    snapshot = store.range(claims.feed.prefix)
+    store.transact(Transaction((), (Put(claim_key("a"), b"n2/1"),)))
+    claims._acquire("a")
+    claims.feed.read_all = lambda: snapshot
+    claims.feed.read()
+    assert claims.free_roles.eligible_at_s("a", 0) == float("inf")
