Hold no role whose claim was written under a former lease

Two nodes could consider themselves holders of one role: a node went on with a role whose claim was gone, and the role was free for the others.

While the write of a claim was on its way, the renewal could drop all roles and end the lease. The response then marked the role as held, and the new lease confirmed it, though the claim had ended with the old one. The same happened when the feed showed such a claim late.

A successful write is now reported through the feed like any other claim, so there is one place that marks a role as held. It compares the lease of the claim with the present one. A claim under a former lease is deleted, because the end of that lease may have failed, and a role that was held under an older claim is dropped. A response that arrives after the feed has reported the deletion is ignored.

Found in review.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claim_release.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claim_release.py
@@ -3,7 +3,7 @@
 from heatherhatch_core.exceptions import StoreError
 
 from ..events import Event, log
-from ..transport.store import Expect, PolledStore, Transaction
+from ..transport.store import Entry, Expect, PolledStore, Transaction
 
 
 def delete_claims(store: PolledStore, claims: list[Expect]) -> None:
@@ -28,6 +28,11 @@
             delete_claims(store, [claim])
 
 
+def delete_claim(store: PolledStore, claim: Entry) -> None:
+    """Delete a claim unless it has been replaced; a failure is logged."""
+    delete_claims(store, [Expect(claim.key, claim.revision)])
+
+
 def end_lease(store: PolledStore, lease: int) -> None:
     """End a lease, which deletes the claims under it.
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/claims.py
@@ -10,10 +10,10 @@
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
 from .capacity import DEFAULT_CAPACITY, NodeCapacity
-from .claim_release import delete_claims, end_lease
+from .claim_release import delete_claim, delete_claims, end_lease
 from .clock import now_s
 from .feed import Feed
-from .free_roles import FreeRoles
+from .free_roles import FAILED_START_PAUSE_S, FreeRoles
 from .keys import CLAIM_PREFIX, claim_key
 from .supervision import spawn_supervised
 
@@ -23,7 +23,6 @@
 RENEW_INTERVAL_S = 0.3  # a slow store also answers two renewals within the lease TTL
 POLL_FAILURE_LIMIT_S = 1.0  # a node whose polls fail for this long releases its roles
 CHECK_PERIOD_S = 0.1  # pause between two checks for free roles, and before a retry
-FAILED_START_PAUSE_S = 1.0  # time for other nodes to take a role that did not start
 
 
 class Claims:
@@ -116,18 +115,22 @@
         self.feed.stop()
         gevent.killall(self.greenlets, block=False)
         claims = [self.expect(role) for role in self.held]
-        for role in list(self.held):
-            self.drop(role, "this node ends")
+        self._drop_all("this node ends")
         delete_claims(self.store, claims)
 
     def _on_written(self, entry: Entry) -> None:
         role = entry.key.removeprefix(CLAIM_PREFIX)
         self.free_roles.note_claim(role, entry)
-        if entry.value == self.value:
+        is_own = entry.value == self.value
+        if is_own and entry.lease == self.lease:
             # Also covers a claim that was applied late or whose response was lost.
             self._mark_held(role, entry.revision)
-        elif role in self.held and entry.revision > self.held[role]:
+            return
+        if role in self.held and entry.revision > self.held[role]:
             self.drop(role, f"taken by {entry.value.decode(errors='replace')}")
+        if is_own:
+            # It was written under a former lease, whose end may have failed.
+            gevent.spawn(delete_claim, self.store, entry)
 
     def _on_deleted(self, key: str) -> None:
         role = key.removeprefix(CLAIM_PREFIX)
@@ -156,7 +159,9 @@
             # A node whose lease is renewed while its other calls fail would keep
             # roles that it cannot serve. If the store is unavailable to all nodes,
             # renewals fail too, and roles are kept until it answers again.
+            lease, self.lease = self.lease, 0
             self._drop_all("the store turns this node away")
+            end_lease(self.store, lease)
             return
         if not self.lease:
             self.lease = self.store.grant_lease(LEASE_TTL_S)
@@ -168,19 +173,15 @@
         return at_s - since_s > POLL_FAILURE_LIMIT_S
 
     def _drop_all(self, reason: str) -> None:
-        lease, self.lease = self.lease, 0
         for role in list(self.held):
             self.drop(role, reason)
-        if lease:
-            end_lease(self.store, lease)
 
     def _scan_loop(self) -> None:
         pause_s = CHECK_PERIOD_S
         while True:
             gevent.sleep(pause_s)
             pause_s = CHECK_PERIOD_S
-            turned_away = self._is_turned_away(now_s())
-            if not self.lease or not self.feed.loaded or turned_away:
+            if not self.lease or not self.feed.loaded or self._is_turned_away(now_s()):
                 continue
             for role in self.roles():
                 if self.ending:
@@ -190,8 +191,7 @@
                 if self.free_roles.is_paused(role):
                     self._delete_leftover(role)
                     continue
-                eligible_at_s = self.free_roles.eligible_at_s(role, len(self.held))
-                left_s = eligible_at_s - now_s()
+                left_s = self.free_roles.eligible_at_s(role, len(self.held)) - now_s()
                 if left_s > 0:
                     # The order of the nodes must not depend on when each one checks.
                     pause_s = min(pause_s, left_s)
@@ -205,7 +205,7 @@
         """Delete the claim of a released role if its deletion failed."""
         claim = self.free_roles.claims.get(role)
         if claim is not None and claim.value == self.value:
-            delete_claims(self.store, [Expect(claim.key, claim.revision)])
+            delete_claim(self.store, claim)
 
     def _acquire(self, role: str) -> None:
         lease = self.lease
@@ -224,13 +224,13 @@
                 # All claims were written under this lease.
                 self._drop_all("the lease lapsed")
             return
+        entries = outcome.entries
         if outcome.succeeded:
-            self._mark_held(role, outcome.revision)
-            return
+            entries = (Entry(key, self.value, outcome.revision, lease),)
         # The feed lags, so the entries of the response are used.
-        if not outcome.entries:
+        if not entries:
             self._on_deleted(key)
-        for entry in outcome.entries:
+        for entry in entries:
             self.feed.report(entry)
 
     def _mark_held(self, role: str, token: int) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/free_roles.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/free_roles.py
@@ -7,6 +7,7 @@
 from .clock import now_s
 
 JITTER_S = 0.05  # jitter between nodes of equal load
+FAILED_START_PAUSE_S = 1.0  # time for other nodes to take a role that did not start
 
 
 class FreeRoles:
--- a/tests/test_pool_claims.py
+++ b/tests/test_pool_claims.py
@@ -386,3 +386,49 @@
     claims.feed.read_all = lambda: snapshot
     claims.feed.read()
     assert claims.free_roles.eligible_at_s("a", 0) == float("inf")
+
+
+@pytest.fixture
+def claims(store):
+    """Claims with a lease; a later end of the lease gets lost."""
+    store.leases_never_expire = True
+    store.revoke_lease = lambda _lease: None
+    claims = Claims(store, "n1", "1", list, lambda *_role: None, print)
+    claims._renew()
+    claims.feed.read()
+    return claims
+
+
+def replace_lease(claims):
+    claims.feed.failing_since_s = claims.renewing_since_s = 0.0
+    claims._renew()
+    assert claims.lease == 0
+    claims.feed.failing_since_s = float("inf")
+    claims._renew()
+
+
+def test_a_role_acquired_under_a_former_lease_is_not_held(claims, store):
+    """The new lease confirmed a role whose claim ended with the old one."""
+    transact = store.transact
+
+    def answer_late(transaction):
+        store.transact = transact
+        outcome = transact(transaction)
+        replace_lease(claims)
+        return outcome
+
+    store.transact = answer_late
+    claims._acquire("a")
+    assert not claims.holds("a")
+    wait_for(lambda: claim_key("a") not in store.entries)
+
+
+def test_a_late_claim_under_a_former_lease_is_not_held(claims, store):
+    """The feed showed it, and the new lease confirmed it."""
+    former_lease = claims.lease
+    replace_lease(claims)
+    put = Put(claim_key("a"), claims.value, former_lease)
+    store.transact(Transaction((), (put,)))
+    claims.feed.poll()
+    assert not claims.holds("a")
+    wait_for(lambda: claim_key("a") not in store.entries)
