Order a pace again if reports show that it was lost

A serving task beside a filler stayed over its response target, or a filler that was to regain its full pace was restarted as stalled.

Cause: the pace counted as set once its order was made. The order has no confirmation; if it was lost on the way, each later check computed the same pace, found it set, and sent nothing, although reports showed another percent.

Evidence: test_a_change_of_pace_that_is_lost_is_ordered_again loses the order that pauses a filler.

Fix: the report is the confirmation. If a report that was requested after the order had time to apply shows another percent than the ordered pace, the order is made again, at most once per settling time. The order is idempotent, and the target pace does not change by it. A run that was given no pace is left alone: below 100 percent it is starting.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -50,7 +50,8 @@
         percent: Share of its speed that the worker last reported.
         measurement: Last reported measurement; see ``ListedRun.measurement``.
         pace: Share of its speed that was last ordered, percent.
-        pace_set_s: When the pace was last changed.
+        pace_set_s: When the pace was last ordered, monotonic seconds; -inf if it was
+            not, as a run starts at its full pace.
     """
 
     task: "Task | None"
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/pacing.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/pacing.py
@@ -53,7 +53,7 @@
             pace = int(pace * PACE_CUT_FACTOR)
         elif worst < LOW_TAIL_RATIO:
             pace = min(FULL_PACE_PERCENT, pace + PACE_STEP_PERCENT)
-        if pace == run.pace:
+        if pace == run.pace and not _order_was_lost(run):
             continue
         state.note(
             "paced",
@@ -61,8 +61,21 @@
             run=run.number,
             worker=worker.worker_id,
             percent=pace,
+            reported=run.percent,
             strain=round(worst, 2),
         )
         run.pace = pace
         run.pace_set_s = now_s
         state.orders.append(PaceOrder(worker.worker_id, run.name, run.number, pace))
+
+
+def _order_was_lost(run: Run) -> bool:
+    """Return True if a run does not work at the pace that was last ordered.
+
+    A run that was given no pace may report less than its full pace: it starts.
+    """
+    if run.pace_set_s == float("-inf"):
+        return False
+    # Only a report requested after the order had time to apply shows its effect.
+    settled = run.expected_from_s - run.pace_set_s >= PACE_SETTLE_S
+    return settled and run.percent != run.pace
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -21,6 +21,8 @@
         model: The scheduler and its worker.
         tails_ms: Response tail in each round so far.
         pace: Current pace of the filler, percent.
+        starting: True while the filler starts and works at no share.
+        ordered: Percentages of the pace orders so far.
     """
 
     def __init__(self, base_tail_ms: float, added_tail_ms: float):
@@ -33,6 +35,8 @@
         self.model.add(make_job(filler_step, job_id="f"))
         self.tails_ms = []
         self.pace = 100
+        self.starting = False
+        self.ordered = []
 
     def round(self):
         tail_ms = self.base_tail_ms + self.added_tail_ms * self.pace / 100
@@ -43,13 +47,14 @@
         }
         for task, number in worker.runs:
             if task.job_id == "f":
-                worker.runs[task, number] = self.pace
+                worker.runs[task, number] = 0 if self.starting else self.pace
         self.model.receive_report("w0")
         self.model.orders.clear()
         self.model.round(0.25)
         for order in self.model.orders:
             if isinstance(order, PaceOrder):
                 assert order.task.job_id == "f"
+                self.ordered.append(order.percent)
                 self.pace = order.percent
 
     def run_rounds(self, rounds: int):
@@ -115,3 +120,43 @@
     assert 0 < shared_worker.pace < 100
     runs = [(task.job_id, run) for _w, task, run in shared_worker.model.alive_runs()]
     assert sorted(runs) == [("f", 1), ("s", 1)]
+
+
+def test_a_change_of_pace_that_is_lost_is_ordered_again():
+    """The pace counted as set, so the filler disturbed the serving task for good."""
+    shared_worker = SharedWorker(15.0, 200.0)
+    shared_worker.round()
+    while shared_worker.pace == 100:
+        shared_worker.round()
+    shared_worker.pace = 100
+    shared_worker.run_rounds(16)
+    assert shared_worker.pace < 100
+
+
+def test_a_filler_that_starts_gets_no_order_to_work_at_full_pace():
+    """A run that starts reports less than its pace, although no order was lost."""
+    shared_worker = SharedWorker(10.0, 5.0)
+    shared_worker.starting = True
+    shared_worker.run_rounds(12)
+    assert not shared_worker.ordered
+
+
+def test_a_raise_of_pace_that_is_lost_is_ordered_again():
+    """At its last pace the filler counted as standing still and was restarted."""
+    shared_worker = SharedWorker(15.0, 200.0)
+    shared_worker.run_rounds(20)
+    shared_worker.added_tail_ms = 2.0
+    while shared_worker.pace < 100:
+        shared_worker.round()
+    shared_worker.pace = 90
+    shared_worker.run_rounds(24)
+    assert shared_worker.pace == 100
+    runs = [(task.job_id, run) for _w, task, run in shared_worker.model.alive_runs()]
+    assert sorted(runs) == [("f", 1), ("s", 1)]
+
+
+def test_a_pace_that_took_effect_is_not_ordered_again():
+    """Each order makes the scheduler wait until the tails can have changed."""
+    shared_worker = SharedWorker(60.0, 0.0)
+    shared_worker.run_rounds(40)
+    assert shared_worker.ordered == [0]
