Don't count a paused filler as a trial of its worker

A worker on probation beside whose serving task a filler is paused got no further trial run, so tasks waited for it until it was their last resort.

Cause: a worker on probation gets one run at a time until one succeeds. A lasting run succeeds once it works at a pace above 0 for a second. A filler that is paused to 0 percent works at none, so it held the only trial for as long as the serving task was over its target.

Fix: a paused run is no trial. It does not count as a success either, since it does not show that the worker is sound; the next run is the trial.

test_a_paused_filler_does_not_prolong_the_probation failed before: the worker runs serving and filler only, without the task that was added after.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -137,9 +137,12 @@
 
     @property
     def on_trial(self) -> bool:
-        """True while a run shows whether a worker on probation is sound."""
+        """True while a run shows whether a worker on probation is sound.
+
+        A paused run shows nothing.
+        """
         return self.quarantine.on_probation and not all(
-            run.succeeded for run in self.runs.values()
+            run.succeeded or run.pace == 0 for run in self.runs.values()
         )
 
     def note_info(self, info: WorkerInfo, now_s: float) -> None:
--- a/tests/test_scheduler_trust.py
+++ b/tests/test_scheduler_trust.py
@@ -62,6 +62,34 @@
     assert jobs == ["before", "after"]
 
 
+def test_a_paused_filler_does_not_prolong_the_probation(model):
+    """It cannot succeed while paused, so the worker got no other trial run."""
+    serving = make_step(lasting=True, cores=0.5, tail_target_ms=40.0)
+    model.add(make_job(serving, job_id="serving"))
+    model.receive_reports()
+    model.round(1.5)
+    model.receive_reports()
+    model.add(make_job(make_step(2), job_id="failing-1"))
+    model.add(make_job(make_step(), job_id="failing-2"))
+    worker = model.workers["w0"]
+    for _worker, task, number in model.alive_runs()[1:]:
+        worker.end(task, number, Ending.FAILED)
+    model.receive_reports()
+    for number in (1, 2):
+        model.scheduler.cancel(f"failing-{number}", model.now_s)
+    model.round(QUARANTINE_S)
+    model.add(make_job(make_step(lasting=True, fills=True), job_id="filler"))
+    (serving_task, _), (filler, number) = worker.runs
+    worker.task_tails_ms[serving_task] = 60.0
+    model.receive_reports()
+    model.round()
+    worker.runs[filler, number] = 0
+    model.receive_reports()
+    model.add(make_job(make_step(), job_id="after"))
+    jobs = [task.job_id for _worker, task, _run in model.alive_runs()]
+    assert jobs == ["serving", "filler", "after"]
+
+
 def test_runs_that_fail_together_start_one_quarantine_of_the_shortest_duration(model):
     """Each further failure doubled the pause, up to its maximum within a moment."""
     for number in range(2):
