Free the connection of a stream whose request cannot be sent

Each watch that was opened on a connection that had just failed used up a place in the pool of connections, until every call to the store waited for a place and timed out.

Cause: stream_lines left the connection taken if sending the request failed. Only the response object returns it, and there was none yet.

Fix: until the response object owns the connection, stream_lines releases it, as exchange does. A response object whose constructor fails already returned its connection; a second test guards that it is freed exactly once.

test_a_stream_whose_request_cannot_be_sent_frees_its_connection failed before: backend-timeout: no complete response within 5.005 s, 0 bytes received. test_a_stream_that_gets_no_response_frees_its_connection passed before.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -167,12 +167,18 @@
         Raises:
             ExchangeError: If the connection fails.
         """
+        sock = None
         try:
             sock = self.pool.get_socket()
             sock.sendall(request.encode(str(self.address)))
-            answer = HTTPSocketPoolResponse(sock, self.pool, method=request.method)
+            # As in exchange, the response object owns the socket from here on.
+            owned, sock = sock, None
+            answer = HTTPSocketPoolResponse(owned, self.pool, method=request.method)
         except (OSError, HTTPParseError) as error:
             raise ExchangeError(ErrorKind.BACKEND_FAILED, str(error), True) from error
+        finally:
+            if sock is not None:
+                self.pool.release_socket(sock)
         try:
             while line := answer.readline(b"\n"):
                 yield bytes(line)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -347,3 +347,29 @@
         done.join()
     client._time_out(call)
     assert done.value.body == b"body"
+
+
+def test_a_stream_whose_request_cannot_be_sent_frees_its_connection(scripted_server):
+    """Each failure used up a connection, until every call to the store waited."""
+    client, accepted = scripted_server(COMPLETE_RESPONSE)
+    exchange(client)
+    for _stream in range(client.pool.size):
+        sock = client.pool.get_socket()
+        sock.shutdown(socket.SHUT_WR)
+        client.pool.return_socket(sock)
+        with pytest.raises(ExchangeError):
+            next(client.stream_lines(HttpRequest("POST", "/")))
+    assert exchange(client).body == b"body"
+    assert accepted
+
+
+def test_a_stream_that_gets_no_response_frees_its_connection(scripted_server):
+    """A place in the pool that is freed twice, or never, fails a later call."""
+    client, _accepted = scripted_server(b"HTTP/1.1 2")
+    for _stream in range(2 * client.pool.size):
+        with pytest.raises(ExchangeError):
+            next(client.stream_lines(HttpRequest("POST", "/")))
+    sockets = [client.pool.get_socket() for _place in range(client.pool.size)]
+    assert len(sockets) == client.pool.size
+    for sock in sockets:
+        client.pool.release_socket(sock)
