Restore the pace of fillers that a new holder takes over

After the holder of a pool changed, each throttled filler was stopped as standing still 4 s later and started anew, and its worker was charged with a failed run.

Cause: the pace of a run is not stored. A new holder took 100 percent for ordered, saw a report below it, and had no reason to order anything, since the pace it would have set was 100 already.

Evidence: in the simulated pool a filler at 10 percent is taken over; 4.03 s later the log says "run stands still" and run 2 replaces run 1.

Fix: a run that was taken over may have been given a pace by an earlier holder, so a report below 100 percent counts as an order that did not apply, and the pace is ordered. A filler that still starts gets the order too; it has no effect on it.

test_a_new_holder_restores_the_pace_of_a_filler_that_it_takes_over failed before: assert 10 == 100.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -50,8 +50,8 @@
         percent: Share of its speed that the worker last reported.
         measurement: Last reported measurement; see ``ListedRun.measurement``.
         pace: Share of its speed that was last ordered, percent.
-        pace_set_s: When the pace was last ordered, monotonic seconds; -inf if it was
-            not, as a run starts at its full pace.
+        pace_set_s: When the pace was last ordered, monotonic seconds; None if never,
+            -inf if an earlier holder may have ordered one.
     """
 
     task: "Task | None"
@@ -73,7 +73,7 @@
     percent: float = 0.0
     measurement: float = 0.0
     pace: int = FULL_PACE_PERCENT
-    pace_set_s: float = float("-inf")
+    pace_set_s: float | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/pacing.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/pacing.py
@@ -44,7 +44,7 @@
     state: PoolState, worker: Worker, fillers: list[Run], worst: float, now_s: float
 ) -> None:
     for run in fillers:
-        if now_s - run.pace_set_s < PACE_SETTLE_S:
+        if run.pace_set_s is not None and now_s - run.pace_set_s < PACE_SETTLE_S:
             continue
         pace = run.pace
         if worst > 1.0:
@@ -74,7 +74,7 @@
 
     A run that was given no pace may report less than its full pace: it starts.
     """
-    if run.pace_set_s == float("-inf"):
+    if run.pace_set_s is None:
         return False
     # Only a report requested after the order had time to apply shows its effect.
     settled = run.expected_from_s - run.pace_set_s >= PACE_SETTLE_S
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -107,6 +107,7 @@
         )
         run.state = RunState.DOUBTFUL
         run.expected_from_s = float("-inf")
+        run.pace_set_s = float("-inf")
         self._occupy(run, worker)
         return run
 
--- a/tests/pool_model.py
+++ b/tests/pool_model.py
@@ -114,6 +114,17 @@
         self.scheduler.update_worker(info, self.now_s)
         self.receive_report(worker_id)
 
+    def replace_holder(self) -> None:
+        """Replace the scheduler by one that restores the stored jobs."""
+        jobs = self.scheduler.state.jobs.values()
+        self.scheduler = Scheduler(POOL, Rules(), self.now_s)
+        self.scheduler.configure(CONFIG)
+        for worker in self.workers.values():
+            self.scheduler.update_worker(worker.info, self.now_s)
+        for live in jobs:
+            self.scheduler.add_job(live.job, live.progress(), self.now_s)
+        self.receive_reports()
+
     def receive_report(self, worker_id: str) -> None:
         """Process the report of one worker."""
         worker_state = self.scheduler.state.workers[worker_id]
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -160,3 +160,16 @@
     shared_worker = SharedWorker(60.0, 0.0)
     shared_worker.run_rounds(40)
     assert shared_worker.ordered == [0]
+
+
+def test_a_new_holder_restores_the_pace_of_a_filler_that_it_takes_over():
+    """It knew no pace, so it restarted the throttled filler as standing still."""
+    shared_worker = SharedWorker(15.0, 200.0)
+    shared_worker.run_rounds(20)
+    assert shared_worker.pace < 100
+    shared_worker.added_tail_ms = 2.0
+    shared_worker.model.replace_holder()
+    shared_worker.run_rounds(24)
+    assert shared_worker.pace == 100
+    runs = [(task.job_id, run) for _w, task, run in shared_worker.model.alive_runs()]
+    assert sorted(runs) == [("f", 1), ("s", 1)]
