Keep the newer grant when the answer to an older write arrives

What callers could see: more of a team's work than its limit, for a moment.

Cause: the pools of an instance share the grants they have read. While a pool waited for the answer to its write, a later write of another pool could be known already. The answer then set the grant back to the older record, and the other pool got back a part that it had released.

Evidence: the test failed on the code before:

test_an_answer_that_comes_late_does_not_undo_later_changes assert (30000, 30000, 0) == (20000, 20000, 0)

Fix: an answered write goes through the same check of revisions as the feed.

Result: tests/test_pool_grants.py, 6 passed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -9,7 +9,7 @@
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 
 from ..events import Event, log
-from ..transport.store import Expect, PolledStore, Put, Transaction
+from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
 from .clock import now_s
 from .fleet_records import Grant, PlanWatcher
 from .keys import grant_key
@@ -127,8 +127,7 @@
             if entry.key == key:
                 self.plan_watcher.update_grant(entry)
         if outcome.succeeded:
-            self.plan_watcher.grants[team] = updated
-            self.plan_watcher.grant_revisions[team] = outcome.revision
+            self.plan_watcher.update_grant(Entry(key, put.value, outcome.revision))
         return outcome.succeeded
 
 
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -5,13 +5,14 @@
 
 import pytest
 
+from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 from heatherhatch_daemon.pools import pool_grants
-from heatherhatch_daemon.pools.fleet_records import PlanWatcher
+from heatherhatch_daemon.pools.fleet_records import Grant, PlanWatcher
 from heatherhatch_daemon.pools.pool_grants import RELEASE_AFTER_S, PoolGrants
 from heatherhatch_daemon.transport.memory_store import MemoryStore
-from heatherhatch_daemon.transport.store import Expect
+from heatherhatch_daemon.transport.store import Expect, Put, Transaction
 from pool_model import CONFIG
 
 POOLS = ("a", "b", "c", "d")
@@ -138,3 +139,28 @@
     model.demands["b"].cpu_m = 5_000
     model.step()
     assert model.used_cpu_m("b") == 5_000
+
+
+def test_an_answer_that_comes_late_does_not_undo_later_changes(model, monkeypatch):
+    """A pool got back a part that it had released after the write that it answers."""
+    for pool in ("a", "b"):
+        model.demands[pool].cpu_m = 20_000
+    model.settle()
+    transact = model.store.transact
+    key = "grants/red"
+
+    def release_meanwhile(transaction):
+        monkeypatch.setattr(model.store, "transact", transact)
+        outcome = transact(transaction)
+        stored = decode_json(transaction.puts[0].value, Grant)
+        later = Grant({**stored.parts, "b": (20_000, 20_000, 0)}, stored.short)
+        put = Put(key, encode_json(later))
+        transact(Transaction((Expect(key, outcome.revision),), (put,)))
+        model.watcher.update_grant(model.store.get(key))
+        return outcome
+
+    monkeypatch.setattr(model.store, "transact", release_meanwhile)
+    model.demands["a"].cpu_m = 40_000
+    model.step()
+    model.grants[0].step(TEAM_CONFIG)
+    assert model.watcher.grants["red"].parts["b"] == (20_000, 20_000, 0)
