Stop using the released part of a limit before the release is written

What callers could see: a team has more running than its limit allows.

Cause: a pool that releases a part of a team's limit kept its old allowance while the write was under way and, if the answer was lost, until the feed brought the stored record. A pool that is short takes the released part as soon as it is stored, so that both used it.

Evidence: the tests failed on the code before:

test_a_pool_starts_nothing_in_a_part_that_it_is_releasing AssertionError: assert [('a', 70000, 15000)] == [] test_a_release_without_an_answer_holds_until_the_stored_part_is_known [False] assert 70000 <= 20000 [True] assert 70000 <= 20000

Fix: the allowance is the smaller of the stored and the new part from before the write until a later revision of the record is known. Each write is on condition of the revision that it replaces, so that a write without an answer cannot be applied after that. After a lost answer the record is written again even if nothing changed, so that a later revision comes and the pool does not stay at the smaller part.

Result: tests/test_pool_grants.py, 9 passed; with test_scheduler.py and test_platform_path.py, 43 passed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -1,6 +1,7 @@
 """Divides each team's limit among the pools, by records in the store."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from heatherhatch_core.codec import encode_json
 from heatherhatch_core.coordination.scheduler import Scheduler
@@ -20,6 +21,20 @@
 EMPTY_PART = (0, 0, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class UnconfirmedPart:
+    """The smallest part that writes without an answer may have stored.
+
+    Attributes:
+        revision: Revision of the grant that these writes would replace. None of them
+            can be applied any more once the stored grant has a later one.
+        part: Smallest part in each dimension.
+    """
+
+    revision: int
+    part: Resources
+
+
 class PoolGrants:
     """Acquires and releases a pool's part of each team's limit.
 
@@ -28,6 +43,9 @@
     pool starts anything for the team until the parts fit into it again. While a
     pool is short, the others keep only a small reserve beyond their use.
 
+    A pool that releases something stops using it before the write is sent, since
+    another pool may use it before the answer arrives.
+
     Args:
         store: The platform's store.
         plan_watcher: Holds the stored grants of all teams.
@@ -50,24 +68,26 @@
         self.claim = claim
         self.scheduler = scheduler
         self.excess_since_s: dict[str, float] = {}
+        self.unconfirmed: dict[str, UnconfirmedPart] = {}
+        self.allowances: dict[str, Resources] = {}
 
     def step(self, config: FleetConfiguration) -> None:
         """Adjust the parts to the pool's use and demand, and set the allowances."""
-        allowances = {}
-        for team in config.teams:
-            if team.limit == NO_RESOURCES:
-                continue
-            part = self._adjust(team.name, team.limit)
-            allowances[team.name] = part
-        self.scheduler.set_allowances(allowances)
-
-    def _adjust(self, team: str, limit: Resources) -> Resources:
-        grant = self.plan_watcher.grants.get(team, Grant())
-        own = Resources(*grant.parts.get(self.pool, EMPTY_PART))
-        others = NO_RESOURCES
-        for pool, part in grant.parts.items():
-            if pool != self.pool:
-                others = others + Resources(*part)
+        limits = {
+            team.name: team.limit for team in config.teams if team.limit != NO_RESOURCES
+        }
+        self.allowances = {
+            team: allowance
+            for team, allowance in self.allowances.items()
+            if team in limits
+        }
+        for team, limit in limits.items():
+            self._adjust(team, limit)
+            self._set_allowance(team, limit)
+        self.scheduler.set_allowances(self.allowances)
+
+    def _adjust(self, team: str, limit: Resources) -> None:
+        grant, own, others = self._stored_parts(team)
         used = self.scheduler.state.team_used.get(team, NO_RESOURCES)
         unmet = self.scheduler.state.allowance_shortfall.get(team, NO_RESOURCES)
         is_short = unmet != NO_RESOURCES and not (others + used + unmet).within(limit)
@@ -79,11 +99,36 @@
         if is_short:
             short.add(self.pool)
         updated = _with_part(grant, self.pool, target, short)
-        if updated != grant and self._write(team, updated):
-            own = target
-        if not (own + others).within(limit):
-            return _as_allowance(NO_RESOURCES, limit)
-        return _as_allowance(own, limit)
+        # Any later write rules out that an unconfirmed one is still applied.
+        if updated != grant or self._unconfirmed_part(team) is not None:
+            self._write(team, updated, target, limit)
+
+    def _set_allowance(self, team: str, limit: Resources) -> None:
+        """Let the scheduler use what is in the pool's part whatever was stored."""
+        _grant, own, others = self._stored_parts(team)
+        usable = own if (own + others).within(limit) else NO_RESOURCES
+        unconfirmed = self._unconfirmed_part(team)
+        if unconfirmed is not None:
+            usable = usable.elementwise_min(unconfirmed)
+        self.allowances = {**self.allowances, team: _as_allowance(usable, limit)}
+        self.scheduler.set_allowances(self.allowances)
+
+    def _stored_parts(self, team: str) -> tuple[Grant, Resources, Resources]:
+        """Return a team's grant, this pool's part and the sum of the others' parts."""
+        grant = self.plan_watcher.grants.get(team, Grant())
+        own = Resources(*grant.parts.get(self.pool, EMPTY_PART))
+        others = NO_RESOURCES
+        for pool, part in grant.parts.items():
+            if pool != self.pool:
+                others = others + Resources(*part)
+        return grant, own, others
+
+    def _unconfirmed_part(self, team: str) -> Resources | None:
+        unconfirmed = self.unconfirmed.get(team)
+        revision = self.plan_watcher.grant_revisions.get(team, 0)
+        if unconfirmed is None or unconfirmed.revision < revision:
+            return None
+        return unconfirmed.part
 
     def _target_part(
         self,
@@ -112,23 +157,29 @@
             return own
         return (used + reserve).elementwise_min(own)
 
-    def _write(self, team: str, updated: Grant) -> bool:
+    def _write(
+        self, team: str, updated: Grant, part: Resources, limit: Resources
+    ) -> None:
         key = grant_key(team)
         revision = self.plan_watcher.grant_revisions.get(team, 0)
         put = Put(key, encode_json(updated))
+        earlier = self._unconfirmed_part(team)
+        smallest = part if earlier is None else part.elementwise_min(earlier)
+        self.unconfirmed[team] = UnconfirmedPart(revision, smallest)
+        self._set_allowance(team, limit)
         try:
             outcome = self.store.transact(
                 Transaction((self.claim(), Expect(key, revision)), (put,))
             )
         except StoreError as error:
             log(Event.WRITE_FAILED, what="part of a limit", team=team, error=str(error))
-            return False
+            return
+        if outcome.succeeded:
+            stored = Entry(key, put.value, outcome.revision)
+            self.plan_watcher.update_grant(stored)
         for entry in outcome.entries:
             if entry.key == key:
                 self.plan_watcher.update_grant(entry)
-        if outcome.succeeded:
-            self.plan_watcher.update_grant(Entry(key, put.value, outcome.revision))
-        return outcome.succeeded
 
 
 def _divided(limit: Resources, divisor: int) -> Resources:
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -6,6 +6,7 @@
 import pytest
 
 from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.exceptions import StoreError
 from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 from heatherhatch_daemon.pools import pool_grants
@@ -141,6 +142,56 @@
     assert model.used_cpu_m("b") == 5_000
 
 
+def test_a_pool_starts_nothing_in_a_part_that_it_is_releasing(model, monkeypatch):
+    """The pool that got it used it at the same time, and the limit was exceeded."""
+    model.demands["a"].cpu_m = 60_000
+    model.settle()
+    model.demands["a"].cpu_m = 10_000
+    model.demands["b"].cpu_m = 70_000
+    transact = model.store.transact
+    exceeded = []
+
+    def check(transaction):
+        written = decode_json(transaction.puts[0].value, Grant)
+        for pool, demand in model.demands.items():
+            part_m = written.parts.get(pool, (0, 0, 0))[0]
+            if demand.allowed.cpu_m > max(1, part_m):
+                exceeded.append((pool, demand.allowed.cpu_m, part_m))
+        return transact(transaction)
+
+    monkeypatch.setattr(model.store, "transact", check)
+    model.settle()
+    assert exceeded == []
+
+
+@pytest.mark.parametrize("is_applied_late", [False, True])
+def test_a_release_without_an_answer_holds_until_the_stored_part_is_known(
+    model, monkeypatch, is_applied_late
+):
+    """The store may apply it late, and another pool may use it at once."""
+    model.demands["a"].cpu_m = 60_000
+    model.settle()
+    model.demands["a"].cpu_m = 10_000
+    unanswered = []
+
+    def lose(transaction):
+        unanswered.append(transaction)
+        raise StoreError("no answer")
+
+    with monkeypatch.context() as outage:
+        outage.setattr(model.store, "transact", lose)
+        model.settle()
+        released = decode_json(unanswered[0].puts[0].value, Grant)
+        model.demands["a"].cpu_m = 60_000
+        model.settle()
+        assert model.demands["a"].allowed.cpu_m <= released.parts["a"][0]
+    if is_applied_late:
+        assert model.store.transact(unanswered[0]).succeeded
+    model.settle()
+    assert model.used_cpu_m("a") == 60_000
+    assert not model.store.transact(unanswered[0]).succeeded
+
+
 def test_an_answer_that_comes_late_does_not_undo_later_changes(model, monkeypatch):
     """A pool got back a part that it had released after the write that it answers."""
     for pool in ("a", "b"):
