Bound how often a limit is released while another pool is short

What callers could see: jobs of a team start later, as holders write the record of its limit instead of other records and conflict with each other.

Cause: while a pool is short, the others keep a small reserve beyond their use, and each drop in use lowered the part in the next step, as often as every 50 ms. The pool that is short then wrote the record as well.

Fix: a pool releases at once, and then again after a second at the earliest, with all that became free meanwhile. A write that was refused does not count. Increases, and releases after a limit was lowered, are not delayed. Which of two busy pools gets the limit is not changed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -1,5 +1,6 @@
 """Divides each team's limit among the pools, by records in the store."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,6 +19,7 @@
 RESERVE_DIVISOR = 8  # a pool reserves 1/8 of the limit, to write less often
 CONTENDED_RESERVE_DIVISOR = 16  # while another pool is short, a pool reserves 1/16
 RELEASE_AFTER_S = 1.0  # an excess that was unused for this long is released
+CONTENDED_RELEASE_PERIOD_S = 1.0  # minimum time between releases to a short pool
 EMPTY_PART = (0, 0, 0)
 
 
@@ -68,6 +70,7 @@
         self.claim = claim
         self.scheduler = scheduler
         self.excess_since_s: dict[str, float] = {}
+        self.released_s: dict[str, float] = {}
         self.unconfirmed: dict[str, UnconfirmedPart] = {}
         self.allowances: dict[str, Resources] = {}
 
@@ -94,14 +97,15 @@
         short = set(grant.short) - {self.pool}
         target = self._target_part(team, used, unmet, own, limit, others)
         if short:
-            reserve = _divided(limit, CONTENDED_RESERVE_DIVISOR)
-            target = target.elementwise_min(used + reserve)
+            target = self._contended_part(team, target, used, own, limit)
         if is_short:
             short.add(self.pool)
         updated = _with_part(grant, self.pool, target, short)
         # Any later write rules out that an unconfirmed one is still applied.
         if updated != grant or self._unconfirmed_part(team) is not None:
-            self._write(team, updated, target, limit)
+            stored = self._write(team, updated, target, limit)
+            if stored and not own.fits(target):
+                self.released_s[team] = now_s()
 
     def _set_allowance(self, team: str, limit: Resources) -> None:
         """Let the scheduler use what is in the pool's part whatever was stored."""
@@ -157,9 +161,27 @@
             return own
         return (used + reserve).elementwise_min(own)
 
+    def _contended_part(
+        self,
+        team: str,
+        target: Resources,
+        used: Resources,
+        own: Resources,
+        limit: Resources,
+    ) -> Resources:
+        """Limit a part to a small reserve beyond the use, and release seldom."""
+        reserve = _divided(limit, CONTENDED_RESERVE_DIVISOR)
+        limited = target.elementwise_min(used + reserve)
+        kept = own.elementwise_min(target)
+        if kept.fits(limited):
+            return limited
+        if now_s() - self.released_s.get(team, -math.inf) < CONTENDED_RELEASE_PERIOD_S:
+            return limited.elementwise_max(kept)
+        return limited
+
     def _write(
         self, team: str, updated: Grant, part: Resources, limit: Resources
-    ) -> None:
+    ) -> bool:
         key = grant_key(team)
         revision = self.plan_watcher.grant_revisions.get(team, 0)
         put = Put(key, encode_json(updated))
@@ -173,13 +195,14 @@
             )
         except StoreError as error:
             log(Event.WRITE_FAILED, what="part of a limit", team=team, error=str(error))
-            return
+            return False
         if outcome.succeeded:
             stored = Entry(key, put.value, outcome.revision)
             self.plan_watcher.update_grant(stored)
         for entry in outcome.entries:
             if entry.key == key:
                 self.plan_watcher.update_grant(entry)
+        return outcome.succeeded
 
 
 def _divided(limit: Resources, divisor: int) -> Resources:
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -11,7 +11,11 @@
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 from heatherhatch_daemon.pools import pool_grants
 from heatherhatch_daemon.pools.fleet_records import Grant, PlanWatcher
-from heatherhatch_daemon.pools.pool_grants import RELEASE_AFTER_S, PoolGrants
+from heatherhatch_daemon.pools.pool_grants import (
+    CONTENDED_RESERVE_DIVISOR,
+    RELEASE_AFTER_S,
+    PoolGrants,
+)
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 from heatherhatch_daemon.transport.store import Expect, Put, Transaction
 from pool_model import CONFIG
@@ -215,3 +219,23 @@
     model.step()
     model.grants[0].step(TEAM_CONFIG)
     assert model.watcher.grants["red"].parts["b"] == (20_000, 20_000, 0)
+
+
+def test_drops_in_use_are_released_seldom_while_another_pool_is_short(model):
+    """The record that all pools share was written again at each drop in use."""
+    for pool in ("b", "c", "d"):
+        model.demands[pool].cpu_m = 25_000
+    model.settle()
+    model.demands["a"].cpu_m = 80_000
+    model.settle()
+    before = model.store.revision
+    steps_per_second = 20
+    for _step in range(steps_per_second):
+        model.demands["b"].cpu_m -= 1_000
+        model.step(1 / steps_per_second)
+    # Two releases by the pool whose use drops, each followed by an increase of "a".
+    assert model.store.revision - before <= 4
+    model.settle()
+    used_by_others_m = sum(model.used_cpu_m(pool) for pool in ("b", "c", "d"))
+    reserves_m = 3 * LIMIT.cpu_m // CONTENDED_RESERVE_DIVISOR
+    assert model.used_cpu_m("a") >= LIMIT.cpu_m - used_by_others_m - reserves_m
