Ignore that a pool was short which is no longer active

What callers could see: the other pools of a team keep a small reserve only, so that small jobs wait for a write each time the demand grows.

Cause: a pool that is put on standby has no holder any more, and its name stays among the short pools of the record for good.

Evidence: the test failed on the code before:

test_a_short_pool_that_goes_off_does_not_hold_down_the_reserves assert (55000, 55000, 0) == (65000, 65000, 0)

Fix: names of pools that are not active in the configuration are ignored. They are not removed: instances learn of a configuration at different times, and would remove and add the name in turn. The configuration of the tests now names the pools that the tests use; no check changed.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -76,6 +76,7 @@
 
     def step(self, config: FleetConfiguration) -> None:
         """Adjust the parts to the pool's use and demand, and set the allowances."""
+        active = frozenset(config.active_pools())
         limits = {
             team.name: team.limit for team in config.teams if team.limit != NO_RESOURCES
         }
@@ -85,18 +86,19 @@
             if team in limits
         }
         for team, limit in limits.items():
-            self._adjust(team, limit)
+            self._adjust(team, limit, active)
             self._set_allowance(team, limit)
         self.scheduler.set_allowances(self.allowances)
 
-    def _adjust(self, team: str, limit: Resources) -> None:
+    def _adjust(self, team: str, limit: Resources, active: frozenset[str]) -> None:
         grant, own, others = self._stored_parts(team)
         used = self.scheduler.state.team_used.get(team, NO_RESOURCES)
         unmet = self.scheduler.state.allowance_shortfall.get(team, NO_RESOURCES)
         is_short = unmet != NO_RESOURCES and not (others + used + unmet).within(limit)
         short = set(grant.short) - {self.pool}
         target = self._target_part(team, used, unmet, own, limit, others)
-        if short:
+        # A pool that is off has no holder that would remove its name.
+        if short & active:
             target = self._contended_part(team, target, used, own, limit)
         if is_short:
             short.add(self.pool)
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -7,7 +7,7 @@
 
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.exceptions import StoreError
-from heatherhatch_core.state.fleet_configuration import Team
+from heatherhatch_core.state.fleet_configuration import Pool, Team
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 from heatherhatch_daemon.pools import pool_grants
 from heatherhatch_daemon.pools.fleet_records import Grant, PlanWatcher
@@ -22,7 +22,11 @@
 
 POOLS = ("a", "b", "c", "d")
 LIMIT = Resources(80_000, 80_000)
-TEAM_CONFIG = dataclasses.replace(CONFIG, teams=(Team("red", limit=LIMIT),))
+TEAM_CONFIG = dataclasses.replace(
+    CONFIG,
+    teams=(Team("red", limit=LIMIT),),
+    pools=tuple(Pool(pool) for pool in POOLS),
+)
 STEPS = 40  # enough for each pool to react to all others
 
 
@@ -239,3 +243,20 @@
     used_by_others_m = sum(model.used_cpu_m(pool) for pool in ("b", "c", "d"))
     reserves_m = 3 * LIMIT.cpu_m // CONTENDED_RESERVE_DIVISOR
     assert model.used_cpu_m("a") >= LIMIT.cpu_m - used_by_others_m - reserves_m
+
+
+def test_a_short_pool_that_goes_off_does_not_hold_down_the_reserves(model):
+    """Its name stayed in the record, and the others released all but a little."""
+    model.demands["b"].cpu_m = 60_000
+    model.settle()
+    model.demands["a"].cpu_m = 80_000
+    model.settle()
+    assert model.watcher.grants["red"].short == ("a",)
+    pools = tuple(Pool(pool, standby=pool == "a") for pool in POOLS)
+    config = dataclasses.replace(TEAM_CONFIG, pools=pools)
+    before = model.watcher.grants["red"].parts["b"]
+    model.demands["b"].cpu_m = 50_000
+    for _step in range(STEPS):
+        model.now_s += 2 * RELEASE_AFTER_S
+        model.grants[POOLS.index("b")].step(config)
+    assert model.watcher.grants["red"].parts["b"] == before
