Decide on moves after the runs that leave with their worker

What callers saw (rule AVAIL): a lasting task was ended by a move although two others of its step were away and one may be.

Cause: in one round, runs on drained machines were looked at in the order of the workers. A task was moved off a sound worker, within mayMiss, and then others of its step were stopped on a worker that leaves by itself.

Fix: workers that leave by themselves come first in each round; their tasks then count as away.

test_a_task_is_not_moved_while_others_must_leave_a_draining_worker fails before: ['w0', 'w1'] are stopped instead of ['w1'].

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
@@ -23,7 +23,11 @@
     for machine in list(drain_started_s):
         if machine not in state.draining:
             del drain_started_s[machine]
-    for worker in state.workers.values():
+    # Runs on workers that leave by themselves stop in any case, so that they count as
+    # away when it is decided which others may stop.
+    for worker in sorted(
+        state.workers.values(), key=lambda item: not item.info.draining
+    ):
         machine = worker.info.machine
         if machine in state.draining:
             since_s = drain_started_s.setdefault(machine, now_s)
--- a/tests/test_scheduler_drain.py
+++ b/tests/test_scheduler_drain.py
@@ -37,3 +37,21 @@
         model.round(0.2)
         assert len(model.alive_runs()) == 1
         model.now_s += 0.8
+
+
+# Guards against AVAIL: a task was moved off a sound worker in the same round in which
+# others of its step had to leave a worker that drains.
+def test_a_task_is_not_moved_while_others_must_leave_a_draining_worker():
+    model = PoolModel(workers=2)
+    model.add(make_job(make_step(count=2, lasting=True, may_miss=1)))
+    model.round(10.0)
+    model.receive_reports()  # only runs that are reported at work may be moved
+    workers = {worker for worker, _task, _run in model.alive_runs()}
+    assert workers == {"w0", "w1"}
+    info = dataclasses.replace(model.workers["w1"].info, draining=True, leaves_in_s=4.0)
+    model.scheduler.update_worker(info, model.now_s)
+    model.scheduler.set_drains({model.workers["w0"].info.machine: 1}, {})
+    model.now_s += 0.1
+    model.scheduler.decide(model.now_s, model.now_s)
+    stopped = [order.worker_id for order in model.scheduler.take_orders()]
+    assert stopped == ["w1"]
