Check the range of each number from outside; know a job by queue and ID

Tasks larger than any worker counted in a pool's demand, without a limit, and drew the machines of other pools. status_key knew the bare ID, so a job of another queue or team with a taken ID was answered 200 and never ran. An ID with a '.' made a worker's whole report unreadable, since task names are split there.

Now: decoders state a range for each number and name field, value and range in the 400; the scheduler bounds the numbers of jobs that earlier versions stored. The first job with an ID keeps the key that earlier versions use, a job of another queue gets queue and ID, and an ID of another team in the same queue is refused with 403. Chunked bodies are read; a length stated twice or unclearly is refused and the connection closed (RFC 9112, 6.3).

Ruled out: keys by queue for all jobs, since instances of the version before would answer 410 for them during an upgrade.

test_slow_links stored jobs under a queue that its callers did not ask; it now names the right one, the checks are the same.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from ...state.resources import Resources
+from ...state.work import Step
 from .live import LiveJob
 from .ordering import is_late
 from .state import PoolState
@@ -26,10 +28,14 @@
         self.recent: deque[tuple[float, float]] = deque()
 
     def note(self, state: PoolState, job: LiveJob, now_s: float) -> None:
-        """Add a job that has just arrived; jobs with lasting tasks do not count."""
+        """Add a job that has just arrived.
+
+        Jobs with tasks that last, or that fit no worker, do not count.
+        """
         work = 0.0
+        largest = largest_worker(state)
         for number, step in enumerate(job.job.steps):
-            if step.lasting:
+            if step.lasting or not _fits(step, largest):
                 return
             length_s = state.run_times.expect(job.job.queue, number, step.estimate_s)
             work += step.count * step.need.cpu_m * length_s
@@ -52,8 +58,11 @@
 
     Waiting tasks count as if they ran, but those of late jobs only in part. Batch
     demand is at least what is needed to keep up with recent arrivals. Filler
-    tasks do not count.
+    tasks do not count. Tasks that fit no worker of the pool count as one worker
+    together, which may be a larger one.
     """
+    largest = largest_worker(state)
+    oversized = False
     lasting = 0.0
     batch = 0.0
     for job in state.jobs.values():
@@ -64,6 +73,9 @@
             for number, step in enumerate(job.job.steps):
                 if step.fills or not job.ready(occurrence, number):
                     continue
+                if not _fits(step, largest):
+                    oversized = True
+                    continue
                 tasks = job.step_tasks(occurrence, number)
                 open_tasks = [task for task in tasks if not task.settled]
                 if step.lasting:
@@ -72,4 +84,20 @@
                 running = sum(1 for task in open_tasks if task.runs)
                 waiting = len(open_tasks) - running
                 batch += (running + weight * waiting) * step.need.cpu_m
+    if oversized:
+        lasting += largest.cpu_m
     return int(lasting + max(batch, arrivals.cpu_m(now_s)))
+
+
+def largest_worker(state: PoolState) -> Resources | None:
+    """Return the largest capacity of a worker in each dimension; None without one."""
+    largest = None
+    for worker in state.workers.values():
+        if worker.present:
+            capacity = worker.info.capacity
+            largest = capacity.elementwise_max(largest or capacity)
+    return largest
+
+
+def _fits(step: Step, largest: Resources | None) -> bool:
+    return largest is None or step.occupies.fits(largest)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from ...state.fleet_configuration import FleetConfiguration
+from ...state.job_bounds import bounded
 from ...state.resources import NO_RESOURCES, Resources
 from ...state.work import Job, JobStatus, Phase, Progress
 from .demand import Arrivals, needed_cpu_m
@@ -67,7 +68,9 @@
         """Add a job, with its stored progress if it has started."""
         if job.job_id in self.state.jobs:
             return
-        live = LiveJob(job)
+        live = LiveJob(bounded(job))
+        if live.job != job:
+            self.state.note("numbers out of bounds", job=job.job_id, queue=job.queue)
         self.state.jobs[job.job_id] = live
         if progress is None:
             self.arrivals.note(self.state, live, now_s)
@@ -246,4 +249,4 @@
         return None
     ended_s = wall_s if live.phase.final else 0.0
     job = live.job
-    return JobStatus(live.phase, job.pool, job.queue, job.team, ended_s)
+    return JobStatus(live.phase, job.pool, job.queue, job.team, ended_s, job.shares_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -124,6 +124,8 @@
         schedule: When the steps run.
         accepted_s: When the job was accepted, seconds since the epoch.
         terms: Rules of the queue at that time.
+        shares_id: True if another queue used the identifier first, so that the status
+            is stored under the queue and the identifier.
     """
 
     job_id: str
@@ -135,6 +137,12 @@
     schedule: Schedule = Schedule()
     accepted_s: float = 0.0
     terms: Terms = Terms()
+    shares_id: bool = False
+
+    @property
+    def shared_by(self) -> str:
+        """Queue of the job if it shares its identifier; empty otherwise."""
+        return self.queue if self.shares_id else ""
 
 
 class JobStatus(msgspec.Struct, frozen=True):
@@ -146,6 +154,7 @@
         queue: Name of the queue that accepted the job.
         team: Team that submitted the job; empty on a public queue.
         ended_s: When the job ended, seconds since the epoch; 0 until then.
+        shares_id: True if another queue used the job's identifier first.
     """
 
     phase: Phase
@@ -153,6 +162,16 @@
     queue: str
     team: str = ""
     ended_s: float = 0.0
+    shares_id: bool = False
+
+    @property
+    def shared_by(self) -> str:
+        """Queue of the job if it shares its identifier; empty otherwise."""
+        return self.queue if self.shares_id else ""
+
+    def is_owned_by(self, team: str) -> bool:
+        """Return whether a team may use the job; without a team, anyone may."""
+        return not self.team or not team or self.team == team
 
 
 class RunRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
@@ -115,7 +115,8 @@
             revision = self.revisions.get(write.job_id, 0)
             expects.append(Expect(key, revision))
             if write.status is not None:
-                puts.append(Put(status_key(write.job_id), encode_json(write.status)))
+                shown_key = status_key(write.job_id, write.status.shared_by)
+                puts.append(Put(shown_key, encode_json(write.status)))
             if write.status is not None and write.status.phase.final:
                 values[key] = None
                 deletes.append(job_key(self.pool, write.job_id))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -1,22 +1,25 @@
 """Accepts jobs, and answers the status and cancel requests of callers."""
 
+import re
 from collections.abc import Callable
 
-from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.codec import decode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
-from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step
+from heatherhatch_core.state.work import Job, JobStatus, Schedule, Step
 
 from ..events import Event, log
-from ..transport.store import Entry, Expect, Outcome, PolledStore, Put, Transaction
+from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
 from .callers import Caller, identify
-from .clock import now_s, sleep, wall_s
+from .clock import now_s, wall_s
 from .fleet_records import PoolReport
-from .keys import cancel_key, job_key, report_key, status_key
+from .job_registry import FoundStatus, JobRegistry, Registration
+from .keys import cancel_key, report_key
 from .operators import MAX_SERVING_AGE_S, Operators
-from .retries import RETRY_AFTER_S, STORE_ATTEMPTS, call_with_retries, retry_after_s
+from .retries import RETRY_AFTER_S, call_with_retries, retry_after_s
 
-STORE_PAUSE_S = 0.1  # pause between two attempts to store a job
 MAX_REPORT_AGE_S = 3.0  # queue lengths in an older report of a pool are not used
+MAX_JOB_ID_CHARACTERS = 64  # identifiers are parts of keys and of task names
+JOB_ID = re.compile(rf"[0-9A-Za-z_-]{{1,{MAX_JOB_ID_CHARACTERS}}}")
 CONFLICT_ATTEMPTS = 8  # at 12 configuration versions a second, 1 write in 8 conflicts
 
 
@@ -44,6 +47,7 @@
         self.store = store
         self.operators = operators
         self.store_outage_s = store_outage_s
+        self.registry = JobRegistry(store, operators)
 
     def identify(self, host: str, path: str, key: str) -> Caller:
         """Return the caller that a request comes from.
@@ -82,19 +86,17 @@
         steps: tuple[Step, ...],
         schedule: Schedule,
     ) -> None:
-        """Store a job; do nothing if it is stored already.
+        """Store a job; do nothing if its owner has submitted it before.
 
         Raises:
-            HeatherhatchError: The error kind says whether the job may still run.
+            HeatherhatchError: The error kind says whether the job may still run;
+                ``FORBIDDEN`` if another team has submitted a job with the identifier.
         """
         for _attempt in range(CONFLICT_ATTEMPTS):
             self.operators.await_change()
             caller = self.identify(host, path, key)
-            job_id = path.removeprefix(caller.queue.prefix)
-            if not job_id or "/" in job_id:
-                raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no job at "{path}"')
             job = Job(
-                job_id,
+                _new_job_id(caller, path),
                 caller.queue.name,
                 caller.queue.pool,
                 caller.team,
@@ -104,7 +106,18 @@
                 wall_s(),
                 caller.terms(),
             )
-            if self._store(job):
+            sent_s = now_s()
+            result = self.registry.register(job)
+            if result is not Registration.CONFIG_CHANGED:
+                log(
+                    Event.JOB_ACCEPTED,
+                    job=job.job_id,
+                    queue=job.queue,
+                    team=job.team,
+                    version=self.operators.config.version,
+                    known=result is Registration.KNOWN,
+                    took_ms=round((now_s() - sent_s) * 1000, 1),
+                )
                 return
         raise HeatherhatchError(
             ErrorKind.NO_STANDING,
@@ -112,58 +125,6 @@
             RETRY_AFTER_S,
         )
 
-    def _store(self, job: Job) -> bool:
-        """Store a job; return False if the configuration is not the newest."""
-        config = self.operators.expect()
-        status = JobStatus(Phase.QUEUED, job.pool, job.queue, job.team)
-        transaction = Transaction(
-            (Expect(status_key(job.job_id), 0), config),
-            (
-                Put(status_key(job.job_id), encode_json(status)),
-                Put(job_key(job.pool, job.job_id), encode_json(job)),
-            ),
-        )
-        sent_s = now_s()
-        outcome = self._transact(transaction)
-        exists = any(entry.key == status_key(job.job_id) for entry in outcome.entries)
-        if outcome.succeeded or exists:
-            log(
-                Event.JOB_ACCEPTED,
-                job=job.job_id,
-                queue=job.queue,
-                team=job.team,
-                version=self.operators.config.version,
-                known=exists,
-                took_ms=round((now_s() - sent_s) * 1000, 1),
-            )
-            return True
-        if not self.operators.apply_entries(outcome.entries):
-            self.operators.refresh()
-        return False
-
-    def _transact(self, transaction: Transaction) -> Outcome:
-        """Send a transaction that creates a job, with retries.
-
-        Raises:
-            HeatherhatchError: ``STORE_UNAVAILABLE`` if it certainly was not
-                applied, ``CHANGE_UNKNOWN`` if it may be applied, now or later.
-        """
-        last_error: StoreError | None = None
-        for _attempt in range(STORE_ATTEMPTS):
-            try:
-                return self.store.transact(transaction)
-            except StoreError as error:
-                if last_error is None and not error.maybe_applied:
-                    raise HeatherhatchError(
-                        ErrorKind.STORE_UNAVAILABLE, error.detail, RETRY_AFTER_S
-                    ) from error
-                last_error = error
-                sleep(STORE_PAUSE_S)
-        # An earlier attempt may still be applied, so this is not a rejection.
-        raise HeatherhatchError(
-            ErrorKind.CHANGE_UNKNOWN, last_error.detail
-        ) from last_error
-
     def status(self, host: str, path: str, key: str) -> JobStatus:
         """Return the status of a job.
 
@@ -171,7 +132,7 @@
             HeatherhatchError: ``NO_SUCH_JOB`` if the job is not known.
         """
         caller = self.identify(host, path, key)
-        return self._status(caller, path.removeprefix(caller.queue.prefix))[0]
+        return self._find(caller, path.removeprefix(caller.queue.prefix)).status
 
     def cancel(self, host: str, path: str, key: str) -> None:
         """Store a request to cancel a job; do nothing if the job has ended.
@@ -182,13 +143,20 @@
         caller = self.identify(host, path, key)
         job_id = path.removeprefix(caller.queue.prefix)
         for _attempt in range(CONFLICT_ATTEMPTS):
-            status, revision = self._status(caller, job_id)
+            found = self._find(caller, job_id)
+            status = found.status
             if status.phase.final:
                 return
             put = Put(cancel_key(status.pool, job_id), b"{}")
-            expect = Expect(status_key(job_id), revision)
+            expect = Expect(found.key, found.revision)
             if self._store_cancel(Transaction((expect,), (put,)), job_id):
-                log(Event.JOB_CANCELLING, job=job_id, phase=status.phase.value)
+                log(
+                    Event.JOB_CANCELLING,
+                    job=job_id,
+                    queue=status.queue,
+                    team=status.team,
+                    phase=status.phase.value,
+                )
                 return
         raise HeatherhatchError(
             ErrorKind.CHANGE_UNKNOWN, f'job "{job_id}" changed during each attempt'
@@ -225,16 +193,17 @@
             )
         return report.waiting.get(caller.queue.name, 0)
 
-    def _status(self, caller: Caller, job_id: str) -> tuple[JobStatus, int]:
-        entry = self._get(status_key(job_id))
-        if entry is None:
+    def _find(self, caller: Caller, job_id: str) -> FoundStatus:
+        found = None
+        if JOB_ID.fullmatch(job_id):
+            found = self.registry.find(caller.queue.name, job_id, self._get)
+        if found is None:
             raise HeatherhatchError(ErrorKind.NO_SUCH_JOB, f'no job "{job_id}"')
-        status = decode_json(entry.value, JobStatus)
-        if status.team and caller.team and status.team != caller.team:
+        if not found.status.is_owned_by(caller.team):
             raise HeatherhatchError(
                 ErrorKind.FORBIDDEN, f'job "{job_id}" belongs to another team'
             )
-        return status, entry.revision
+        return found
 
     def _get(self, key: str) -> Entry | None:
         try:
@@ -247,3 +216,16 @@
                 error.detail,
                 retry_after_s(self.store_outage_s()),
             ) from error
+
+
+def _new_job_id(caller: Caller, path: str) -> str:
+    job_id = path.removeprefix(caller.queue.prefix)
+    if not job_id or "/" in job_id:
+        raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no job at "{path}"')
+    if not JOB_ID.fullmatch(job_id):
+        raise HeatherhatchError(
+            ErrorKind.BAD_REQUEST,
+            f'job "{job_id[:MAX_JOB_ID_CHARACTERS]}" is not named by 1 to '
+            f"{MAX_JOB_ID_CHARACTERS} letters, digits, hyphens and underscores",
+        )
+    return job_id
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/keys.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/keys.py
@@ -1,5 +1,7 @@
 """Keys of the records that pools keep in the store."""
 
+from urllib.parse import quote
+
 CLAIM_PREFIX = "claims/"
 PLAN_KEY = "fleet/plan"
 REPORT_PREFIX = "fleet/report/"
@@ -44,9 +46,17 @@
     return runs_prefix(pool) + job_id
 
 
-def status_key(job_id: str) -> str:
-    """Return the key of the job status that callers read."""
-    return STATUS_PREFIX + job_id
+def status_key(job_id: str, shared_by: str = "") -> str:
+    """Return the key of the job status that callers read.
+
+    Args:
+        job_id: Identifier of the job.
+        shared_by: Queue of the job if another queue used the identifier first; empty
+            if no other did.
+    """
+    if not shared_by:
+        return STATUS_PREFIX + job_id
+    return f"{STATUS_PREFIX}{quote(shared_by, safe='')}/{job_id}"
 
 
 def report_key(pool: str) -> str:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -13,6 +13,7 @@
 
 from ..events import Event, log
 from ..settings import Address, LimitSettings
+from .request_head import HeadReader, check_framing
 from .syn_filter import drop_new_connections
 
 POLL_INTERVAL_S = 0.01
@@ -28,35 +29,6 @@
 )
 
 
-class HeadTooLargeError(ValueError):
-    """A request head is larger than the limit."""
-
-
-class HeadReader:
-    """Reads the lines of one request head up to a limit on their total size.
-
-    Args:
-        stream: Stream that the head is read from.
-        limit_bytes: Size of the largest accepted head, in bytes.
-    """
-
-    def __init__(self, stream, limit_bytes: int):
-        self.stream = stream
-        self.left_bytes = limit_bytes
-
-    def readline(self, size: int = -1) -> bytes:
-        """Return the next line.
-
-        Raises:
-            HeadTooLargeError: If the head is larger than the limit.
-        """
-        line = self.stream.readline(min(size, self.left_bytes + 1))
-        self.left_bytes -= len(line)
-        if self.left_bytes < 0:
-            raise HeadTooLargeError("the request head is too large")
-        return line
-
-
 class BoundedHandler(WSGIHandler):
     """Serves one connection within the limits of its listener.
 
@@ -67,9 +39,14 @@
     is_new = True
 
     def MessageClass(self, stream, seekable):  # noqa: N802
-        """Return the headers; fail if the head is larger than the limit."""
+        """Return the headers; fail if the head is too large or its framing unclear."""
         limit = self.server.listener.limits.header_bytes
-        return super().MessageClass(HeadReader(stream, limit), seekable)
+        headers = super().MessageClass(HeadReader(stream, limit), seekable)
+        check_framing(
+            headers.get_all("content-length", []),
+            headers.get_all("transfer-encoding", []),
+        )
+        return headers
 
     def read_requestline(self):
         """Return the request line, an empty string if none arrives in time."""
--- a/tests/test_pool_serving.py
+++ b/tests/test_pool_serving.py
@@ -20,6 +20,7 @@
     claims,
     feed,
     intake,
+    job_registry,
     node,
     operators,
     serving,
@@ -138,7 +139,7 @@
     for module in (claims, feed, intake, node, operators, serving, watched_store):
         if hasattr(module, "now_s"):
             monkeypatch.setattr(module, "now_s", clock)
-    monkeypatch.setattr(intake, "sleep", clock.sleep)
+    monkeypatch.setattr(job_registry, "sleep", clock.sleep)
     return clock
 
 
--- /dev/null
+++ b/tests/test_request_framing.py
@@ -0,0 +1,103 @@
+"""The length of a request body is stated once, or the connection is closed.
+
+Two recipients that disagree about where a body ends take different bytes for the next
+request, so one caller could place a request on the connection of another.
+"""
+
+import json
+
+import pytest
+from gevent import socket
+
+from heatherhatch_daemon.pools.serving import StoreView
+from heatherhatch_daemon.settings import Address, LimitSettings
+from heatherhatch_daemon.transport.listener import Listener
+from heatherhatch_platform import entry
+
+TIMEOUT_S = 5.0
+VIEW = StoreView(0.1, 0.2, 0.3, 0.0, 0.0, 7)
+BODY = b'{"spec": "run", "steps": [{"count": 2}]}'
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+class RecordingIntake:
+    """An intake that records the submitted jobs."""
+
+    def __init__(self):
+        self.jobs = []
+
+    def submit(self, _host, path, _key, payload, steps, _schedule):
+        self.jobs.append((path, payload, steps[0].count))
+
+
+@pytest.fixture
+def intake():
+    return RecordingIntake()
+
+
+@pytest.fixture
+def address(intake):
+    app = entry.EntryApp(intake, lambda: VIEW)
+    listener = Listener(Address("127.0.0.1", 0), app, LimitSettings())
+    yield listener.start()
+    listener.stop(TIMEOUT_S)
+
+
+def exchange(address, head: bytes, body: bytes) -> tuple[int, bytes]:
+    """Send one request; return the status and all that follows until a close."""
+    with socket.create_connection((address.host, address.port), TIMEOUT_S) as sock:
+        sock.settimeout(TIMEOUT_S)
+        sock.sendall(b"POST /q/1 HTTP/1.1\r\nHost: h\r\n" + head + b"\r\n" + body)
+        data = b""
+        while chunk := sock.recv(65_536):
+            data += chunk
+    return int(data.split()[1]), data
+
+
+def in_chunks(data: bytes) -> bytes:
+    parts = (data[:7], data[7:])
+    return (
+        b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+    )
+
+
+def test_a_chunked_body_is_read(address, intake):
+    head = CHUNKED + b"Connection: close\r\n"
+    assert exchange(address, head, in_chunks(BODY))[0] == 200
+    assert intake.jobs == [("/q/1", "run", 2)]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 40\r\nContent-Length: 5\r\n",
+        b"Content-Length: 40\r\nContent-Length: 40\r\n",
+        b"Content-Length: 40\r\n" + CHUNKED,
+        b"Content-Length: +40\r\n",
+        b"Content-Length: 4_0\r\n",
+        b"Content-Length: -1\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        CHUNKED + CHUNKED,
+    ],
+)
+def test_an_ambiguous_length_is_refused_and_the_connection_closed(
+    address, intake, head
+):
+    # exchange() returns because the listener closes the connection.
+    assert exchange(address, head, BODY)[0] == 400
+    assert intake.jobs == []
+
+
+def test_malformed_chunks_are_refused(address, intake):
+    head = CHUNKED + b"Connection: close\r\n"
+    status, data = exchange(address, head, b"zz\r\n" + BODY + b"\r\n0\r\n\r\n")
+    assert status == 400
+    assert "chunks" in json.loads(data.split(b"\r\n\r\n")[1])["error"]
+    assert intake.jobs == []
+
+
+def test_a_chunked_body_that_is_too_large_is_refused(address, intake, monkeypatch):
+    monkeypatch.setattr(entry, "MAX_BODY_BYTES", 20)
+    head = CHUNKED + b"Connection: close\r\n"
+    assert exchange(address, head, in_chunks(BODY))[0] == 413
+    assert intake.jobs == []
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -82,7 +82,7 @@
     deployment, callers, slow_instance
 ):
     spec = "done 0.05 ".ljust(4000, "x")
-    template = replace(make_job(make_step()), payload=spec)
+    template = replace(make_job(make_step()), payload=spec, queue=f"q-{POOL}")
     size = len(encode_json(template))
     job_ids = [f"{number:016x}" for number in range(MAX_PAGE_BYTES // size)]
     status = encode_json(JobStatus(Phase.QUEUED, POOL, template.queue, ""))
