Check a permission again when the connection of an order is ready

Cause: a holder's claim was checked before an order waited for one of the 10 connections to its worker, or of the 4 to the provider, and for a connect. A process that was suspended there, or an interface that answers slowly, sent the order up to its time-out after the claim had lapsed, and after a role was released. Fencing tokens stop it only where the receiver has seen a newer one, and not at all where requireFence is false.

Now the client asks once more when the connection is ready; what is left is the time between that check and the write. A start that was held back counts as not started, any other order as not sent.

Ruled out: killing the order's greenlet when a role is lost; that does not help a process that is suspended.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/machine_orders.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/machine_orders.py
@@ -14,7 +14,7 @@
 from ..metrics import METER, Metric
 from ..transport.http import ExchangeError
 from .clock import now_s
-from .ports import MachineControl
+from .ports import MachineControl, Permission
 
 MOVE_LISTED_S = 3.0  # the provider's list shows an accepted move within this time
 UNKNOWN_RESULT_S = 15.0  # an order without a response may be carried out 12 s later
@@ -72,6 +72,7 @@
         self.holder = holder
         self.token = token
         self.may_act = may_act
+        self.permission = Permission(token, may_act)
         self.maintained: dict[int, set[str]] = {}
         self.down_until_s: dict[str, float] = {}
         self.accepted_moves: dict[str, tuple[str, float]] = {}
@@ -174,7 +175,9 @@
     def _maintain(self, order: Maintain) -> bool:
         # Until a response arrives, the maintenance may begin at any time.
         self.down_until_s[order.machine] = now_s() + UNKNOWN_RESULT_S
-        done = self.control.maintain(order.machine, order.wave, self.holder, self.token)
+        done = self.control.maintain(
+            order.machine, order.wave, self.holder, self.permission
+        )
         # The machine went down at some time before the response. Only a list that
         # was requested after it must be up again shows that it is.
         duration_s = self.maintenance_s + STARTUP_MARGIN_S if done else 0.0
@@ -186,7 +189,9 @@
     @_call_provider.register
     def _move(self, order: Move) -> bool:
         self.open_moves[order.machine] = (order.pool, now_s())
-        done = self.control.move(order.machine, order.pool, self.holder, self.token)
+        done = self.control.move(
+            order.machine, order.pool, self.holder, self.permission
+        )
         del self.open_moves[order.machine]
         if done:
             self.accepted_moves[order.machine] = (order.pool, now_s())
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
@@ -47,24 +47,41 @@
     wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Permission:
+    """The permission to send orders as the holder of a role.
+
+    Attributes:
+        token: Fencing token of the role's claim.
+        is_valid: Returns whether orders may be sent at this moment.
+    """
+
+    token: int
+    is_valid: Callable[[], bool]
+
+
 class WorkerControl(Protocol):
     """Sends orders to one worker.
 
+    A permission is checked when the connection is ready, right before an order goes.
+
     Every method raises `FencedError` if a newer holder has sent orders to the
     worker, `WrongIncarnationError` if another incarnation of the worker answered, and
     `ExchangeError` if there was no answer.
     """
 
-    def renew(self, renewal: Renewal, token: int) -> Report:
+    def renew(self, renewal: Renewal, permission: Permission) -> Report:
         """Renew the lease; return the runs that are active or have ended."""
 
-    def start(self, order: StartOrder, deadline_ms: int, token: int) -> StartResult:
+    def start(
+        self, order: StartOrder, deadline_ms: int, permission: Permission
+    ) -> StartResult:
         """Start a run."""
 
-    def stop(self, order: StopOrder, token: int) -> None:
+    def stop(self, order: StopOrder, permission: Permission) -> None:
         """Stop a run, or let the worker refuse it if its start arrives later."""
 
-    def pace(self, order: PaceOrder, token: int) -> None:
+    def pace(self, order: PaceOrder, permission: Permission) -> None:
         """Limit the speed of a run."""
 
     def close(self) -> None:
@@ -77,10 +94,14 @@
     def machines(self) -> tuple[Machine, ...]:
         """Return all machines."""
 
-    def move(self, machine: str, pool: str, holder: str, token: int) -> bool:
+    def move(
+        self, machine: str, pool: str, holder: str, permission: Permission
+    ) -> bool:
         """Move a machine to a pool; return False if it is busy now."""
 
-    def maintain(self, machine: str, wave: int, holder: str, token: int) -> bool:
+    def maintain(
+        self, machine: str, wave: int, holder: str, permission: Permission
+    ) -> bool:
         """Start the maintenance of a machine; return False if it is busy now."""
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -19,7 +19,7 @@
 from ..events import Event, log
 from ..transport.http import ExchangeError
 from .clock import now_s
-from .ports import DirectoryEntry, Renewal
+from .ports import DirectoryEntry, Permission, Renewal
 from .supervision import spawn_supervised
 
 if TYPE_CHECKING:
@@ -45,6 +45,8 @@
         self.entry = entry
         self.worker_id = entry.info.worker_id
         self.control = holder.external_ports.open_worker(entry)
+        self.ordering = Permission(holder.token, holder.may_order)
+        self.renewing = Permission(holder.token, holder.may_renew)
         self.silent_since_s = float("inf")
         self.greenlet = spawn_supervised(f"link to worker {self.worker_id}", self._run)
 
@@ -94,17 +96,17 @@
         worker = self.holder.scheduler.state.workers[self.worker_id]
         deadline_ms = worker.next_deadline_ms(now_s())
         worker.note_deadline(deadline_ms)
-        result = self.control.start(order, deadline_ms, self.holder.token)
+        result = self.control.start(order, deadline_ms, self.ordering)
         self._report_start(order, result)
 
     @_carry_out.register
     def _stop(self, order: StopOrder) -> None:
-        self.control.stop(order, self.holder.token)
+        self.control.stop(order, self.ordering)
         self.holder.scheduler.handle_stop_result(order, True, now_s())
 
     @_carry_out.register
     def _pace(self, order: PaceOrder) -> None:
-        self.control.pace(order, self.holder.token)
+        self.control.pace(order, self.ordering)
 
     def _report_start(self, order, result: StartResult) -> None:
         if isinstance(order, StartOrder):
@@ -124,7 +126,7 @@
             wait_s = self._wait_s(worker) if worker.fenced else 0.0
             try:
                 report = self.control.renew(
-                    Renewal(deadline_ms, worker.acked, wait_s), self.holder.token
+                    Renewal(deadline_ms, worker.acked, wait_s), self.renewing
                 )
             except FencedError as error:
                 self.holder.on_fenced(str(error))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -1,7 +1,7 @@
 """HTTP client without retries; each exchange has a connection of its own."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import gevent
@@ -112,7 +112,11 @@
             call.greenlet.throw(call.timeout)
 
     def exchange(
-        self, request: HttpRequest, timeout_s: float, by_progress: bool = False
+        self,
+        request: HttpRequest,
+        timeout_s: float,
+        by_progress: bool = False,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> HttpAnswer:
         """Send a request once and return the complete response.
 
@@ -122,6 +126,8 @@
             by_progress: True to restart the timeout while data is transferred. A
                 request or response that is larger than the link carries within a fixed
                 time would fail at each attempt.
+            may_send: Called when the connection is ready. The wait for it may outlast
+                a permission, above all if the process is suspended meanwhile.
 
         Raises:
             ExchangeError: If there was no complete response; ``sent`` states whether
@@ -135,6 +141,12 @@
         try:
             sock = self.pool.get_socket()
             data = request.encode(str(self.address))
+            if not may_send():
+                raise ExchangeError(
+                    ErrorKind.NO_STANDING,
+                    f"the permission to send {request.path[:40]} has run out",
+                    sent,
+                )
             sent = True
             call.send(sock, data)
             # From here on the response object owns the socket. It returns it to the
--- a/tests/test_machine_orders.py
+++ b/tests/test_machine_orders.py
@@ -23,11 +23,11 @@
         self.calls = []
         self.error = None
 
-    def maintain(self, machine, wave, holder, token):
-        return self._answer(("maintain", machine, wave, holder, token))
+    def maintain(self, machine, wave, holder, permission):
+        return self._answer(("maintain", machine, wave, holder, permission.token))
 
-    def move(self, machine, pool, holder, token):
-        return self._answer(("move", machine, pool, holder, token))
+    def move(self, machine, pool, holder, permission):
+        return self._answer(("move", machine, pool, holder, permission.token))
 
     def _answer(self, call):
         self.calls.append(call)
--- a/tests/test_slow_transfers.py
+++ b/tests/test_slow_transfers.py
@@ -9,7 +9,7 @@
 
 from heatherhatch_core.coordination.scheduler import WorkerInfo
 from heatherhatch_core.exceptions import ErrorKind, StoreError
-from heatherhatch_daemon.pools.ports import DirectoryEntry, Renewal
+from heatherhatch_daemon.pools.ports import DirectoryEntry, Permission, Renewal
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.etcd_store import EtcdStore
 from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
@@ -72,7 +72,7 @@
         (lambda address: HttpMachines(address).machines(), {"machines": []}),
         (
             lambda address: HttpWorker(DirectoryEntry(WORKER, address)).renew(
-                Renewal(0, 0, 0.0), 1
+                Renewal(0, 0, 0.0), Permission(1, lambda: True)
             ),
             {"clockMs": 1, "numRunning": [], "ended": []},
         ),
