--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -61,6 +61,19 @@
     assert [worker for worker, _task, _run in model.alive_runs()] == ["w1"]
 
 
+def test_a_task_on_a_silent_worker_counts_as_away():
+    model = PoolModel(workers=2)
+    model.add(make_job(make_step(2, cores=5, lasting=True, may_miss=1)))
+    model.receive_reports()
+    model.scheduler.handle_no_response("w1", model.now_s)
+    model.scheduler.set_drains({"m0": 1}, {})
+    model.round()
+    assert len(model.alive_runs()) == 2
+    model.receive_reports()
+    model.round()
+    assert [worker for worker, _task, _run in model.alive_runs()] == ["w1"]
+
+
 def test_a_machine_that_has_left_is_not_reported_as_empty():
     model = PoolModel(workers=2)
     model.scheduler.set_drains({}, {"m0": 4})
