Add a command line that shows roles, pools and jobs from the store

Part of the issue on operating the platform: role list, pool list, job show and check, through the decoders of the instances, read-only.

The entry is not named operator.py: platform/ is first on the path of instances.

--- a/bench/turns/experiment.py
+++ b/bench/turns/experiment.py
@@ -91,4 +91,27 @@
     machines=37,
     standby=29,
 )
-EXPERIMENTS = {item.name: item for item in (SMALL, GROWN)}
+NARROW = Experiment(
+    "narrow",
+    (
+        QueueLoad("seal", 2.88, 1.6, 6, 0.88, 1.0, lasting=20, lasting_cores=0.7),
+        QueueLoad("dipl", 0.7, 2.0, 8, 1.9, 1.3, 0.2, lasting=20, lasting_cores=0.7),
+        QueueLoad("plaq", 3.61, 1.6, 6, 0.88, 1.0, lasting=20, lasting_cores=0.7),
+        QueueLoad("badg", 0.85, 2.0, 8, 1.9, 1.3, 0.2, lasting=20, lasting_cores=0.7),
+    ),
+    machines=8,
+    standby=8,
+    machine_cores=16,
+)
+LARGE = Experiment(
+    "large",
+    (
+        QueueLoad("tref", 12.2, 1.6, 8, 4.5, 0.8, lasting=24, lasting_cores=2.0),
+        QueueLoad("bryn", 1.91, 2.0, 8, 9.8, 2.1, 0.2, lasting=24, lasting_cores=2.0),
+        QueueLoad("glan", 15.2, 1.6, 8, 4.5, 0.8, lasting=24, lasting_cores=2.0),
+        QueueLoad("pant", 2.33, 2.0, 8, 9.8, 2.1, 0.2, lasting=24, lasting_cores=2.0),
+    ),
+    machines=58,
+    standby=45,
+)
+EXPERIMENTS = {item.name: item for item in (SMALL, NARROW, GROWN, LARGE)}
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -12,7 +12,7 @@
 from .callers import Caller, identify
 from .clock import now_s, wall_s
 from .fleet_records import PoolReport
-from .job_registry import FoundStatus, JobRegistry, Registration
+from .job_registry import FoundStatus, JobRegistry, Registration, find_status
 from .keys import cancel_key, report_key
 from .operators import MAX_SERVING_AGE_S, Operators
 from .retries import RETRY_AFTER_S, call_with_retries, retry_after_s
@@ -196,7 +196,7 @@
     def _find(self, caller: Caller, job_id: str) -> FoundStatus:
         found = None
         if JOB_ID.fullmatch(job_id):
-            found = self.registry.find(caller.queue.name, job_id, self._get)
+            found = find_status(caller.queue.name, job_id, self._get)
         if found is None:
             raise HeatherhatchError(ErrorKind.NO_SUCH_JOB, f'no job "{job_id}"')
         if not found.status.is_owned_by(caller.team):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
@@ -101,23 +101,6 @@
             first_revision = revision
             job = replace(job, shares_id=bool(revision))
 
-    def find(
-        self, queue: str, job_id: str, get: Callable[[str], Entry | None]
-    ) -> FoundStatus | None:
-        """Return the status of a job; None if it is not known.
-
-        Args:
-            queue: Name of the job's queue.
-            job_id: Identifier of the job.
-            get: Reads one entry of the store.
-        """
-        entry = get(status_key(job_id))
-        if entry is None or _status(entry).queue != queue:
-            entry = get(status_key(job_id, queue))
-        if entry is None:
-            return None
-        return FoundStatus(_status(entry), entry.key, entry.revision)
-
     def _transaction(
         self, job: Job, first_revision: int, config: Expect
     ) -> Transaction:
@@ -154,6 +137,24 @@
         ) from last_error
 
 
+def find_status(
+    queue: str, job_id: str, get: Callable[[str], Entry | None]
+) -> FoundStatus | None:
+    """Return the status of a job; None if it is not known.
+
+    Args:
+        queue: Name of the job's queue.
+        job_id: Identifier of the job.
+        get: Reads one entry of the store.
+    """
+    entry = get(status_key(job_id))
+    if entry is None or _status(entry).queue != queue:
+        entry = get(status_key(job_id, queue))
+    if entry is None:
+        return None
+    return FoundStatus(_status(entry), entry.key, entry.revision)
+
+
 def _status(entry: Entry) -> JobStatus:
     try:
         return decode_json(entry.value, JobStatus)
--- /dev/null
+++ b/tests/test_operator_cli.py
@@ -0,0 +1,107 @@
+"""The operators' command line shows what the store holds, and changes nothing."""
+
+import json
+import time
+
+import pytest
+from click.testing import CliRunner
+
+from heatherhatch_core.codec import encode_json
+from heatherhatch_core.state.work import (
+    JobStatus,
+    Phase,
+    Progress,
+    RunRecord,
+    TaskRecord,
+)
+from heatherhatch_daemon.pools.fleet_records import MachineLoad, PoolReport
+from heatherhatch_daemon.pools.keys import claim_key, report_key, run_key, status_key
+from heatherhatch_platform.operator_cli import main
+from heatherhatch_platform_standin.store import StandinStore, StoreMode
+
+STATUS = JobStatus(Phase.RUNNING, "till", "q-till", "red")
+PROGRESS = Progress((TaskRecord(0, 1, 2, 3, 1, False, "", (RunRecord(3, "i-1", 9),)),))
+
+
+@pytest.fixture
+def store():
+    running = StandinStore()
+    running.put(claim_key("pool/till"), b"n1/abc")
+    loads = (MachineLoad("m1", 3, 1), MachineLoad("m2", 0, 0))
+    report = PoolReport("till", 5, time.time(), {"q-till": 4}, 6500, loads, {})
+    running.put(report_key("till"), encode_json(report))
+    running.put(report_key("wall"), b"?")
+    running.put(status_key("j1"), encode_json(STATUS))
+    running.put(run_key("till", "j1"), encode_json(PROGRESS))
+    yield running
+    running.stop()
+
+
+def run(store, *arguments, output="json"):
+    words = ["--store", store.address, "--output", output, *arguments]
+    return CliRunner().invoke(main, words)
+
+
+def test_the_holders_of_roles_are_listed(store):
+    rows = json.loads(run(store, "role", "list").stdout)
+    assert [(row["role"], row["holder"]) for row in rows] == [("pool/till", "n1/abc")]
+    assert "pool/till" in run(store, "role", "list", output="table").stdout
+
+
+def test_pools_are_listed_although_one_report_cannot_be_read(store):
+    till, wall = json.loads(run(store, "pool", "list").stdout)
+    assert (till["waiting"], till["needed_cores"]) == (4, 6.5)
+    assert (till["machines"], till["busy"], till["lasting"]) == (2, 1, 1)
+    assert wall["problem"]
+
+
+def test_a_job_is_shown_with_its_runs(store):
+    shown = json.loads(run(store, "job", "show", "q-till", "j1").stdout)
+    assert shown["summary"]["phase"] == "running"
+    assert shown["runs"] == [
+        {"task": "0.1.2", "run": 3, "worker": "i-1", "failures": 1}
+    ]
+    table = run(store, "job", "show", "q-till", "j1", output="table").stdout
+    assert "running" in table
+    assert "i-1" in table
+
+
+def test_a_job_of_another_queue_is_not_found(store):
+    result = run(store, "job", "show", "q-wall", "j1")
+    assert result.exit_code == 4
+    assert 'no job "j1" of queue "q-wall"' in result.stderr
+
+
+def test_a_store_that_does_not_answer_is_named(store):
+    store.mode = StoreMode.BUSY
+    result = run(store, "role", "list")
+    assert result.exit_code == 7
+    assert store.address in result.stderr
+
+
+@pytest.mark.parametrize("address", ["", "nowhere", "10.0.0.1:99999"])
+def test_an_address_that_is_none_is_a_usage_error(address):
+    result = CliRunner().invoke(main, ["--store", address, "role", "list"])
+    assert result.exit_code == 2
+    assert "host:port" in result.stderr
+
+
+def test_a_configuration_is_checked_before_it_is_written(tmp_path):
+    file = tmp_path / "config.json"
+    body = {"version": 3, "tenants": [{"name": "t", "weight": -1}]}
+    file.write_text(json.dumps(body))
+    result = CliRunner().invoke(main, ["check", str(file)])
+    assert result.exit_code == 2
+    assert '"weight" is -1' in result.stderr
+    body["tenants"][0]["weight"] = 1
+    file.write_text(json.dumps(body))
+    result = CliRunner().invoke(main, ["check", str(file)])
+    assert result.exit_code == 0
+    assert "1 teams" in result.stdout
+
+
+def test_no_command_writes(store):
+    revision = store.memory.revision
+    for command in ("role list", "pool list", "job show q-till j1"):
+        assert run(store, *command.split()).exit_code == 0
+    assert store.memory.revision == revision
