Send the last renewal of an outage as late as the permission allows

Cause: a renewal of worker leases waits up to 1 s for the end of a run, while the permission to renew without a confirmed claim, 2 s, runs out.

Now a renewal waits no longer than the permission lasts. Without an outage nothing changes: 1.7 s are left after each confirmation.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -3,11 +3,7 @@
 import gevent
 from gevent.event import Event as Signal
 
-from heatherhatch_core.coordination.scheduler import (
-    JobWrite,
-    Rules,
-    Scheduler,
-)
+from heatherhatch_core.coordination.scheduler import JobWrite, Rules, Scheduler
 
 from ..events import Event, log
 from ..transport.store import PolledStore
@@ -33,8 +29,7 @@
 BATCH_WINDOW_S = 0.004  # events that arrive within this time are handled in one round
 ROUNDS_CPU_SHARE = 0.25  # the remaining CPU time is for orders and responses
 REPORT_PERIOD_S = 0.05  # pause between two updates of grants and reports
-# How long worker leases are renewed without a confirmed claim.
-UNCONFIRMED_RENEWAL_S = 2.0
+UNCONFIRMED_RENEWAL_S = 2.0  # worker leases are renewed this long without a claim
 
 
 class PoolHolder:
@@ -94,8 +89,8 @@
     def start(self) -> None:
         """Start to load the pool and to schedule its jobs."""
         self.greenlets.append(gevent.spawn(self._run))
-        watch_name = f"watchdog of pool {self.pool}"
-        self.greenlets.append(spawn_supervised(watch_name, self.watchdog.run))
+        watch = spawn_supervised(f"watchdog of pool {self.pool}", self.watchdog.run)
+        self.greenlets.append(watch)
 
     def stop(self) -> None:
         """Stop sending orders; the next holder takes over the tasks that run."""
@@ -121,13 +116,18 @@
         return not self.stopped and self.claims.token(self.role) == self.token
 
     def may_renew(self) -> bool:
-        """Return whether worker leases may be renewed.
+        """Return whether worker leases may be renewed."""
+        return self.renewal_left_s() > 0.0
+
+    def renewal_left_s(self) -> float:
+        """Return for how long worker leases may be renewed, seconds.
 
         A short outage of the store, during which the claim cannot be confirmed, must
         not end the tasks that run. The next holder waits until these leases are over.
         """
-        age_s = now_s() - self.claims.confirmed_s
-        return self.may_write() and self.loaded and age_s < UNCONFIRMED_RENEWAL_S
+        if not self.may_write() or not self.loaded:
+            return 0.0
+        return self.claims.confirmed_s + UNCONFIRMED_RENEWAL_S - now_s()
 
     def wake(self) -> None:
         """Wake the scheduler for its next round."""
@@ -154,7 +154,7 @@
             self.links.update(entry)
 
     def remove_worker(self, worker_id: str) -> None:
-        """Handle that a worker is no longer registered."""
+        """Handle that a worker has no directory entry."""
         self.scheduler.remove_worker(worker_id)
         self.wake()
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -27,8 +27,10 @@
 
 LONG_POLL_S = 1.0  # how long the response to a renewal may wait for the end of a run
 WATCH_LONG_POLL_S = 0.4  # the same while response tails or starting runs are watched
+SHORT_POLL_S = 0.1  # the same while the permission to renew leases runs out
+LAST_RENEWAL_S = 0.25  # a renewal should be sent in this last part of the permission
 RETRY_S = 0.1  # pause after a renewal without a response
-UNCLAIMED_PAUSE_S = 0.2  # pause while the leases of workers must not be renewed
+UNCLAIMED_PAUSE_S = 0.1  # pause while the leases of workers must not be renewed
 STORE_TIMEOUT_S = 0.3  # how long the next renewal waits until ended runs are stored
 
 
@@ -169,7 +171,11 @@
             run.task is not None and run.task.step.lasting and not run.at_work
             for run in worker.runs.values()
         )
-        return WATCH_LONG_POLL_S if serving or starting else LONG_POLL_S
+        usual_s = WATCH_LONG_POLL_S if serving or starting else LONG_POLL_S
+        # Otherwise the permission may run out while a response is awaited, and the
+        # lease ends that much earlier in an outage of the store.
+        left_s = self.holder.renewal_left_s() - LAST_RENEWAL_S
+        return max(SHORT_POLL_S, min(usual_s, left_s))
 
     def _handle_no_response(self, error: str) -> None:
         if self.silent_since_s == float("inf"):
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -43,12 +43,16 @@
         self.external_ports = self
         self.control = control
         self.fencing_reasons = []
+        self.left_s = 1.7  # what is usually left right after a confirmed claim
 
     def open_worker(self, _entry):
         return self.control
 
     def may_renew(self):
-        return True
+        return self.renewal_left_s() > 0
+
+    def renewal_left_s(self):
+        return self.left_s
 
     def may_order(self):
         return True
@@ -122,3 +126,27 @@
     link.control.fenced = True
     wait_for(lambda: link.holder.fencing_reasons)
     assert len(link.holder.fencing_reasons) == 1
+
+
+# Guards against lasting tasks whose leases lapse right after an outage of the store of
+# 4.2 s: the last renewal waited for a response for a second while the permission to
+# renew ran out.
+@pytest.mark.parametrize(
+    ("left_s", "wait_s"), [(1.7, 1.0), (1.0, 0.75), (0.3, 0.1), (0.05, 0.1)]
+)
+def test_no_renewal_waits_until_the_permission_to_renew_has_run_out(
+    link, left_s, wait_s
+):
+    link.holder.left_s = left_s
+    before = len(link.control.renewals)
+    wait_for(lambda: len(link.control.renewals) > before + 2)
+    assert link.control.renewals[-1].wait_s == pytest.approx(wait_s)
+
+
+def test_nothing_is_renewed_after_the_permission_has_run_out(link):
+    wait_for(lambda: link.control.renewals)
+    link.holder.left_s = 0.0
+    gevent.sleep(0.05)
+    before = len(link.control.renewals)
+    gevent.sleep(0.05)
+    assert len(link.control.renewals) == before
