Judge a run as stalled only while its worker is heard of

In an outage of the store the holder gets no reports, as it may not renew leases. When its claim was confirmed again it looked for stalled runs before it had heard of any worker, and stopped all lasting tasks that had been starting when the last report came.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
@@ -5,6 +5,9 @@
 from .state import PoolState
 from .worker import Worker
 
+# A worker that answers renewals is heard of every second; an older report of a run says
+# nothing about it. Reports stop while the holder's claim cannot be confirmed.
+MAX_REPORT_AGE_S = 1.5
 STALL_FACTOR = 4.0  # a run counts as stalled at this multiple of its expected time
 STALL_MIN_S = 3.0  # lower bound, since estimates of short tasks are inaccurate
 STALL_MAX_S = 60.0  # upper bound after repeated restarts of a task
@@ -41,6 +44,8 @@
         return
     if run.task is None or run.state is not RunState.ALIVE or run.task.step.gang:
         return
+    if now_s - worker.clock_at_s > MAX_REPORT_AGE_S:
+        return
     if run.task.step.lasting:
         stalled = (
             now_s - run.slow_since_s > LASTING_START_TIMEOUT_S
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -14,6 +14,7 @@
 
 LOAD_S = 5.0  # a slow store delays a new holder's read of its records by seconds
 STOP_S = Rules().stop_s
+OUTAGE_S = 5.0  # longer than a run may stand still
 STANDBY = "off"
 TOKEN = 3
 
@@ -61,6 +62,39 @@
     assert [worker for worker, _task, _run in model.alive_runs()] == ["w1"]
 
 
+# Guards against lasting tasks that were stopped right after an outage of the store: the
+# last report from before it was of their first second, when they were not yet at work.
+@pytest.mark.parametrize("lasting", [True, False])
+def test_no_run_is_stopped_by_what_a_report_showed_before_an_outage(lasting):
+    model = PoolModel(workers=2)
+    model.add(make_job(make_step(2, lasting=lasting, may_miss=1, estimate_s=0.2)))
+    runs = model.alive_runs()
+    for worker, task, number in runs:
+        model.workers[worker].runs[task, number] = 40
+    model.receive_reports()
+    model.now_s += OUTAGE_S
+    for worker, task, number in runs:
+        model.workers[worker].runs[task, number] = 100
+    model.round()
+    assert model.alive_runs() == runs
+    if lasting:
+        model.receive_reports()
+        model.round()
+        assert model.alive_runs() == runs
+
+
+def test_a_run_that_is_still_slow_after_an_outage_is_stopped():
+    model = PoolModel(workers=2)
+    model.add(make_job(make_step(1, lasting=True)))
+    ((worker, task, number),) = model.alive_runs()
+    model.workers[worker].runs[task, number] = 40
+    model.receive_reports()
+    model.now_s += OUTAGE_S
+    model.receive_reports()
+    model.round()
+    assert (worker, task, number) not in model.alive_runs()
+
+
 def test_a_task_on_a_silent_worker_counts_as_away():
     model = PoolModel(workers=2)
     model.add(make_job(make_step(2, cores=5, lasting=True, may_miss=1)))
