--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
@@ -1,7 +1,7 @@
 """The workers that a machine had one after the other."""
 
 from .live import RunState
-from .messages import Ending, WorkerInfo
+from .messages import WorkerInfo
 from .state import PoolState
 from .worker import Worker
 
@@ -22,7 +22,7 @@
     for worker in _previous_workers(state, info):
         for run in list(worker.runs.values()):
             if run.state is not RunState.RECORDING:
-                state.end_run(run, Ending.LOST, "", now_s)
+                state.lose_run(run, "machine has a new worker", now_s)
         worker.present = False
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -161,10 +161,8 @@
         if key in present or run.state is RunState.RECORDING:
             continue
         if run.expected_from_s < sent_s or run.stop_acked_s < sent_s:
-            state.note(
-                "run gone", task=run.name, run=run.number, worker=worker.worker_id
-            )
-            state.end_run(run, Ending.LOST, "", now_s)
+            restarted = run.born_ms != worker.info.born_ms
+            state.lose_run(run, "worker restarted" if restarted else "gone", now_s)
         elif run.state is RunState.DOUBTFUL:
             # It may still start unless a stop order makes the worker refuse it.
             state.stop_run(run, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -138,6 +138,17 @@
         if job.phase.final:
             self.retire(job, now_s)
 
+    def lose_run(self, run: Run, reason: str, now_s: float) -> None:
+        """End a run that no report will list as ended any more."""
+        self.note(
+            "run lost",
+            task=run.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+        )
+        self.end_run(run, Ending.LOST, "", now_s)
+
     def retire(self, job: LiveJob, now_s: float) -> None:
         """Stop the remaining runs of a job that is final, and drop its permits."""
         self.permits.forget_job(job.job.job_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
@@ -1,7 +1,6 @@
 """Ends runs of lost workers, repeats stop orders and stops stalled runs."""
 
 from .live import Run, RunState
-from .messages import Ending
 from .state import PoolState
 from .worker import Worker
 
@@ -32,8 +31,7 @@
     for run in list(worker.runs.values()):
         if run.state is RunState.RECORDING:
             continue
-        state.note("lease over", task=run.name, run=run.number, worker=worker.worker_id)
-        state.end_run(run, Ending.LOST, "", now_s)
+        state.lose_run(run, "lease over", now_s)
     if not worker.present and not worker.runs:
         del state.workers[worker.worker_id]
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_metrics.py
@@ -16,6 +16,8 @@
     """
     if what == "run ended":
         METER.sink.count(Metric.RUN_ENDS, label=details["ending"])
+    elif what == "run lost":
+        METER.sink.count(Metric.RUN_ENDS, label="lost")
     elif what == "start answered":
         METER.sink.count(Metric.START_RESULTS, label=details["result"])
     elif what == "placed" and details["version"] == 1:
