--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,6 @@
-"""Fixtures used by several test modules."""
+"""Fixtures used by several test modules, and the tests that are known to fail."""
+
+from pathlib import Path
 
 import pytest
 from hypothesis import settings
@@ -12,6 +14,23 @@
 settings.load_profile("ci")
 
 
+KNOWN_RED = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
+KNOWN_RED_PREFIX = "test: "
+
+
+def pytest_collection_modifyitems(items):
+    """Mark the tests that KNOWN-RED.txt lists; one that passes fails the run."""
+    lines = KNOWN_RED.read_text().splitlines()
+    listed = {
+        line.removeprefix(KNOWN_RED_PREFIX)
+        for line in lines
+        if line.startswith(KNOWN_RED_PREFIX)
+    }
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True))
+
+
 def make_small_edit():
     return Edit(
         pools=(Pool("tills", 1), Pool("spare", 0, spare=True)),
