--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuation.py
@@ -1,6 +1,6 @@
 """Drains machines, within the number of tasks that each step may miss."""
 
-from .live import Run, RunState
+from .run import Run, RunState
 from .state import PoolState
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
@@ -1,7 +1,7 @@
 """The workers that a machine had one after the other."""
 
-from .live import RunState
 from .messages import WorkerInfo
+from .run import RunState
 from .state import PoolState
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from ...state.work import Phase
-from .live import Run, Task
+from .live import Task
 from .messages import Ending
+from .run import Run
 
 if TYPE_CHECKING:
     from .state import PoolState
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/pacing.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/pacing.py
@@ -1,7 +1,7 @@
 """Throttles filler tasks so that serving tasks on the same worker meet their target."""
 
-from .live import FULL_PACE_PERCENT, Run, RunState
 from .messages import PaceOrder
+from .run import FULL_PACE_PERCENT, Run, RunState
 from .state import PoolState
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from .live import Run, RunState, Task
+from .live import Task
 from .messages import (
     Ending,
     ListedEnd,
@@ -14,6 +14,7 @@
     TaskName,
 )
 from .permits import step_name
+from .run import Run, RunState
 from .state import PoolState
 from .worker import Worker
 
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
@@ -0,0 +1,82 @@
+"""In-memory state of a run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ...state.resources import NO_RESOURCES, Resources
+from .messages import TaskName
+
+if TYPE_CHECKING:
+    from .live import Task
+
+FULL_PACE_PERCENT = 100
+
+
+class RunState(Enum):
+    """Known state of a run.
+
+    ``RECORDING``: not stored yet, so its start has not been ordered.
+    ``ORDERED``: the start order is sent or about to be sent. ``DOUBTFUL``: the
+    run may be alive or may still start. ``ALIVE``: the worker has confirmed it.
+    """
+
+    RECORDING = "recording"
+    ORDERED = "ordered"
+    DOUBTFUL = "doubtful"
+    ALIVE = "alive"
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One run of a task.
+
+    Attributes:
+        task: Task that it runs; None if the job is no longer known.
+        name: Name of the task.
+        number: Run number.
+        worker_id: Worker that the run is placed on.
+        born_ms: Start time of that worker incarnation, milliseconds since the epoch.
+        held: Resources that the run occupies.
+        state: Known state of the run.
+        version: First version of the job that includes this run.
+        expected_from_s: A report requested after this time that does not list the
+            run proves that it has ended; monotonic seconds.
+        begun_s: When the run was first known to be alive; inf before.
+        stopping: True once the run is to be stopped.
+        stop_sent_s: When the last stop order was issued.
+        stop_acked_s: When a stop order was first answered; inf before.
+        at_work: True if the run works at its full share.
+        slow_since_s: Since when reports show the run below its pace; inf if not.
+        succeeded: True once a lasting run was at work for long enough.
+        percent: Share of its speed, as last reported.
+        measurement: Last reported measurement; see ``ListedRun.measurement``.
+        pace: Share of its speed that was last ordered, percent.
+        adopted: True if an earlier holder placed the run.
+        pace_set_s: When the pace was last ordered, monotonic seconds; None if never,
+            -inf if an earlier holder may have ordered one.
+    """
+
+    task: Task | None
+    name: TaskName
+    number: int
+    worker_id: str
+    born_ms: int
+    held: Resources = NO_RESOURCES
+    state: RunState = RunState.RECORDING
+    version: int = 0
+    expected_from_s: float = float("inf")
+    begun_s: float = float("inf")
+    stopping: bool = False
+    stop_sent_s: float = float("-inf")
+    stop_acked_s: float = float("inf")
+    at_work: bool = False
+    slow_since_s: float = float("inf")
+    succeeded: bool = False
+    percent: float = 0.0
+    measurement: float = 0.0
+    pace: int = FULL_PACE_PERCENT
+    adopted: bool = False
+    pace_set_s: float | None = None
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -7,11 +7,12 @@
 from ...state.fleet_configuration import PermitRules
 from ...state.resources import Resources
 from ...state.work import Phase
-from .live import LiveJob, Run, RunState, Task
+from .live import LiveJob, Task
 from .messages import Ending, Order, StartOrder, StopOrder
 from .outcomes import apply_run_end
 from .permits import Permits, step_name
 from .rules import Rules
+from .run import Run, RunState
 from .run_times import RunTimes
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
@@ -1,6 +1,6 @@
 """Ends runs of lost workers, repeats stop orders and stops stalled runs."""
 
-from .live import Run, RunState
+from .run import Run, RunState
 from .state import PoolState
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from ...state.resources import NO_RESOURCES, Resources
-from .live import Run
 from .messages import TaskName, WorkerInfo
 from .rules import CLOCK_DRIFT, Rules
+from .run import Run
 
 UNHEALTHY_BACKOFF_INITIAL_S = 0.5  # first pause after a worker reports a problem
 UNHEALTHY_BACKOFF_MAX_S = 2.0  # longest pause; a refused start costs only a call
