Give up a task that crashes the workers that start it

What callers saw: a job with such a task ran for ever; each start of the task took down a worker with up to a dozen tasks beside it, which were then started again beside it.

Cause: the end of a run that its worker does not list counts as lost, and only listed failures count as attempts; nothing counted crashes or bounded the starts. The class: a retry whose bound counts reported failures only, so that a failure that takes the reporter down is free.

Now a crash of a worker is counted for each task with a run on it, in the task's record, which is stored before the next start is ordered. A machine that is back with a new worker, or a worker with a new incarnation, has crashed, unless it was drained; a worker that is only silent has not, but the runs lost with it are counted as soon as its machine is back, and starts are held once five may have crashed. The record of a run names its machine, so that a new holder sees a crash that happened before it took over.

A task is given up for crashes that no other run can have caused: two, or one from the third crash on. To get that evidence without holding up those that only shared the worker, a task with one crash starts beside no other suspect; with two, beside runs that outlived their start, with nothing started beside it; with three, alone. Half of the workers at most carry suspects, a quarter those with two crashes, and a task that waits for 1.5 s is kept apart less strictly.

Before a start is ordered, and again when its connection is ready, its worker must still have room: its capacity may have shrunk since the run was placed.

Callers get the reason with the state of a failed job.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -19,6 +19,14 @@
         last_run: Highest run number used so far.
         failures: Number of failed runs.
         failed_run: Run number of the last failed run; 0 for none.
+        crashes: Number of workers that crashed with a run of the task.
+        sole_crashes: Number of these crashes that no other run can have caused.
+        crashed_run: Number of the last run that crashed with its worker; 0 for none.
+        crashed_late: True if that run had outlived its start.
+        lapses: Number of its runs that were lost with workers that are still silent.
+        crashed_machines: Machines of these workers.
+        held_since_s: Since when the task waits for a worker on which it is isolated,
+            monotonic seconds; inf if it does not.
         done: True once a run has succeeded.
         checkpoint: Last saved checkpoint; empty for none.
         avoid: Workers on which the task failed or stalled, or that did not answer its
@@ -34,6 +42,13 @@
     last_run: int = 0
     failures: int = 0
     failed_run: int = 0
+    crashes: int = 0
+    sole_crashes: int = 0
+    crashed_run: int = 0
+    crashed_late: bool = False
+    lapses: int = 0
+    crashed_machines: set[str] = field(default_factory=set)
+    held_since_s: float = float("inf")
     done: bool = False
     checkpoint: str = ""
     avoid: set[str] = field(default_factory=set)
@@ -45,6 +60,11 @@
         """True if the task needs no further run."""
         return self.done and not self.step.lasting
 
+    @property
+    def is_suspect(self) -> bool:
+        """True if the task may have crashed a worker."""
+        return self.crashes > 0 or self.lapses > 0
+
     def record(self) -> TaskRecord:
         """Return the record of the task to store."""
         return TaskRecord(
@@ -56,9 +76,11 @@
             self.done,
             self.checkpoint if not self.done else "",
             tuple(
-                RunRecord(run.number, run.worker_id, run.born_ms)
+                RunRecord(run.number, run.worker_id, run.born_ms, run.machine)
                 for run in self.runs.values()
             ),
+            self.crashes,
+            self.sole_crashes,
         )
 
 
@@ -79,6 +101,7 @@
         version: Version number; increases with each change.
         writing: Version that is being written; 0 if none.
         stored: Last version that was stored.
+        reason: Why the job failed; empty if it has not.
         began: True once a run of the job has been placed.
         order_key: Sort key of the job in the queue.
         order_key_s: When the sort key was computed, seconds since the epoch;
@@ -97,6 +120,7 @@
     version: int = 0
     writing: int = 0
     stored: int = 0
+    reason: str = ""
     began: bool = False
     order_key: tuple = ()
     order_key_s: float = float("-inf")
@@ -154,6 +178,11 @@
         if len(self.occurrences_done) == self.occurrences:
             self.phase = Phase.COMPLETED
 
+    def fail(self, reason: str) -> None:
+        """Set the phase of a job that failed; its runs are not stopped yet."""
+        self.phase = Phase.FAILED
+        self.reason = reason
+
     def progress(self) -> Progress:
         """Return the progress of the job to store."""
         return Progress(
@@ -171,6 +200,8 @@
                 continue
             task.last_run = record.last_run
             task.failures = record.failures
+            task.crashes = record.crashes
+            task.sole_crashes = record.sole_crashes
             task.done = record.done
             task.checkpoint = record.checkpoint
             self.began = True
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
@@ -1,16 +1,19 @@
 """The workers that a machine had one after the other."""
 
+from ...state.work import RunRecord
+from .crashes import is_planned, note_crash, resolve_lapsed
 from .messages import WorkerInfo
 from .run import RunState
 from .state import PoolState
 from .worker import Worker
 
 
-def get_or_add_worker(state: PoolState, worker_id: str, born_ms: int) -> Worker:
-    """Return a worker; add one that the directory does not list yet."""
+def get_or_add_worker(state: PoolState, record: RunRecord) -> Worker:
+    """Return the worker of a run; add it if the directory does not list it yet."""
+    worker_id = record.worker_id
     worker = state.workers.get(worker_id)
     if worker is None:
-        info = WorkerInfo(worker_id, "", state.pool, "", born_ms)
+        info = WorkerInfo(worker_id, record.machine, state.pool, "", record.born_ms)
         worker = Worker(info, state.rules, state.claimed_s)
         worker.present = False
         state.workers[worker_id] = worker
@@ -19,7 +22,10 @@
 
 def end_previous_workers(state: PoolState, info: WorkerInfo, now_s: float) -> None:
     """End the runs of the earlier workers of a worker's machine."""
+    resolve_lapsed(state, info, now_s)
     for worker in _previous_workers(state, info):
+        if not is_planned(state, worker):
+            note_crash(state, worker, worker.runs.values(), now_s)
         for run in list(worker.runs.values()):
             if run.state is not RunState.RECORDING:
                 state.lose_run(run, "machine has a new worker", now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from ...state.work import Phase
 from .live import Task
 from .messages import Ending
 from .run import Run
@@ -34,7 +33,7 @@
         _break_gang(state, task, run.number, now_s)
 
 
-def _gang_members(task: Task) -> list[Task]:
+def gang_members(task: Task) -> list[Task]:
     """Return the tasks of the same gang, or only the task if it has none."""
     if not task.step.gang:
         return [task]
@@ -43,7 +42,7 @@
 
 def _save_checkpoint(task: Task, checkpoint: str) -> None:
     # A checkpoint of one gang member is valid for all, and all must record it.
-    for member in _gang_members(task):
+    for member in gang_members(task):
         member.checkpoint = checkpoint
 
 
@@ -66,7 +65,7 @@
 
 
 def _done(state: PoolState, task: Task, now_s: float) -> None:
-    for member in _gang_members(task):
+    for member in gang_members(task):
         member.done = True
     for copy in list(task.runs.values()):
         if not task.step.gang:
@@ -78,11 +77,12 @@
     task.avoid.add(run.worker_id)
     if run.number == task.failed_run:
         return  # another member of the gang has failed in the same run
-    for member in _gang_members(task):
+    for member in gang_members(task):
         member.failures += 1
         member.failed_run = run.number
     if task.failures >= task.job.job.terms.attempts:
-        task.job.phase = Phase.FAILED
+        name = f"{task.name.occurrence}.{task.name.step}.{task.name.index}"
+        task.job.fail(f"task {name} failed {task.failures} times")
 
 
 def _lasting_ended(task: Task, ending: Ending, run: Run, now_s: float) -> None:
@@ -98,7 +98,7 @@
     job = task.job
     if (task.name.occurrence, task.name.step, 0) not in job.tasks:
         return
-    for member in _gang_members(task):
+    for member in gang_members(task):
         run = member.runs.get(number)
         if run is not None:
             state.release_run(run, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement_round.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement_round.py
@@ -1,6 +1,7 @@
 """Workers that may get runs in one placement pass over all jobs."""
 
 from .free_capacity_index import FreeCapacityIndex
+from .isolation import Isolator
 from .state import PoolState
 from .worker import LAST_RESORT_INTERVAL_S, Worker
 
@@ -17,6 +18,7 @@
         last_resorts: Quarantined workers, for tasks that no other worker can run.
         free_index: The workers that may get new runs, indexed by free CPU capacity.
         mostly_idle: True if under half of the pool's CPU capacity was in use.
+        isolator: Keeps suspects apart from other tasks; None without suspects.
         placed: Number of tasks placed so far.
         unplaceable: Requirements that no worker could meet in this round.
     """
@@ -41,6 +43,7 @@
         capacity_m = sum(worker.info.capacity.cpu_m for worker in present)
         used_m = sum(worker.used.cpu_m for worker in present)
         self.mostly_idle = 2 * used_m < capacity_m
+        self.isolator = Isolator(state, self.workers, now_s) if state.suspects else None
         self.placed = 0
         self.unplaceable: set[tuple] = set()
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preference.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preference.py
@@ -24,7 +24,10 @@
     """
     step = task.step
     remote = bool(step.rack) and step.rack not in worker.info.labels
-    return (worker.worker_id in task.avoid, remote, worker.info.warmup_left_s > 0)
+    avoided = (
+        worker.worker_id in task.avoid or worker.info.machine in task.crashed_machines
+    )
+    return (avoided, remote, worker.info.warmup_left_s > 0)
 
 
 def lasting_score(state: PoolState, task: Task, worker: Worker) -> tuple:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from .crashes import note_answered, note_crash
 from .live import Task
 from .messages import (
     Ending,
@@ -50,6 +51,12 @@
             _handle_end(state, worker, end, now_s)
     worker.advance_ack()
     listed = _handle_listed_runs(state, worker, report.runs, sent_s, now_s)
+    earlier = [
+        run for run in worker.runs.values() if run.born_ms != worker.info.born_ms
+    ]
+    note_crash(state, worker, earlier, now_s)
+    note_answered(state, worker)
+    worker.answered_s = now_s
     if report.complete:
         _handle_missing_runs(state, worker, listed | ended, sent_s, now_s)
 
@@ -189,6 +196,7 @@
             run.state = RunState.ALIVE
             run.expected_from_s = now_s
         run.begun_s = min(run.begun_s, now_s)
+        worker.answered_s = now_s
         return
     if result is StartResult.UNKNOWN:
         if run.state is RunState.ORDERED:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
@@ -40,6 +40,7 @@
         worker_id: Worker that the run is placed on.
         born_ms: Start time of that worker incarnation, milliseconds since the epoch.
         held: Resources that the run occupies.
+        machine: Machine of the worker; empty if unknown.
         state: Known state of the run.
         version: First version of the job that includes this run.
         expected_from_s: A report requested after this time that does not list the
@@ -55,6 +56,7 @@
         measurement: Last reported measurement; see ``ListedRun.measurement``.
         pace: Share of its speed that was last ordered, percent.
         adopted: True if an earlier holder placed the run.
+        crash_noted: True once a crash of its worker was counted for its task.
         pace_set_s: When the pace was last ordered, monotonic seconds; None if never,
             -inf if an earlier holder may have ordered one.
     """
@@ -65,6 +67,7 @@
     worker_id: str
     born_ms: int
     held: Resources = NO_RESOURCES
+    machine: str = ""
     state: RunState = RunState.RECORDING
     version: int = 0
     expected_from_s: float = float("inf")
@@ -79,4 +82,5 @@
     measurement: float = 0.0
     pace: int = FULL_PACE_PERCENT
     adopted: bool = False
+    crash_noted: bool = False
     pace_set_s: float | None = None
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -86,8 +86,10 @@
             task = live.tasks.get((record.occurrence, record.step, record.index))
             for run in record.runs:
                 if task is not None:
-                    worker = get_or_add_worker(self.state, run.worker_id, run.born_ms)
-                    self.state.adopt_run(task, worker, run.number, run.born_ms)
+                    worker = get_or_add_worker(self.state, run)
+                    self.state.adopt_run(task, worker, run)
+        suspects = [task for task in live.tasks.values() if task.is_suspect]
+        self.state.suspects.update((task.name, task) for task in suspects)
 
     def cancel(self, job_id: str, now_s: float) -> None:
         """Cancel a job; none of its tasks starts after this call."""
@@ -134,6 +136,12 @@
         if worker is not None:
             handle_report(self.state, worker, report, sent_s, now_s)
 
+    def has_room_for(self, order: StartOrder) -> bool:
+        """Return whether the run of a start order still fits on its worker."""
+        worker = self.state.workers.get(order.worker_id)
+        run = worker.runs.get((order.task, order.number)) if worker else None
+        return run is not None and worker.has_room_for(run)
+
     def handle_start_result(
         self, order: StartOrder, result: StartResult, now_s: float
     ) -> None:
@@ -237,4 +245,6 @@
         return None
     ended_s = wall_s if live.phase.final else 0.0
     job = live.job
-    return JobStatus(live.phase, job.pool, job.queue, job.team, ended_s, job.shares_id)
+    return JobStatus(
+        live.phase, job.pool, job.queue, job.team, ended_s, job.shares_id, live.reason
+    )
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -6,9 +6,10 @@
 
 from ...state.fleet_configuration import PermitRules
 from ...state.resources import Resources
-from ...state.work import Phase
+from ...state.work import Phase, RunRecord
+from .crashes import LapsedRuns
 from .live import LiveJob, Task
-from .messages import Ending, Order, StartOrder, StopOrder
+from .messages import Ending, Order, StartOrder, StopOrder, TaskName
 from .outcomes import apply_run_end
 from .permits import Permits, step_name
 from .rules import Rules
@@ -50,6 +51,9 @@
         orders: Orders to send.
         run_times: Run times learned from earlier runs.
         permits: Permits of the policy service, by step and worker.
+        suspects: Tasks that may have crashed a worker, by name.
+        lapsed: Runs that were lost with a silent worker, by its machine.
+        reserved: Workers that get no new runs but those of suspects.
         notes: Decisions to log.
     """
 
@@ -74,6 +78,9 @@
     orders: list[Order] = field(default_factory=list)
     run_times: RunTimes = field(default_factory=RunTimes)
     permits: Permits = field(default_factory=Permits)
+    suspects: dict[TaskName, Task] = field(default_factory=dict)
+    lapsed: dict[str, LapsedRuns] = field(default_factory=dict)
+    reserved: frozenset[str] = frozenset()
     notes: list[tuple[str, dict]] = field(default_factory=list)
 
     def note(self, what: str, **details: object) -> None:
@@ -87,9 +94,14 @@
 
     def add_run(self, task: Task, worker: Worker, number: int) -> Run:
         """Place a run of a task on a worker; its start is ordered once it is stored."""
-        born_ms = worker.info.born_ms
         run = Run(
-            task, task.name, number, worker.worker_id, born_ms, task.step.occupies
+            task,
+            task.name,
+            number,
+            worker.worker_id,
+            worker.info.born_ms,
+            task.step.occupies,
+            worker.info.machine,
         )
         self._occupy(run, worker)
         task.last_run = max(task.last_run, number)
@@ -101,10 +113,16 @@
         run.version = job.version
         return run
 
-    def adopt_run(self, task: Task, worker: Worker, number: int, born_ms: int) -> Run:
+    def adopt_run(self, task: Task, worker: Worker, record: RunRecord) -> Run:
         """Add a run that an earlier holder of the pool placed."""
         run = Run(
-            task, task.name, number, worker.worker_id, born_ms, task.step.occupies
+            task,
+            task.name,
+            record.number,
+            worker.worker_id,
+            record.born_ms,
+            task.step.occupies,
+            record.machine,
         )
         run.state = RunState.DOUBTFUL
         run.adopted = True
@@ -158,7 +176,11 @@
                 self.release_run(run, now_s)
         self.touch(job)
         self.note(
-            "job ended", job=job.job.job_id, phase=job.phase.value, queue=job.job.queue
+            "job ended",
+            job=job.job.job_id,
+            phase=job.phase.value,
+            queue=job.job.queue,
+            reason=job.reason,
         )
 
     def stop_run(self, run: Run, now_s: float) -> None:
@@ -195,7 +217,9 @@
             del self.unstored_ends[job_id]
 
     def _order_start(self, run: Run, task: Task, now_s: float) -> None:
-        if run.stopping:
+        worker = self.workers.get(run.worker_id)
+        # The capacity of the worker may have shrunk since the run was placed.
+        if run.stopping or worker is None or not worker.has_room_for(run):
             self.end_run(run, Ending.LOST, "", now_s)
             return
         run.state = RunState.ORDERED
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
@@ -1,5 +1,6 @@
 """Ends runs of lost workers, repeats stop orders and stops stalled runs."""
 
+from .crashes import clear_proven, forget_old_lapsed, note_lapsed
 from .run import Run, RunState
 from .state import PoolState
 from .worker import Worker
@@ -17,6 +18,7 @@
 
 def watch_runs(state: PoolState, now_s: float) -> None:
     """End runs whose lease has expired, repeat stops and stop stalled runs."""
+    forget_old_lapsed(state, now_s)
     for worker in list(state.workers.values()):
         if not worker.present or worker.silent_since_s < now_s:
             _watch_silent(state, worker, now_s)
@@ -28,9 +30,9 @@
 def _watch_silent(state: PoolState, worker: Worker, now_s: float) -> None:
     if now_s < worker.lease_expiry_s():
         return
-    for run in list(worker.runs.values()):
-        if run.state is RunState.RECORDING:
-            continue
+    runs = [run for run in worker.runs.values() if run.state is not RunState.RECORDING]
+    note_lapsed(state, worker, tuple(runs), now_s)
+    for run in runs:
         state.lose_run(run, "lease over", now_s)
     if not worker.present and not worker.runs:
         del state.workers[worker.worker_id]
@@ -45,6 +47,7 @@
     if now_s - worker.clock_at_s > MAX_REPORT_AGE_S:
         return
     if run.task.step.lasting:
+        clear_proven(state, run, now_s)
         stalled = (
             now_s - run.slow_since_s > LASTING_START_TIMEOUT_S
             and now_s - run.begun_s > LASTING_START_TIMEOUT_S
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -88,6 +88,8 @@
             refuses the orders of earlier holders from then on.
         silent_since_s: When the worker first failed to answer; inf while it
             answers.
+        answered_s: When it last answered a renewal or started a run, monotonic
+            seconds.
         clock_ms: Reading of the worker's clock in its last answer.
         clock_at_s: When that answer was received, monotonic seconds.
         deadline_ms: Latest lease expiry sent to the worker, by its clock.
@@ -114,6 +116,7 @@
     fenced: bool = False
     fenced_since_s: float = float("inf")
     silent_since_s: float = float("inf")
+    answered_s: float = float("-inf")
     clock_ms: float = 0.0
     clock_at_s: float = float("-inf")
     deadline_ms: float = 0.0
@@ -215,6 +218,10 @@
             and now_s >= self.backoff_until_s
         )
 
+    def has_room_for(self, run: Run) -> bool:
+        """Return whether a run that is placed on the worker still fits on it."""
+        return run.held.fits(self.free + run.held)
+
     def note_stored(self, job_id: str, version: int) -> bool:
         """Record that ends of a job are stored, and advance the acknowledgement.
 
--- /dev/null
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
@@ -0,0 +1,112 @@
+"""Chooses the worker that runs a task."""
+
+from ...state.resources import Resources
+from .live import Task
+from .permits import step_name
+from .placement_round import PlacementRound
+from .preference import count_siblings, lasting_score, penalties
+from .state import PoolState
+from .worker import Worker
+
+
+def is_within_allowance(state: PoolState, task: Task, need: Resources) -> bool:
+    """Return whether a task's team may use more resources; note what it lacks."""
+    team = task.job.job.team
+    if team not in state.limited:
+        return True
+    # A new holder or a new limit has no allowance until one is stored.
+    allowance = state.allowances.get(team)
+    if allowance is not None and (state.team_used[team] + need).within(allowance):
+        return True
+    state.allowance_shortfall[team] = (
+        state.allowance_shortfall.get(team, Resources()) + need
+    )
+    return False
+
+
+def choose_worker(
+    placement: PlacementRound,
+    task: Task,
+    reserved: dict[str, tuple[Resources, int]],
+    rack: str = "",
+) -> Worker | None:
+    """Return the best worker for a task, or None if no worker can run it.
+
+    Args:
+        placement: State of the placement round.
+        task: Task to place.
+        reserved: For each worker, the resources and the number of tasks already
+            reserved for other members of the same gang.
+        rack: Rack that the worker must be in; empty for any.
+    """
+    if task.step.lasting:
+        fitting = (
+            worker
+            for worker in placement.workers
+            if _can_run(placement, task, worker, reserved, rack)
+        )
+        return min(
+            fitting,
+            key=lambda worker: lasting_score(placement.state, task, worker),
+            default=None,
+        )
+    best = None
+    lowest: tuple = ()
+    for worker in placement.free_index.iter_best_fit(task.step.occupies.cpu_m):
+        if not _can_run(placement, task, worker, reserved, rack):
+            continue
+        penalty = penalties(task, worker)
+        if not any(penalty):
+            # Best fit leaves large free blocks for large tasks, and machines idle.
+            return worker
+        if best is None or penalty < lowest:
+            best, lowest = worker, penalty
+    return best
+
+
+def choose_last_resort(
+    placement: PlacementRound, task: Task, reserved: dict[str, tuple[Resources, int]]
+) -> Worker | None:
+    """Return a quarantined worker for a task that no usable worker can run.
+
+    A task that is not lasting gets one only while under half of the pool's capacity is
+    in use: in a full pool it waits, as a failed run would use up one of its attempts.
+    """
+    if not task.step.lasting and not placement.mostly_idle:
+        return None
+    fitting = (
+        worker
+        for worker in placement.last_resorts.values()
+        if (task.step.lasting or worker.worker_id not in task.avoid)
+        and _can_run(placement, task, worker, reserved, "")
+    )
+    return min(fitting, key=lambda worker: worker.quarantine.pause_s, default=None)
+
+
+def _can_run(
+    placement: PlacementRound,
+    task: Task,
+    worker: Worker,
+    reserved: dict[str, tuple[Resources, int]],
+    rack: str,
+) -> bool:
+    step = task.step
+    held, count = reserved.get(worker.worker_id, (Resources(), 0))
+    if not (step.occupies + held).fits(worker.free):
+        return False
+    if step.label and step.label not in worker.info.labels:
+        return False
+    if rack and rack not in worker.info.labels:
+        return False
+    if worker.on_trial and worker.worker_id not in placement.last_resorts:
+        return False
+    if placement.isolator and not placement.isolator.allows(task, worker):
+        return False
+    if step.spread and count + count_siblings(task, worker) >= step.spread:
+        return False
+    if task.job.job.queue in placement.state.permit_rules:
+        name = step_name(task.name)
+        if not placement.state.permits.allows(name, worker.worker_id, placement.now_s):
+            placement.state.permits.wanted.add(name)
+            return False
+    return True
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -155,6 +155,7 @@
         team: Team that submitted the job; empty on a public queue.
         ended_s: When the job ended, seconds since the epoch; 0 until then.
         shares_id: True if another queue used the job's identifier first.
+        reason: Why the job failed; empty if it has not.
     """
 
     phase: Phase
@@ -163,6 +164,7 @@
     team: str = ""
     ended_s: float = 0.0
     shares_id: bool = False
+    reason: str = ""
 
     @property
     def shared_by(self) -> str:
@@ -182,11 +184,13 @@
         worker_id: Worker that the run was placed on.
         born_ms: Start time of that worker incarnation, milliseconds since the
             epoch.
+        machine: Machine of that worker; empty if unknown.
     """
 
     number: int
     worker_id: str
     born_ms: int
+    machine: str = ""
 
 
 class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -201,6 +205,8 @@
         done: True once a run has succeeded.
         checkpoint: Last saved checkpoint; empty for none.
         runs: Runs that may still be in progress.
+        crashes: Number of workers that crashed with a run of the task.
+        sole_crashes: Number of these crashes that no other run can have caused.
     """
 
     occurrence: int
@@ -211,6 +217,8 @@
     done: bool
     checkpoint: str
     runs: tuple[RunRecord, ...]
+    crashes: int = 0
+    sole_crashes: int = 0
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -22,6 +22,8 @@
     STORE_MS = "duration of a call to the pools' store, polls excluded, milliseconds"
     START_RESULTS = "orders to start a run, by the worker's response, count"
     RUN_ENDS = "runs that ended, by kind of end, count"
+    WORKER_CRASHES = "workers that crashed while runs may have been on them, count"
+    TASKS_GIVEN_UP = "tasks given up because they crashed their workers, count"
     START_DELAY_MS = "time from accepting a job to its first start, milliseconds"
     MACHINE_ORDERS = "orders for machines, by kind and result, count"
     JOBS_OPEN = "jobs that are not final, by pool, gauge"
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_metrics.py
@@ -18,6 +18,10 @@
         METER.sink.count(Metric.RUN_ENDS, label=details["ending"])
     elif what == "run lost":
         METER.sink.count(Metric.RUN_ENDS, label="lost")
+    elif what == "worker crashed":
+        METER.sink.count(Metric.WORKER_CRASHES)
+    elif what == "task given up":
+        METER.sink.count(Metric.TASKS_GIVEN_UP)
     elif what == "start answered":
         METER.sink.count(Metric.START_RESULTS, label=details["result"])
     elif what == "placed" and details["version"] == 1:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -14,6 +14,7 @@
     StartResult,
     StopOrder,
 )
+from heatherhatch_core.coordination.scheduler.crashes import is_settled
 from heatherhatch_core.exceptions import FencedError, WrongIncarnationError
 
 from ..events import Event, log
@@ -98,7 +99,14 @@
         worker = self.holder.scheduler.state.workers[self.worker_id]
         deadline_ms = worker.next_deadline_ms(now_s())
         worker.note_deadline(deadline_ms)
-        result = self.control.start(order, deadline_ms, self.ordering)
+        # The worker's capacity may shrink while the connection is being opened.
+        permission = Permission(
+            self.ordering.token,
+            lambda: (
+                self.holder.may_order() and self.holder.scheduler.has_room_for(order)
+            ),
+        )
+        result = self.control.start(order, deadline_ms, permission)
         self._report_start(order, result)
 
     @_carry_out.register
@@ -168,7 +176,9 @@
             for run in worker.runs.values()
         )
         starting = any(
-            run.task is not None and run.task.step.lasting and not run.at_work
+            run.task is not None
+            and (run.task.step.lasting or run.task.is_suspect)
+            and not (run.at_work and is_settled(run, worker))
             for run in worker.runs.values()
         )
         usual_s = WATCH_LONG_POLL_S if serving or starting else LONG_POLL_S
--- a/tests/crashing_pool.py
+++ b/tests/crashing_pool.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections import defaultdict
 
-from heatherhatch_core.coordination.scheduler import StartOrder, TaskName
+from heatherhatch_core.coordination.scheduler import Ending, StartOrder, TaskName
 from heatherhatch_core.state.work import Phase
 from pool_model import PoolModel
 
@@ -24,6 +24,8 @@
             under it.
         down: When each machine is back, seconds, with its former worker.
         back_after_s: How long a machine is down, seconds.
+        begun_s: When each run was first seen, seconds.
+        reports_delayed_until_s: Workers do not report before this time, seconds.
     """
 
     def __init__(self, workers: int = 6, cores: int = 8):
@@ -35,6 +37,7 @@
         self.starts_after_third = defaultdict(int)
         self.down: dict[str, tuple[float, str]] = {}
         self.back_after_s = DOWN_S
+        self.begun_s: dict = {}
         self.reports_delayed_until_s = 0.0
         super().__init__(workers, cores)
 
@@ -42,6 +45,7 @@
         """Execute an order; an order to a worker that is down gets no answer."""
         if order.worker_id not in self.workers:
             return
+        self.renew_lease(order.worker_id)
         if isinstance(order, StartOrder):
             self.starts[order.task] += 1
             self.starts_after_third[order.task] += len(self.crashes[order.task]) >= 3
@@ -50,15 +54,34 @@
             at_s = self.now_s + self.crash_after_s
             self.due_crashes.append((at_s, order.worker_id, order.task))
 
+    def renew_lease(self, worker_id: str) -> None:
+        """Note the lease that an order or a renewal requests."""
+        worker = self.scheduler.state.workers[worker_id]
+        worker.note_deadline(worker.next_deadline_ms(self.now_s))
+
+    def receive_report(self, worker_id: str) -> None:
+        """Renew the lease of a worker and process its report."""
+        super().receive_report(worker_id)
+        self.renew_lease(worker_id)
+
     def crash(self, worker_id: str) -> None:
         """Crash a worker with all its runs."""
         worker = self.workers.pop(worker_id)
         for task, _number in worker.runs:
             self.crashes[task].append(self.now_s)
+        for name, _number in worker.runs:
+            self.break_gang(name)
         self.scheduler.handle_no_response(worker_id, self.now_s)
         back_s = self.now_s + self.back_after_s
         self.down[worker.info.machine] = (back_s, worker_id)
 
+    def break_gang(self, name: TaskName) -> None:
+        """End the runs of the other members of a task's gang."""
+        job = self.scheduler.state.jobs[name.job_id].job
+        for worker_id, task, number in self.alive_runs():
+            if job.steps[name.step].gang and task[:3] == name[:3]:
+                self.workers[worker_id].end(task, number, Ending.BROKEN)
+
     def step(self, seconds: float = 0.05) -> None:
         """Advance the clock: crashes, returns, ends of runs, reports and a round."""
         self.now_s += seconds
@@ -82,13 +105,12 @@
 
     def run_for(self, seconds: float, run_s: float = 1.0) -> None:
         """Play some seconds, in which each run ends after ``run_s``."""
-        begun_s: dict = {}
         until_s = self.now_s + seconds
         while self.now_s < until_s:
             self.step()
             for worker_id, task, number in self.alive_runs():
                 key = (worker_id, task, number)
-                if self.now_s - begun_s.setdefault(key, self.now_s) >= run_s:
+                if self.now_s - self.begun_s.setdefault(key, self.now_s) >= run_s:
                     self.workers[worker_id].end(task, number)
 
     def replace_worker_info(self, worker_id: str, **changes) -> None:
--- a/tests/test_scheduler_load.py
+++ b/tests/test_scheduler_load.py
@@ -9,7 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heatherhatch_core.coordination.scheduler import WorkerInfo, placement, scheduler
+from heatherhatch_core.coordination.scheduler import (
+    WorkerInfo,
+    placement,
+    scheduler,
+    worker_choice,
+)
 from heatherhatch_core.coordination.scheduler.free_capacity_index import (
     FreeCapacityIndex,
 )
@@ -30,13 +35,13 @@
 def eligibility_checks(monkeypatch):
     """Record each check whether a worker can run a task."""
     checked = []
-    can_run = placement._can_run
+    can_run = worker_choice._can_run
 
     def counted(state, task, worker, taken, rack):
         checked.append(worker.worker_id)
         return can_run(state, task, worker, taken, rack)
 
-    monkeypatch.setattr(placement, "_can_run", counted)
+    monkeypatch.setattr(worker_choice, "_can_run", counted)
     return checked
 
 
