Fail a job of heatherhatchd that crashes the workers that run it

The same cause as in the pools: an attempt that ended without a report was queued again without a count, so a job that takes its worker down did so for ever. Found by looking for the class of the fault.

The record of a running job now names the incarnation of each worker's task control, and an attempt without a report leaves a loss in the record. A loss counts as a crash once the worker is known to have another incarnation, and as none once the same one answers. The bounds and the evidence are those of the pools; a job that may have crashed a worker starts on an idle one if there is one, with nothing started beside it for ten seconds. Workers that are leaving do not count.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/attempts.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/attempts.py
@@ -1,9 +1,10 @@
 """Life cycle of a job: its state transitions and the end of its attempts."""
 
 import dataclasses
+from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ..state.jobs import Job, JobState, Usage
+from ..state.jobs import Job, JobState, Loss, Usage
 
 # Fraction by which the clock of a worker or of an earlier dispatcher may run slower
 # than this dispatcher's clock.
@@ -12,6 +13,11 @@
 # failures in total.
 MAX_FAILED_WORKERS = 3
 MAX_FAILURES = 6
+# A job fails after this many crashes of workers that ran nothing else, after this many
+# of which one ran nothing else, or after this many in any case.
+MAX_SOLE_CRASHES = 2
+MAX_CRASHES = 3
+MAX_SHARED_CRASHES = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +65,9 @@
     return LeaseEvidence(lease_s).renewed(claimed_s + grace_s * (1 + CLOCK_DRIFT))
 
 
-def start(job: Job, workers: tuple[str, ...], now_s: float) -> Job:
+def start(
+    job: Job, workers: tuple[str, ...], now_s: float, boots: tuple[str, ...] = ()
+) -> Job:
     """Return a job at the start of its next attempt."""
     return dataclasses.replace(
         job,
@@ -68,16 +76,20 @@
         workers=workers,
         started_s=now_s,
         detail="",
+        boots=boots,
     )
 
 
-def requeue(job: Job, detail: str, progress: float = 0.0) -> Job:
+def requeue(
+    job: Job, detail: str, progress: float = 0.0, losses: tuple[Loss, ...] = ()
+) -> Job:
     """Return a job in the queued state after its attempt has certainly ended.
 
     Args:
         job: Running job.
         detail: Why the attempt ended.
         progress: Fraction of the work that is saved in a checkpoint, 0 to 1.
+        losses: Its workers that sent no report on the end.
     """
     return dataclasses.replace(
         job,
@@ -86,6 +98,8 @@
         started_s=0.0,
         detail=detail,
         progress=max(job.progress, progress),
+        boots=(),
+        losses=(*job.losses, *losses),
     )
 
 
@@ -119,6 +133,47 @@
     return requeue(after, f"failed on {worker_id}: {detail}")
 
 
+def may_start(job: Job) -> bool:
+    """Return whether a job may start while it is unknown why attempts were lost."""
+    return len(job.crashed_on) + len(job.losses) < MAX_SHARED_CRASHES
+
+
+def resolve_losses(job: Job, boots: Mapping[str, str], now_s: float) -> Job:
+    """Return a job with those of its losses counted whose worker has crashed.
+
+    A worker whose task control has another incarnation has crashed; one that answers
+    with the same incarnation was only silent.
+
+    Args:
+        job: Queued job.
+        boots: Current incarnation of the task control of each worker that is known.
+        now_s: Current time in seconds since the epoch.
+    """
+    known = [loss for loss in job.losses if loss.worker_id in boots]
+    if not known:
+        return job
+    crashes = [loss for loss in known if boots[loss.worker_id] != loss.boot]
+    after = dataclasses.replace(
+        job,
+        losses=tuple(loss for loss in job.losses if loss not in known),
+        crashed_on=(*job.crashed_on, *(loss.worker_id for loss in crashes)),
+        sole_crashes=job.sole_crashes + sum(loss.alone for loss in crashes),
+    )
+    if not _crashes_workers(after):
+        return after
+    names = ", ".join(sorted(set(after.crashed_on)))
+    return end(after, JobState.FAILED, f"its workers crashed: {names}", now_s)
+
+
+def _crashes_workers(job: Job) -> bool:
+    crashes = len(job.crashed_on)
+    return (
+        job.sole_crashes >= MAX_SOLE_CRASHES
+        or (job.sole_crashes > 0 and crashes >= MAX_CRASHES)
+        or crashes >= MAX_SHARED_CRASHES
+    )
+
+
 def end(
     job: Job, state: JobState, detail: str, now_s: float, used: Usage | None = None
 ) -> Job:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/job_placer.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/job_placer.py
@@ -2,10 +2,13 @@
 
 from ..state.configuration import Configuration
 from ..state.jobs import Job, Usage
+from .attempts import may_start
 from .dispatch import Dispatch
 from .placement import LEAVE_MARGIN_S, FreeCapacity, clamp, place
 from .team_accounts import TeamAccounts
 
+ISOLATION_S = 10.0  # nothing starts beside a job that may crash its worker
+
 
 class JobPlacer:
     """Places one job after another and deducts what each uses.
@@ -22,6 +25,9 @@
         unplaceable: Needs that fit on no worker in this round, by pool.
         reserved, reserved_pools: Workers reserved in this round, and the pools in
             which this was done.
+        busy: Workers that run a job.
+        isolated: Workers that get no other job, as the one that they run may crash
+            them and has not run for long.
         ranked: Workers that fit a need, by pool and need, best fit last.
     """
 
@@ -44,12 +50,18 @@
         self.reserved: set[str] = set()
         self.reserved_pools: set[str] = set()
         self.ranked: dict[tuple[str, Usage], list[FreeCapacity]] = {}
+        self.busy: set[str] = set()
+        self.isolated: set[str] = set()
+        for item in dispatch.running.values():
+            self._note_workers(item.job, item.job.workers)
 
     def place(self, job: Job) -> tuple[str, ...]:
         """Place a job's whole gang; return its workers, or an empty tuple."""
         work_class = self.config.classes.get(job.spec.work_class)
         if work_class is None or work_class.pool in self.dispatch.paused_pools:
             return ()
+        if not may_start(job):
+            return ()
         pool = self.free.get(work_class.pool, {})
         need = clamp(self.dispatch.estimated_usage(job), pool.values())
         if self._is_unplaceable(need, work_class.pool):
@@ -103,6 +115,7 @@
     ) -> None:
         for worker_id in workers:
             pool[worker_id].take(need)
+            self._note_workers(job, (worker_id,))
             self.dispatch.quarantine.record_start(worker_id, job.job_id)
         self.accounts.add_use(job, need)
 
@@ -134,20 +147,30 @@
 
     def _eligible(self, job: Job, pool: dict[str, FreeCapacity]) -> list[FreeCapacity]:
         # A job avoids the workers on which it failed, if enough others remain.
-        untried = pool.keys() - set(job.failed_on)
+        untried = pool.keys() - {*job.failed_on, *job.crashed_on}
         candidates = untried if len(untried) >= job.spec.gang else pool.keys()
+        idle = candidates - self.busy
+        if job.is_suspect and len(idle) >= job.spec.gang:
+            candidates = idle
         return [pool[name] for name in candidates if self._admits(name)]
 
     def _admits(self, worker_id: str) -> bool:
-        return worker_id not in self.reserved and self.dispatch.admits(
-            worker_id, self.now_s
-        )
+        if worker_id in self.reserved or worker_id in self.isolated:
+            return False
+        return self.dispatch.admits(worker_id, self.now_s)
+
+    def _note_workers(self, job: Job, workers: tuple[str, ...]) -> None:
+        self.busy.update(workers)
+        started_s = job.started_s or self.wall_s
+        if job.is_suspect and self.wall_s - started_s < ISOLATION_S:
+            self.isolated.update(workers)
 
 
 def _is_interchangeable(job: Job) -> bool:
     # Such jobs with the same need fit on the same workers, so that a ranking and a
     # failed placement hold for all of them.
-    return job.spec.gang == 1 and not job.failed_on and job.spec.checkpoints
+    tried = job.failed_on or job.crashed_on
+    return job.spec.gang == 1 and not tried and job.spec.checkpoints
 
 
 def _is_at_least(need: Usage, other: Usage) -> bool:
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/jobs.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/jobs.py
@@ -65,6 +65,21 @@
     run_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """An attempt that ended without a report from its worker.
+
+    Attributes:
+        worker_id: The worker.
+        boot: Incarnation of the worker's task control that ran the attempt.
+        alone: True if the worker ran no other job at the time.
+    """
+
+    worker_id: str
+    boot: str
+    alone: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """A job as recorded in the store.
@@ -85,6 +100,11 @@
         started_s: Start of the current attempt, seconds since the epoch.
         ended_s: End of the job, seconds since the epoch; 0 if it has not ended.
         used: Resources that it used, as far as known.
+        boots: Incarnations of the task control of those workers; empty if unknown.
+        losses: Attempts that were lost with a worker of which it is not known whether
+            it crashed.
+        crashed_on: Worker of each attempt that ended with a crash of its worker.
+        sole_crashes: Number of these crashes in which the worker ran no other job.
     """
 
     job_id: str
@@ -101,6 +121,15 @@
     started_s: float = 0.0
     ended_s: float = 0.0
     used: Usage = Usage()
+    boots: tuple[str, ...] = ()
+    losses: tuple[Loss, ...] = ()
+    crashed_on: tuple[str, ...] = ()
+    sole_crashes: int = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """True if the job may have crashed a worker."""
+        return bool(self.crashed_on)
 
     @property
     def ended(self) -> bool:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/attempt_ends.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/attempt_ends.py
@@ -12,13 +12,16 @@
 )
 from heatherhatch_core.state.configuration import Configuration
 from heatherhatch_core.state.entities import WorkerState
-from heatherhatch_core.state.jobs import Job, JobState, Usage
+from heatherhatch_core.state.jobs import Job, JobState, Loss, Usage
 
 from ..events import Event, log
 from ..transport.workers import TaskReport, TaskState
 from .follower import Follower
 from .task_monitor import Attempt, TaskMonitor
 
+# Ends that only the incarnation that ran the attempt reports.
+REPORTED_ENDS = frozenset([TaskState.DONE, TaskState.FAILED, TaskState.CHECKPOINTED])
+
 
 class AttemptEnds:
     """Decides when attempts end and orders workers to stop them.
@@ -122,7 +125,39 @@
             report = attempt.reports.get(worker_id)
             if report is not None and report.state is TaskState.FAILED:
                 return self._job_after_failure(dispatch, job, worker_id, report)
-        return attempts.requeue(job, reason, _saved_progress(job, attempt))
+        progress = _saved_progress(job, attempt)
+        after = attempts.requeue(
+            job, reason, progress, self._losses(dispatch, job, attempt)
+        )
+        return attempts.resolve_losses(after, self.tasks.boots(), now)
+
+    def _losses(self, dispatch: Dispatch, job: Job, attempt: Attempt) -> tuple:
+        """Return the losses of workers that may have crashed during an attempt."""
+        shared = {
+            worker_id
+            for other in dispatch.running.values()
+            if other.job.job_id != job.job_id
+            for worker_id in other.job.workers
+        }
+        return tuple(
+            Loss(worker_id, boot, worker_id not in shared)
+            for worker_id, boot in zip(job.workers, job.boots, strict=False)
+            if boot and self._may_have_crashed(attempt, worker_id, boot)
+        )
+
+    def _may_have_crashed(self, attempt: Attempt, worker_id: str, boot: str) -> bool:
+        workers = self.follower.config.workers
+        if (
+            worker_id not in workers
+            or self.follower.config.state_of(worker_id) is not WorkerState.SERVING
+        ):
+            return False
+        report = attempt.reports.get(worker_id)
+        if report is not None and report.state in REPORTED_ENDS:
+            return False
+        # After a restart a worker confirms a stop of an attempt that it never knew.
+        restarted = self.tasks.boots().get(worker_id, boot) != boot
+        return restarted or not attempt.ended_on(worker_id)
 
     def _job_after_failure(self, dispatch, job, worker_id, report) -> Job:
         quarantine_started = dispatch.quarantine.failed(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_starter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_starter.py
@@ -64,12 +64,23 @@
         if not dispatch.queue or not self.follower.has_standing():
             return
         self.ledger.refresh()
+        self._resolve_losses(dispatch)
         recorded = self._record_starts(dispatch, self._ready_starts(dispatch))
         self.tasks.run_all(
             [lambda job=update.after: self._send(dispatch, job) for update in recorded]
         )
         self._report_unplaceable_jobs(dispatch)
 
+    def _resolve_losses(self, dispatch: Dispatch) -> None:
+        """Fail the waiting jobs whose workers have turned out to have crashed."""
+        boots = self.tasks.boots()
+        updates = []
+        for job in [job for job in dispatch.queue.jobs() if job.losses]:
+            after = attempts.resolve_losses(job, boots, self.wall_clock())
+            if after != job and len(updates) < BATCH_JOBS:
+                updates.append(Update(job, dispatch.live[job.job_id].revision, after))
+        self.commits.record(dispatch, updates)
+
     def _ready_starts(self, dispatch: Dispatch) -> list[Start]:
         dispatch_round = DispatchRound(
             dispatch,
@@ -96,10 +107,12 @@
 
     def _record_starts(self, dispatch: Dispatch, starts: list[Start]) -> list[Update]:
         now = self.wall_clock()
+        boots = self.tasks.boots()
         updates = []
         for item in starts:
             revision = dispatch.live[item.job.job_id].revision
-            after = attempts.start(item.job, item.workers, now)
+            known = tuple(boots.get(worker_id, "") for worker_id in item.workers)
+            after = attempts.start(item.job, item.workers, now, known)
             updates.append(Update(item.job, revision, after))
         recorded = self.commits.record(dispatch, updates)
         kept = {update.after.job_id for update in recorded}
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/task_monitor.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/task_monitor.py
@@ -133,6 +133,13 @@
             self.attempts[key] = Attempt(job.job_id, job.attempt, evidence)
         return self.attempts[key]
 
+    def boots(self) -> dict[str, str]:
+        """Return the last known incarnation of each worker's task control."""
+        return {
+            worker_id: clock.reading.boot
+            for worker_id, clock in self.worker_clocks.items()
+        }
+
     def keep_only(self, keys: Iterable[AttemptId]) -> None:
         """Forget every attempt except those given."""
         kept = set(keys)
--- a/tests/test_job_machine.py
+++ b/tests/test_job_machine.py
@@ -215,7 +215,7 @@
 
 
 SETTINGS = settings(
-    max_examples=60,
+    max_examples=180,
     stateful_step_count=60,
     deadline=None,
     suppress_health_check=list(HealthCheck),
