Stop a request after two backend servers broke off its connection

Servers that do not answer in time are tried as before.

test_exchange_stops_after_two_servers_broke_off failed before (3 attempts).

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/exchange.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/exchange.py
@@ -15,6 +15,7 @@
 from .follower import Follower
 
 MAX_ATTEMPTS = 3
+MAX_BROKEN_OFF = 2  # number of attempts that lost a connection; servers may crash by it
 TIMEOUT_HEADER = "X-Request-Timeout"
 
 
@@ -57,6 +58,7 @@
         self.budget.deposit()
         tried: frozenset[str] = frozenset()
         maybe_run_error: ExchangeError | None = None
+        broken_off = 0
         for retry in range(MAX_ATTEMPTS):
             try:
                 attempt = self._next_attempt(work_class, tried, deadline_s)
@@ -69,6 +71,9 @@
                 return self._send(attempt, work_class, request, deadline_s, retry)
             except ExchangeError as error:
                 maybe_run_error = error if error.sent else maybe_run_error
+                broken_off += error.sent and error.kind is not ErrorKind.BACKEND_TIMEOUT
+                if broken_off == MAX_BROKEN_OFF:
+                    raise maybe_run_error from None
                 self._prepare_retry(
                     work_class, error, maybe_run_error, retry, deadline_s
                 )
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -195,3 +195,12 @@
     for _ in range(20):
         assert carry_out(exchange, SETTLE).body == b"body"
     assert len(pool.received) == 20
+
+
+# Guards against a request that crashes each of the servers that it is tried on.
+def test_exchange_stops_after_two_servers_broke_off(pool):
+    for _server in range(4):
+        pool.add(TRUNCATED_RESPONSE)
+    error = error_of(pool.exchange(), STOCK)
+    assert len(pool.received) == 2
+    assert error.kind is ErrorKind.PARTIAL_ANSWER
