Start nothing by capacities that are older than four seconds

A directory of workers that has not been confirmed for long, as right after an outage of the store, may hold capacities that have shrunk meanwhile: runs were placed and ordered by them. Now no run is placed, and no start is sent, unless the directory was confirmed within four seconds; a quiet directory is polled every 1.75 s instead of 2.25 s.

A report that no longer lists a run that was alive counts as a crash too, as a worker may not say when it started.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -51,14 +51,11 @@
             _handle_end(state, worker, end, now_s)
     worker.advance_ack()
     listed = _handle_listed_runs(state, worker, report.runs, sent_s, now_s)
-    earlier = [
-        run for run in worker.runs.values() if run.born_ms != worker.info.born_ms
-    ]
-    note_crash(state, worker, earlier, now_s)
+    missing = _missing_runs(worker, listed | ended) if report.complete else []
+    _note_crashed_runs(state, worker, missing, sent_s, now_s)
     note_answered(state, worker)
     worker.answered_s = now_s
-    if report.complete:
-        _handle_missing_runs(state, worker, listed | ended, sent_s, now_s)
+    _handle_missing_runs(state, worker, missing, sent_s, now_s)
 
 
 def begin_incarnation(
@@ -158,17 +155,37 @@
         task.checkpoint = row.checkpoint
 
 
+def _missing_runs(worker: Worker, present: set[tuple[TaskName, int]]) -> list[Run]:
+    return [
+        run
+        for key, run in worker.runs.items()
+        if key not in present and run.state is not RunState.RECORDING
+    ]
+
+
+def _is_gone(run: Run, sent_s: float) -> bool:
+    """Return whether a report that does not list a run proves that it has ended."""
+    return run.expected_from_s < sent_s or run.stop_acked_s < sent_s
+
+
+def _note_crashed_runs(
+    state: PoolState, worker: Worker, missing: list[Run], sent_s: float, now_s: float
+) -> None:
+    crashed = [
+        run
+        for run in worker.runs.values()
+        if run.born_ms != worker.info.born_ms
+        # A worker that does not say when it started has lost it all the same.
+        or (run in missing and _is_gone(run, sent_s) and run.was_alive)
+    ]
+    note_crash(state, worker, crashed, now_s)
+
+
 def _handle_missing_runs(
-    state: PoolState,
-    worker: Worker,
-    present: set[tuple[TaskName, int]],
-    sent_s: float,
-    now_s: float,
+    state: PoolState, worker: Worker, missing: list[Run], sent_s: float, now_s: float
 ) -> None:
-    for key, run in list(worker.runs.items()):
-        if key in present or run.state is RunState.RECORDING:
-            continue
-        if run.expected_from_s < sent_s or run.stop_acked_s < sent_s:
+    for run in missing:
+        if _is_gone(run, sent_s):
             restarted = run.born_ms != worker.info.born_ms
             state.lose_run(run, "worker restarted" if restarted else "gone", now_s)
         elif run.state is RunState.DOUBTFUL:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
@@ -84,3 +84,8 @@
     adopted: bool = False
     crash_noted: bool = False
     pace_set_s: float | None = None
+
+    @property
+    def was_alive(self) -> bool:
+        """True if the run was known to be alive and was not to be stopped."""
+        return self.begun_s < float("inf") and not self.stopping
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -136,12 +136,6 @@
         if worker is not None:
             handle_report(self.state, worker, report, sent_s, now_s)
 
-    def has_room_for(self, order: StartOrder) -> bool:
-        """Return whether the run of a start order still fits on its worker."""
-        worker = self.state.workers.get(order.worker_id)
-        run = worker.runs.get((order.task, order.number)) if worker else None
-        return run is not None and worker.has_room_for(run)
-
     def handle_start_result(
         self, order: StartOrder, result: StartResult, now_s: float
     ) -> None:
@@ -179,14 +173,15 @@
         """Return the drained machines, each with the number of its drain request."""
         return cleared_machines(self.state)
 
-    def decide(self, now_s: float, wall_s: float) -> None:
+    def decide(self, now_s: float, wall_s: float, may_place: bool = True) -> None:
         """Run one scheduling round: check running tasks and place waiting ones."""
         if now_s - self.last_watch_s >= WATCH_INTERVAL_S:
             self.last_watch_s = now_s
             watch_runs(self.state, now_s)
             step_evacuation(self.state, self.drain_started_s, now_s)
             pace_fillers(self.state, now_s)
-        place_tasks(self.state, now_s, wall_s)
+        if may_place:
+            place_tasks(self.state, now_s, wall_s)
 
     def take_writes(self, wall_s: float, most: int | None = None) -> list[JobWrite]:
         """Return the jobs to store, and mark them as being written.
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/directory.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/directory.py
@@ -4,10 +4,12 @@
 
 from ..events import Event, log
 from ..transport.store import Entry, PolledStore
+from .clock import now_s
 from .feed import Feed
 from .ports import DirectoryEntry, OperatorRecords
 
-POLL_WAIT_S = 2.0  # workers write at heartbeats, so a poll rarely waits longer
+POLL_WAIT_S = 1.5  # workers write at heartbeats, so a poll rarely waits longer
+MAX_AGE_S = 4.0  # the platform allows 4.5 s until a shrunk capacity must be known
 POLL_INTERVAL_S = 0.25  # heartbeats of many workers are read together
 
 
@@ -51,6 +53,10 @@
         """Stop watching the directory."""
         self.feed.stop()
 
+    def is_recent(self) -> bool:
+        """Return whether the entries are recent enough to start runs by them."""
+        return now_s() - self.feed.last_response_s <= MAX_AGE_S
+
     def _on_entry(self, entry: Entry) -> None:
         worker_id = entry.key.removeprefix(self.records.worker_prefix)
         worker = self.records.read_worker(worker_id, entry.value)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -212,7 +212,7 @@
         plan = self.plan_watcher.plan
         self.scheduler.set_drains(plan.vacating, plan.resting, frozenset(plan.due))
         if self.may_order() and self.plan_watcher.loaded:
-            self.scheduler.decide(now_s(), wall_s())
+            self.scheduler.decide(now_s(), wall_s(), self.directory.is_recent())
             self.watchdog.note_round()
 
     def _flush(self) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -99,13 +99,7 @@
         worker = self.holder.scheduler.state.workers[self.worker_id]
         deadline_ms = worker.next_deadline_ms(now_s())
         worker.note_deadline(deadline_ms)
-        # The worker's capacity may shrink while the connection is being opened.
-        permission = Permission(
-            self.ordering.token,
-            lambda: (
-                self.holder.may_order() and self.holder.scheduler.has_room_for(order)
-            ),
-        )
+        permission = Permission(self.ordering.token, lambda: self._may_start(order))
         result = self.control.start(order, deadline_ms, permission)
         self._report_start(order, result)
 
@@ -118,6 +112,12 @@
     def _pace(self, order: PaceOrder) -> None:
         self.control.pace(order, self.ordering)
 
+    def _may_start(self, order: StartOrder) -> bool:
+        # The worker's capacity may shrink while the connection is being opened.
+        holder = self.holder
+        has_room = holder.scheduler.state.has_room_for(order)
+        return has_room and holder.directory.is_recent() and holder.may_order()
+
     def _report_start(self, order, result: StartResult) -> None:
         if isinstance(order, StartOrder):
             self.holder.scheduler.handle_start_result(order, result, now_s())
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -43,6 +43,24 @@
     assert [type(order) for order in model.scheduler.take_orders()] == [StartOrder]
 
 
+# Guards against a start beyond a capacity that shrank while the run was being stored.
+def test_a_run_is_placed_again_if_its_worker_shrank_before_it_was_stored(model):
+    model.scheduler.add_job(make_job(make_step(2, cores=3)), None, model.now_s)
+    model.scheduler.decide(model.now_s, model.now_s)
+    writes = model.scheduler.take_writes(model.now_s)
+    info = model.workers["w0"].info
+    smaller = dataclasses.replace(info, capacity=Resources(4000, 64_000))
+    model.scheduler.update_worker(smaller, model.now_s)
+    for write in writes:
+        model.scheduler.stored(write.job_id, write.version, model.now_s)
+    orders = model.scheduler.take_orders()
+    assert [order.worker_id for order in orders] == ["w0"]
+    for order in orders:
+        model.execute(order)
+    model.round()
+    assert sorted(run[0] for run in model.alive_runs()) == ["w0", "w1"]
+
+
 def test_an_end_is_acknowledged_only_after_it_is_stored(model):
     model.add(make_job(make_step(), make_step(after=(0,))))
     worker_id, task, number = model.alive_runs()[0]
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -1,9 +1,13 @@
 """Lease renewals and fencing on the connection to one worker."""
 
+import dataclasses
+
 import gevent
 import pytest
 
+from heatherhatch_core.coordination.scheduler import StartOrder, StartResult
 from heatherhatch_core.exceptions import ErrorKind, FencedError
+from heatherhatch_core.state.resources import Resources
 from heatherhatch_daemon.pools import clock
 from heatherhatch_daemon.pools.ports import DirectoryEntry
 from heatherhatch_daemon.pools.worker_link import WorkerLink
@@ -30,6 +34,15 @@
             raise ExchangeError(ErrorKind.BACKEND_TIMEOUT, "no answer", True)
         return self.worker.report(renewal.acked)
 
+    def start(self, order, _deadline_ms, permission):
+        self.before_send()
+        if not permission.is_valid():
+            return StartResult.UNWELL
+        return self.worker.start(order)
+
+    def before_send(self):
+        pass
+
     def close(self):
         pass
 
@@ -43,6 +56,8 @@
         self.external_ports = self
         self.control = control
         self.fencing_reasons = []
+        self.directory = self
+        self.recent = True
         self.left_s = 1.7  # what is usually left right after a confirmed claim
 
     def open_worker(self, _entry):
@@ -54,6 +69,9 @@
     def renewal_left_s(self):
         return self.left_s
 
+    def is_recent(self):
+        return self.recent
+
     def may_order(self):
         return True
 
@@ -150,3 +168,36 @@
     before = len(link.control.renewals)
     gevent.sleep(0.05)
     assert len(link.control.renewals) == before
+
+
+def place(model) -> StartOrder:
+    """Place one task of six cores and return the order to start it."""
+    model.scheduler.add_job(make_job(make_step(1, cores=6)), None, model.now_s)
+    model.scheduler.decide(model.now_s, model.now_s)
+    for write in model.scheduler.take_writes(model.now_s):
+        model.scheduler.stored(write.job_id, write.version, model.now_s)
+    return model.scheduler.take_orders()[0]
+
+
+def shrink(model) -> None:
+    """Let the worker say that it has only four cores left."""
+    info = model.workers["w0"].info
+    smaller = dataclasses.replace(info, capacity=Resources(4000, 64_000))
+    model.scheduler.update_worker(smaller, model.now_s)
+
+
+# Guards against a start beyond a capacity that shrank while the start was on its way.
+def test_a_start_is_not_sent_once_its_worker_has_shrunk(model, link):
+    order = place(model)
+    link.control.before_send = lambda: shrink(model)
+    link.send(order)
+    assert model.workers["w0"].runs == {}
+    assert model.scheduler.state.jobs["j1"].tasks[0, 0, 0].runs == {}
+
+
+# Guards against a start by capacities from before an outage of the store.
+def test_a_start_is_not_sent_by_an_old_directory(model, link):
+    order = place(model)
+    link.holder.recent = False
+    link.send(order)
+    assert model.workers["w0"].runs == {}
