--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/connections.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/connections.py
@@ -16,6 +16,7 @@
 
     Attributes:
         idle_since_s: When each idle connection was returned, monotonic seconds.
+        opened: Number of connections that were opened.
     """
 
     def __init__(self, address: Address, size: int, connect_timeout_s: float):
@@ -29,9 +30,11 @@
             network_timeout=None,
         )
         self.idle_since_s: dict[socket.socket, float] = {}
+        self.opened = 0
 
     def after_connect(self, sock: socket.socket) -> None:
         """Disable Nagle's algorithm, so that small writes are sent immediately."""
+        self.opened += 1
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def return_socket(self, sock: socket.socket) -> None:
--- a/tests/test_input_bounds.py
+++ b/tests/test_input_bounds.py
@@ -17,7 +17,7 @@
 from heatherhatch_platform.configuration import read_configuration, read_worker
 from heatherhatch_platform.jobs import read_job
 from heatherhatch_platform.machines import read_machines
-from heatherhatch_platform.workers import read_report
+from heatherhatch_platform.worker_bodies import read_report
 from pool_model import PoolModel, make_job, make_step
 
 CORES = 8
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -27,7 +27,11 @@
 from heatherhatch_platform.kv_store import KvStore
 from heatherhatch_platform.machines import HttpMachines, HttpPolicy, read_machines
 from heatherhatch_platform.settings import read_settings
-from heatherhatch_platform.workers import parse_task, read_report, read_start_result
+from heatherhatch_platform.worker_bodies import (
+    parse_task,
+    read_report,
+    read_start_result,
+)
 from test_platform_decoders import CONFIG, JOB, SETTINGS, WORKER
 
 HUGE = 10**400
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -19,7 +19,7 @@
 )
 from heatherhatch_platform.jobs import read_job
 from heatherhatch_platform.settings import read_settings
-from heatherhatch_platform.workers import (
+from heatherhatch_platform.worker_bodies import (
     format_task,
     parse_task,
     read_report,
