--- a/tests/scheduler_environment.py
+++ b/tests/scheduler_environment.py
@@ -23,6 +23,7 @@
 
 RULES = Rules(lease_s=5.0, unfenced_s=5.4)
 CAPACITY = Resources(4000, 4000)
+MIN_CRASHES = 2  # of workers, after which the users let a task be given up
 
 
 @dataclass
@@ -38,10 +39,13 @@
         ends: Ends that are not acknowledged yet.
         refused: Highest run number of each task that the worker no longer starts.
         sequence: Sequence number of the last end.
+        capacity: Resources that the worker offers.
     """
 
     worker_id: str
     born_ms: int
+    capacity: Resources = CAPACITY
+    machine: str = ""
     highest_token: int = 0
     deadline_s: float = 0.0
     runs: dict = field(default_factory=dict)
@@ -51,8 +55,9 @@
 
     @property
     def info(self) -> WorkerInfo:
+        machine = self.machine or f"m-{self.worker_id}"
         return WorkerInfo(
-            self.worker_id, f"m-{self.worker_id}", POOL, "dc", self.born_ms, CAPACITY
+            self.worker_id, machine, POOL, "dc", self.born_ms, self.capacity
         )
 
 
@@ -88,6 +93,8 @@
         acknowledged: Tasks whose successful end was acknowledged to the worker.
         reported: Tasks with a successful end in a report that a holder received.
         failures: Number of acknowledged failures of each task.
+        sent: Starts whose answer was timed out, by identity; they may arrive late.
+        crashes: Number of workers that crashed with a run of each task.
         holder: The current holder.
     """
 
@@ -108,6 +115,8 @@
         self.acknowledged: set = set()
         self.reported: set = set()
         self.failures = defaultdict(int)
+        self.crashes = defaultdict(int)
+        self.sent: dict[int, StartOrder] = {}
         self.holder: Holder | None = None
         self.change_holder()
 
@@ -165,6 +174,8 @@
             self.status[write.job_id] = write.status.phase
             if write.status.phase is Phase.COMPLETED:
                 self.check_completed(write.job_id)
+            if write.status.phase is Phase.FAILED:
+                self.check_failed(write.job_id)
         self.progress[write.job_id] = msgspec.json.encode(write.progress)
         holder.scheduler.stored(write.job_id, write.version, self.now_s)
         self.collect_output(holder)
@@ -176,7 +187,9 @@
         holder, order, deadline_s = self.pending_orders.pop(
             index % len(self.pending_orders)
         )
-        worker = self.workers[order.worker_id]
+        worker = self.workers.get(order.worker_id)
+        if worker is None:
+            return
         result = self.execute_order(worker, holder, order, deadline_s)
         if holder is not self.holder or result is None:
             return
@@ -193,12 +206,19 @@
             index % len(self.pending_orders)
         ]
         if isinstance(order, StartOrder) and holder is self.holder:
+            self.sent[id(order)] = order
             holder.scheduler.handle_start_result(order, StartResult.UNKNOWN, self.now_s)
             self.collect_output(holder)
 
     def execute_order(self, worker, holder, order, deadline_s) -> StartResult | None:
         if holder.token < worker.highest_token:
             return None
+        sent = id(order) in self.sent
+        if isinstance(order, StartOrder) and not (
+            # Checked when the connection is ready, before the order is sent.
+            sent or holder.scheduler.state.has_room_for(order)
+        ):
+            return StartResult.REFUSED
         worker.highest_token = holder.token
         key = (order.task, order.number)
         if isinstance(order, StopOrder):
@@ -210,7 +230,7 @@
             return StartResult.STARTED
         if order.number <= worker.refused[order.task] or deadline_s <= self.now_s:
             return StartResult.REFUSED
-        self.check_start(worker, order)
+        self.check_start(worker, order, CAPACITY if sent else worker.capacity)
         worker.deadline_s = max(worker.deadline_s, deadline_s)
         worker.runs[key] = order
         self.starts_s[order.task].append(self.now_s)
@@ -278,10 +298,39 @@
             for pending in self.pending_orders
             if pending[0] is self.holder or pending[1].worker_id != worker.worker_id
         ]
+        self.note_crash(worker)
         self.workers[worker.worker_id] = SimulatedWorker(
-            worker.worker_id, worker.born_ms + 1000
+            worker.worker_id,
+            worker.born_ms + 1000,
+            worker.capacity,
+            worker.info.machine,
         )
 
+    def replace_worker(self, worker) -> None:
+        """Let a machine lose its worker and come back with one of another name."""
+        self.restart_worker(worker)
+        successor = self.workers.pop(worker.worker_id)
+        successor.worker_id = f"{worker.worker_id}+"
+        self.workers[successor.worker_id] = successor
+        self.pending_orders = [
+            pending
+            for pending in self.pending_orders
+            if pending[1].worker_id != worker.worker_id
+        ]
+        self.holder.scheduler.remove_worker(worker.worker_id)
+        self.holder.scheduler.update_worker(successor.info, self.now_s)
+
+    def note_crash(self, worker) -> None:
+        for task, _number in worker.runs:
+            self.crashes[task] += 1
+
+    def resize_worker(self, worker, capacity: Resources) -> None:
+        """Change the capacity of a worker; every holder hears of it at once."""
+        worker.capacity = capacity
+        holders = {id(item[0]): item[0] for item in self.pending_orders}
+        for holder in (self.holder, *holders.values()):
+            holder.scheduler.update_worker(worker.info, self.now_s)
+
     def advance_time(self, seconds: float) -> None:
         self.now_s += seconds
         for worker in self.workers.values():
@@ -291,7 +340,7 @@
 
     # Invariants.
 
-    def check_start(self, worker, order: StartOrder) -> None:
+    def check_start(self, worker, order: StartOrder, capacity: Resources) -> None:
         task = order.task
         job = self.jobs[task.job_id]
         for other in self.workers.values():
@@ -301,7 +350,7 @@
             f"{task} starts after its end was acknowledged"
         )
         used = used_resources(self, worker) + job.steps[task.step].need
-        assert used.fits(CAPACITY), f"{worker.worker_id} is over its capacity"
+        assert used.fits(capacity), f"{worker.worker_id} is over its capacity"
         for dependency in job.steps[task.step].after:
             for index in range(job.steps[dependency].count):
                 earlier_task = task._replace(step=dependency, index=index)
@@ -328,8 +377,31 @@
                     for task in self.done_s
                 ), f"{job_id} is stored as completed, {number}.{index} is not done"
 
+    def check_failed(self, job_id: str) -> None:
+        """Check that a failed job has a task that failed or crashed often enough."""
+        attempts = self.jobs[job_id].terms.attempts
+        failed = max(
+            (count for task, count in self.failures.items() if task[0] == job_id),
+            default=0,
+        )
+        ends = [
+            end.task
+            for worker in self.workers.values()
+            for end in worker.ends
+            if end.ending is Ending.FAILED and end.task[0] == job_id
+        ]
+        crashed = max(
+            (count for task, count in self.crashes.items() if task[0] == job_id),
+            default=0,
+        )
+        assert failed + len(ends) >= attempts or crashed >= MIN_CRASHES, (
+            f"{job_id} failed after {failed} failures and {crashed} crashes"
+        )
+
     def run_until_ended(self) -> None:
         """Run without faults, and check that every job ends."""
+        for worker in self.workers.values():
+            self.resize_worker(worker, CAPACITY)
         for _round in range(400):
             if all(phase.final for phase in self.status.values()):
                 return
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -2,7 +2,8 @@
 
 The invariants: no task runs twice at the same time or again after its end was
 acknowledged, no worker exceeds its capacity, steps run in order, a job is completed
-only when all its tasks are done, and every job ends. Workers may restart at any time.
+only when all its tasks are done, and every job ends; it fails only if one of its tasks
+failed or crashed workers. Workers may restart, under their name or another, and shrink.
 """
 
 import pytest
@@ -21,6 +22,7 @@
     scheduler,
 )
 from heatherhatch_core.coordination.scheduler.worker import Worker
+from heatherhatch_core.state.resources import Resources
 from pool_model import make_job, make_step
 from scheduler_environment import SchedulerEnvironment
 
@@ -94,6 +96,17 @@
         workers = list(self.environment.workers.values())
         self.environment.restart_worker(workers[index % len(workers)])
 
+    @rule(index=INDEX)
+    def replace_worker(self, index):
+        workers = list(self.environment.workers.values())
+        self.environment.replace_worker(workers[index % len(workers)])
+
+    @rule(index=INDEX, cores=st.integers(0, 4))
+    def resize_worker(self, index, cores):
+        workers = list(self.environment.workers.values())
+        capacity = Resources(cores * 1000, 4000)
+        self.environment.resize_worker(workers[index % len(workers)], capacity)
+
     @precondition(lambda self: self.count)
     @rule(index=INDEX)
     def cancel(self, index):
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -61,3 +61,14 @@
     client.renew(Renewal(DEADLINE_MS, 0, 0.0), PERMISSION)
     assert client.renew(Renewal(DEADLINE_MS, 1, 0.0), PERMISSION).ends == ()
     assert worker.ledger.acknowledged == {"before.0.0.0"}
+
+
+# Guards against a lease that is counted by the clock of the former incarnation.
+def test_no_lease_is_requested_by_the_clock_of_a_former_incarnation(worker, client):
+    run_task(client, "before")
+    client.renew(Renewal(DEADLINE_MS, 0, 0.0), PERMISSION)
+    worker.restart()
+    client.renew(Renewal(DEADLINE_MS, 1, 0.0), PERMISSION)
+    assert worker.deadline_ms == 0
+    client.renew(Renewal(DEADLINE_MS, 1, 0.0), PERMISSION)
+    assert worker.deadline_ms == DEADLINE_MS
