--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/attempts.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/attempts.py
@@ -13,8 +13,8 @@
 # failures in total.
 MAX_FAILED_WORKERS = 3
 MAX_FAILURES = 6
-# A job fails after this many crashes of workers that ran nothing else, after this many
-# of which one ran nothing else, or after this many in any case.
+# A job fails after crashes of this many workers that ran nothing else, after crashes of
+# this many workers of which one ran nothing else, or after this many in any case.
 MAX_SOLE_CRASHES = 2
 MAX_CRASHES = 3
 MAX_SHARED_CRASHES = 5
@@ -157,7 +157,8 @@
         job,
         losses=tuple(loss for loss in job.losses if loss not in known),
         crashed_on=(*job.crashed_on, *(loss.worker_id for loss in crashes)),
-        sole_crashes=job.sole_crashes + sum(loss.alone for loss in crashes),
+        sole_crashes=job.sole_crashes
+        + sum(loss.alone and loss.worker_id not in job.crashed_on for loss in crashes),
     )
     if not _crashes_workers(after):
         return after
@@ -166,11 +167,10 @@
 
 
 def _crashes_workers(job: Job) -> bool:
-    crashes = len(job.crashed_on)
     return (
         job.sole_crashes >= MAX_SOLE_CRASHES
-        or (job.sole_crashes > 0 and crashes >= MAX_CRASHES)
-        or crashes >= MAX_SHARED_CRASHES
+        or (job.sole_crashes > 0 and len(set(job.crashed_on)) >= MAX_CRASHES)
+        or len(job.crashed_on) >= MAX_SHARED_CRASHES
     )
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/crashes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/crashes.py
@@ -2,7 +2,7 @@
 
 A worker that crashes says nothing about the cause. Each task with a run on it is
 counted; a crash that no other run can have caused is counted separately. A task is
-given up on the second such crash, or on the first one from its third crash on.
+given up on the second such crash, or on the first one once three machines crashed.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 SETTLED_S = 0.5  # a run that is alive this long after its start did not crash by it
 MAX_SOLE_CRASHES = 2  # number of crashes without another cause
-MAX_CRASHES = 3  # number of crashes, if one of them has no other cause
+MAX_CRASHES = 3  # number of machines that crashed, once with no other cause
 MAX_SHARED_CRASHES = 5  # number of crashes in any case
 PROVEN_S = 10.0  # a lasting run that is alive this long clears its task
 LAPSED_MEMORY_S = 60.0  # a machine that is away for longer was lost for good
@@ -200,7 +200,7 @@
 def _is_given_up(task: Task) -> bool:
     return (
         task.sole_crashes >= MAX_SOLE_CRASHES
-        or (task.sole_crashes and task.crashes >= MAX_CRASHES)
+        or (task.sole_crashes and len(task.crashed_machines) >= MAX_CRASHES)
         or task.crashes >= MAX_SHARED_CRASHES
     )
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/jobs.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/jobs.py
@@ -104,7 +104,7 @@
         losses: Attempts that were lost with a worker of which it is not known whether
             it crashed.
         crashed_on: Worker of each attempt that ended with a crash of its worker.
-        sole_crashes: Number of these crashes in which the worker ran no other job.
+        sole_crashes: Number of these workers that ran no other job.
     """
 
     job_id: str
