--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
@@ -65,6 +65,7 @@
         team: Team that submitted it.
         tasks_done: Number of tasks that have succeeded, of occurrences in progress.
         runs: Number of runs that may be in progress.
+        reason: Why the job failed; empty if it has not.
     """
 
     queue: str
@@ -74,6 +75,7 @@
     team: str
     tasks_done: int
     runs: int
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,12 +87,14 @@
         run: Run number.
         worker: Worker that the run was placed on.
         failures: Number of failed runs of the task.
+        crashes: Number of workers that crashed with a run of the task.
     """
 
     task: str
     run: int
     worker: str
     failures: int
+    crashes: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +168,7 @@
                 run.number,
                 run.worker_id,
                 task.failures,
+                task.crashes,
             )
             for task in progress.tasks
             for run in task.runs
@@ -196,4 +201,5 @@
         status.team,
         sum(1 for task in progress.tasks if task.done),
         runs,
+        status.reason,
     )
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -20,7 +20,8 @@
 from heatherhatch_platform_standin.store import StandinStore, StoreMode
 
 STATUS = JobStatus(Phase.RUNNING, "till", "q-till", "red")
-PROGRESS = Progress((TaskRecord(0, 1, 2, 3, 1, False, "", (RunRecord(3, "i-1", 9),)),))
+RUN = RunRecord(3, "i-1", 9, "m-1")
+PROGRESS = Progress((TaskRecord(0, 1, 2, 3, 1, False, "", (RUN,), 2, 1),))
 
 
 @pytest.fixture
@@ -59,13 +60,21 @@
     shown = json.loads(run(store, "job", "show", "q-till", "j1").stdout)
     assert shown["summary"]["phase"] == "running"
     assert shown["runs"] == [
-        {"task": "0.1.2", "run": 3, "worker": "i-1", "failures": 1}
+        {"task": "0.1.2", "run": 3, "worker": "i-1", "failures": 1, "crashes": 2}
     ]
     table = run(store, "job", "show", "q-till", "j1", output="table").stdout
     assert "running" in table
     assert "i-1" in table
 
 
+def test_a_failed_job_is_shown_with_its_reason(store):
+    reason = "task 0.1.2 crashed 3 workers"
+    status = JobStatus(Phase.FAILED, "till", "q-till", "red", 5.0, False, reason)
+    store.put(status_key("j1"), encode_json(status))
+    shown = json.loads(run(store, "job", "show", "q-till", "j1").stdout)
+    assert shown["summary"]["reason"] == reason
+
+
 def test_a_job_of_another_queue_is_not_found(store):
     result = run(store, "job", "show", "q-wall", "j1")
     assert result.exit_code == 4
