Count crashes of machines to be drained, and lapses of starting lasting tasks

A machine goes down for a move or for maintenance only once it has no runs, so any run on it is evidence; only a worker that said that it leaves is excepted. Runs of lasting tasks that had not outlived their start count among those lost with silent workers, as in a crash.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/crashes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/crashes.py
@@ -36,11 +36,13 @@
     Attributes:
         worker: The worker.
         runs: The runs.
+        counted: Tasks whose lapses include these runs.
         at_s: When the lease expired, monotonic seconds.
     """
 
     worker: Worker
     runs: tuple[Run, ...]
+    counted: tuple[Task, ...]
     at_s: float
 
 
@@ -65,7 +67,8 @@
         for run in runs
         if run.state is not RunState.RECORDING and not run.crash_noted
     ]
-    if not present:
+    # A machine that the system itself takes down has no runs left.
+    if not present or worker.info.draining:
         return
     for run in present:
         run.crash_noted = True
@@ -95,11 +98,12 @@
     if runs and worker.info.machine:
         if worker.info.machine in state.lapsed:
             _forget_lapsed(state, worker.info.machine)
-        state.lapsed[worker.info.machine] = LapsedRuns(worker, runs, now_s)
-        for run in runs:
-            if run.task is not None and not run.task.step.lasting:
-                run.task.lapses += 1
-                state.suspects[run.task.name] = run.task
+        counted = [run.task for run in runs if _is_blamed(state, run, worker)]
+        lapsed = LapsedRuns(worker, runs, tuple(counted), now_s)
+        state.lapsed[worker.info.machine] = lapsed
+        for task in counted:
+            task.lapses += 1
+            state.suspects[task.name] = task
 
 
 def forget_old_lapsed(state: PoolState, now_s: float) -> None:
@@ -116,8 +120,7 @@
         return
     if info.born_ms > lapsed.worker.info.born_ms:
         _forget_lapsed(state, info.machine)
-        if not is_planned(state, lapsed.worker):
-            note_crash(state, lapsed.worker, lapsed.runs, now_s)
+        note_crash(state, lapsed.worker, lapsed.runs, now_s)
 
 
 def note_answered(state: PoolState, worker: Worker) -> None:
@@ -127,13 +130,6 @@
         _forget_lapsed(state, worker.info.machine)
 
 
-def is_planned(state: PoolState, worker: Worker) -> bool:
-    """Return whether a worker was to leave, so that its end is no crash."""
-    machine = worker.info.machine
-    requested = machine in state.draining or machine in state.finishing
-    return worker.info.draining or requested
-
-
 def clear_proven(state: PoolState, run: Run, now_s: float) -> None:
     """Clear a lasting task that has been alive for long since its last crash."""
     task = run.task
@@ -145,9 +141,8 @@
 
 
 def _forget_lapsed(state: PoolState, machine: str) -> None:
-    for run in state.lapsed.pop(machine).runs:
-        if run.task is not None:
-            run.task.lapses = max(0, run.task.lapses - 1)
+    for task in state.lapsed.pop(machine).counted:
+        task.lapses -= 1
 
 
 def _is_blamed(state: PoolState, run: Run, worker: Worker) -> bool:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/machine_workers.py
@@ -1,7 +1,7 @@
 """The workers that a machine had one after the other."""
 
 from ...state.work import RunRecord
-from .crashes import is_planned, note_crash, resolve_lapsed
+from .crashes import note_crash, resolve_lapsed
 from .messages import WorkerInfo
 from .run import RunState
 from .state import PoolState
@@ -24,8 +24,7 @@
     """End the runs of the earlier workers of a worker's machine."""
     resolve_lapsed(state, info, now_s)
     for worker in _previous_workers(state, info):
-        if not is_planned(state, worker):
-            note_crash(state, worker, worker.runs.values(), now_s)
+        note_crash(state, worker, worker.runs.values(), now_s)
         for run in list(worker.runs.values()):
             if run.state is not RunState.RECORDING:
                 state.lose_run(run, "machine has a new worker", now_s)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -154,18 +154,28 @@
     assert pool.phase("sound") is Phase.COMPLETED
 
 
-# Guards against counting machines that the system itself moved or maintained.
-def test_a_planned_end_of_a_worker_counts_as_no_crash(pool):
+# Guards against counting workers that leave with notice.
+def test_the_end_of_a_leaving_worker_counts_as_no_crash(pool):
     pool.add(make_job(make_step(2), job_id="sound"))
     worker_id = pool.alive_runs()[0][0]
-    machine = pool.workers[worker_id].info.machine
-    pool.scheduler.set_drains({machine: 1}, {})
+    pool.replace_worker_info(worker_id, draining=True)
     pool.crash(worker_id)
     pool.run_for(pool.back_after_s + 0.2)
     tasks = pool.scheduler.state.jobs["sound"].tasks.values()
     assert [task.crashes for task in tasks] == [0, 0]
 
 
+# Guards against a crash that does not count because a drain was requested meanwhile.
+def test_a_crash_of_a_machine_to_be_drained_counts(pool):
+    add_deadly_job(pool, make_step(1))
+    machine = pool.workers[pool.alive_runs()[0][0]].info.machine
+    pool.step()
+    pool.step()
+    pool.scheduler.set_drains({machine: 1}, {})
+    pool.run_for(pool.back_after_s + 0.2)
+    assert pool.scheduler.state.jobs["deadly"].tasks[0, 0, 0].crashes == 1
+
+
 # Guards against a lasting task that is given up for crashes of others over its life.
 def test_a_lasting_task_survives_many_crashes_of_others():
     pool = CrashingPool(workers=4)
