Resolve a lost attempt only by what its worker answers afterwards

Read in the diff: a dispatcher took the last known incarnation of a worker for an answer, also if it was from before the attempt was lost; the loss was then dropped as a mere silence. Now the workers of losses are asked, once a second at most, and only an answer to that counts; a restart that is already known still counts at once. test_a_worker_that_has_not_answered_since_proves_nothing failed before.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/attempt_ends.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/attempt_ends.py
@@ -129,7 +129,13 @@
         after = attempts.requeue(
             job, reason, progress, self._losses(dispatch, job, attempt)
         )
-        return attempts.resolve_losses(after, self.tasks.boots(), now)
+        # A worker whose last answer is from before may have crashed since.
+        restarted = {
+            loss.worker_id: boot
+            for loss in after.losses
+            if (boot := self.tasks.boots().get(loss.worker_id, loss.boot)) != loss.boot
+        }
+        return attempts.resolve_losses(after, restarted, now)
 
     def _losses(self, dispatch: Dispatch, job: Job, attempt: Attempt) -> tuple:
         """Return the losses of workers that may have crashed during an attempt."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_starter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/tasks/job_starter.py
@@ -15,6 +15,8 @@
 from .job_records import BATCH_JOBS, Update
 from .task_monitor import Attempt, TaskMonitor
 
+RESOLVE_INTERVAL_S = 1.0  # between two questions to workers of lost attempts
+
 
 class JobStarter:
     """Starts the jobs that a dispatch round selects.
@@ -51,6 +53,7 @@
         self.clock = tasks.clock
         self.wall_clock = wall_clock
         self.pause = pause
+        self.resolved_s = float("-inf")
 
     def start(self, dispatch: Dispatch) -> None:
         """Select, record and start jobs if this node has standing.
@@ -72,12 +75,29 @@
         self._report_unplaceable_jobs(dispatch)
 
     def _resolve_losses(self, dispatch: Dispatch) -> None:
-        """Fail the waiting jobs whose workers have turned out to have crashed."""
-        boots = self.tasks.boots()
+        """Find out whether the workers of lost attempts have crashed."""
+        now_s = self.clock()
+        jobs = [job for job in dispatch.queue.jobs() if job.losses]
+        if not jobs or now_s - self.resolved_s < RESOLVE_INTERVAL_S:
+            return
+        self.resolved_s = now_s
+        lost_with = {loss.worker_id for job in jobs for loss in job.losses}
+        addresses = control_addresses(self.follower.config, sorted(lost_with))
+        answered: set[str] = set()
+        self.tasks.run_all(
+            [
+                lambda name=name: (
+                    self.tasks.sync(name, addresses[name], []) and answered.add(name)
+                )
+                for name in addresses
+            ]
+        )
+        known = self.tasks.boots()
+        boots = {name: known[name] for name in answered}
         updates = []
-        for job in [job for job in dispatch.queue.jobs() if job.losses]:
+        for job in jobs[:BATCH_JOBS]:
             after = attempts.resolve_losses(job, boots, self.wall_clock())
-            if after != job and len(updates) < BATCH_JOBS:
+            if after != job:
                 updates.append(Update(job, dispatch.live[job.job_id].revision, after))
         self.commits.record(dispatch, updates)
 
--- a/tests/test_job_crashes.py
+++ b/tests/test_job_crashes.py
@@ -63,6 +63,25 @@
     assert "crashed" in world.all_jobs()["deadly"].detail
 
 
+# Guards against a count that misses workers which stay away longer than a lease.
+def test_a_job_whose_workers_stay_away_for_long_fails(world, nodes):
+    submit(world, [new_job(world, "deadly", run_s=300.0)])
+    back_s = {}
+
+    def step():
+        for (job_id, _attempt), names in world.running_attempts().items():
+            for name in names if job_id == "deadly" else ():
+                world.workers[name].reboot()
+                back_s[name] = world.now + 40.0
+        down = {name for name, at_s in back_s.items() if world.now < at_s}
+        for node in nodes:
+            node.cut_workers = down
+        return world.all_jobs()["deadly"].state is JobState.FAILED
+
+    run_until(world, nodes, step, seconds=2000.0)
+    assert world.all_jobs()["deadly"].attempt <= 3 + MAX_STARTS_AFTER_THIRD_CRASH
+
+
 # Guards against failing the jobs that only shared a worker with such a job.
 def test_jobs_beside_a_crashing_one_are_done(world, nodes):
     sound = [f"sound-{number}" for number in range(6)]
@@ -106,3 +125,21 @@
     boots = {f"w{number}": "boot" for number in range(4)}
     after = resolve_losses(job, boots, world.now)
     assert (after.state, after.losses, after.crashed_on) == (JobState.QUEUED, (), ())
+
+
+# Guards against taking the last answer of a worker from before it was lost for a proof.
+def test_a_worker_that_has_not_answered_since_proves_nothing(world, nodes):
+    submit(world, [new_job(world, f"warm-{n}", run_s=1.0, cpus=4) for n in range(3)])
+    run_until(world, nodes, lambda: not world.jobs())
+    boot = world.workers["w1"].boot
+    for node in nodes:
+        node.cut_workers = {"w1"}
+    job = dataclasses.replace(
+        new_job(world, "lost", run_s=300.0), losses=(Loss("w1", boot, True),)
+    )
+    submit(world, [job])
+    for _step in range(4):
+        for node in nodes:
+            node.finish_step()
+        world.now += 1.0
+    assert world.jobs()["lost"].losses == job.losses
