Try a task with two crashes on a machine that it has not crashed yet

A machine that is back after a crash is empty, so it was the only worker on which the task was isolated, and since a machine counts once, its next crash proved nothing; tasks took four and five starts.

The new test failed before.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/isolation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/isolation.py
@@ -89,7 +89,11 @@
             return False
         if isolation is Isolation.SPREAD:
             return True
-        if self._risky() >= self.max_risky and not self._is_overdue(task):
+        if not self._is_overdue(task) and (
+            self._risky() >= self.max_risky
+            # Another crash of the same machine would prove nothing.
+            or worker.info.machine in task.crashed_machines
+        ):
             return False
         runs = worker.runs.values()
         if isolation is Isolation.ALONE:
@@ -134,9 +138,10 @@
 
     def _delay(self, task: Task, worker: Worker) -> tuple:
         """Return the sort key of a worker to reserve; lower is free earlier."""
+        blamed = worker.info.machine in task.crashed_machines
         kept = worker.worker_id in self.state.reserved
         fits = task.step.need.fits(worker.free)
-        return (not fits, not kept, len(worker.runs), worker.worker_id)
+        return (blamed, not fits, not kept, len(worker.runs), worker.worker_id)
 
     def _isolation(self, task: Task) -> Isolation:
         isolation = required_isolation(task)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -51,6 +51,18 @@
     assert len(pool.crashes[DEADLY]) <= 3
 
 
+# ciosg-hatch, seed 1 of the incident's day: the only quiet worker was that of a machine
+# which had crashed before, and the crash there proved nothing.
+def test_a_task_with_two_crashes_starts_on_another_machine(pool):
+    names = add_busy_jobs(pool, 8)
+    add_deadly_job(pool, make_step(1))
+    for _half_second in range(80):
+        names += add_busy_jobs(pool, 3)
+        pool.run_for(0.5)
+    check_deadly_given_up(pool)
+    assert len(pool.crashes[DEADLY]) <= 4
+
+
 # Guards against giving up the jobs whose tasks only shared a worker with such a task.
 def test_tasks_beside_a_crashing_one_are_done_and_not_given_up(pool):
     sound = add_busy_jobs(pool)
