--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 JOBS ?= 4
 COUNT ?= 5
 
-.PHONY: help setup turns demo test format lint check-format unit pages bench capacity proof soak clean
+.PHONY: help setup turns experiment demo test format lint check-format unit pages bench capacity proof soak clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
@@ -46,6 +46,9 @@
 turns: setup  ## play pools under demand that comes by turns, in virtual time
 	$(BIN)/python -m bench.turns
 
+experiment: setup  ## compare policies in virtual time; FILE=x.yaml, PLOTS=folder for plots
+	$(BIN)/python -m bench.turns.experiment_cli $(FILE) $(if $(PLOTS),--plots $(PLOTS))
+
 pages: setup  ## write the pages of docs/ that are made from the code
 	$(BIN)/python -m heatherhatch_standins.pages
 
--- a/bench/turns/experiment.py
+++ b/bench/turns/experiment.py
@@ -1,6 +1,7 @@
 """Parameters of the experiments: fleet, load and delays."""
 
 from dataclasses import dataclass
+from typing import Literal
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +34,28 @@
     lasting_cores: float = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A disruption of the fleet.
+
+    Attributes:
+        kind: ``store`` while nothing can be accepted, recorded or begun; ``crash`` of
+            workers, which lose their runs and come back at the end.
+        at_s: Begin, seconds.
+        for_s: Duration, seconds.
+        share: Share of the machines in pools that crash.
+    """
+
+    kind: Literal["store", "crash"]
+    at_s: float
+    for_s: float
+    share: float = 0.0
+
+    def covers(self, now_s: float) -> bool:
+        """Return whether the disruption lasts at a time."""
+        return self.at_s <= now_s < self.at_s + self.for_s
+
+
 @dataclass(frozen=True, slots=True)
 class Experiment:
     """One fleet under one load.
@@ -53,6 +76,7 @@
         stretch: Completion objective as a multiple of the longest chain of steps.
         target_s: Constant part of the completion objective, seconds.
         tail_share: Share of the tasks that take seven times as long.
+        faults: Disruptions.
         seed: Seed of the load.
     """
 
@@ -71,6 +95,7 @@
     stretch: float = 1.6
     target_s: float = 0.6
     tail_share: float = 0.0
+    faults: tuple[Fault, ...] = ()
     seed: int = 1
 
 
--- a/bench/turns/jobs.py
+++ b/bench/turns/jobs.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from heatherhatch_core.coordination.scheduler import TaskName
 from heatherhatch_core.state.resources import Resources
@@ -29,12 +29,16 @@
         work: Submitted work in core-seconds.
         work_on_time: Work of the jobs that completed within their objective, in
             core-seconds.
+        finished: The jobs that completed, each with its time in seconds.
+        submitted: All jobs.
     """
 
     jobs: int = 0
     on_time: int = 0
     work: float = 0.0
     work_on_time: float = 0.0
+    submitted: list["SimulatedJob"] = field(default_factory=list)
+    finished: list[tuple["SimulatedJob", float]] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/turns/world.py
+++ b/bench/turns/world.py
@@ -3,10 +3,10 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 
-from heatherhatch_core.coordination.pool_sizes import FleetView, PoolNeed, PoolSizer
+from heatherhatch_core.coordination.pool_sizes import PoolSizer
 from heatherhatch_core.coordination.run_times import RunTimes
 from heatherhatch_core.coordination.scheduler import (
     Ending,
@@ -17,22 +17,40 @@
     StopOrder,
     WorkerInfo,
 )
+from heatherhatch_core.feature_gates import ALL_ENABLED, FeatureGates
 from heatherhatch_core.state.maintenance import Machine, MachineState
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_core.state.work import Job, Step
 
-from .experiment import Experiment, QueueLoad
+from .coordinator import STANDBY, VirtualCoordinator, pool_need
+from .experiment import Experiment, Fault, QueueLoad
 from .jobs import JobGenerator, Outcome, SimulatedJob
 from .predictions import TrueTimes
 from .workers import VirtualWorker
 
-STANDBY = "standby"
 TICK_S = 0.02  # period of the rounds of each scheduler
 COORDINATOR_PERIOD_S = 0.1  # period of the rounds of the coordinator
-REPORT_DELAY_S = 0.15  # age of the pool state that the coordinator uses
-REQUEST_DELAY_S = 0.15  # delay until a drain request reaches the scheduler
+RETURN_S = 1.0  # until a caller returns while the store is away
 REPORT_PERIOD_S = 0.5  # report period of a worker without ended runs
 LASTING_ID = "lasting"
+SAMPLE_PERIOD_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSample:
+    """State of a pool at one time.
+
+    Attributes:
+        machines: Number of its machines.
+        demand_cpu_m: Its demand, thousandths of a core.
+        idle: Number of its machines without runs.
+        waiting: Number of its jobs that have not started.
+    """
+
+    machines: int
+    demand_cpu_m: int
+    idle: int
+    waiting: int
 
 
 class World:
@@ -42,6 +60,11 @@
         experiment: Parameters of the simulation.
         sizer: Policy for the sizes of pools; None to keep them fixed.
         new_run_times: Returns what predicts the run times of a pool.
+        gates: Optional mechanisms that the schedulers use.
+
+    Attributes:
+        samples: Once a second, the time, and for each pool its machines, its demand
+            and its machines without runs.
     """
 
     def __init__(
@@ -49,36 +72,33 @@
         experiment: Experiment,
         sizer: PoolSizer | None,
         new_run_times: Callable[[], RunTimes] = RunTimes,
+        gates: FeatureGates = ALL_ENABLED,
     ):
         self.experiment = experiment
-        self.sizer = sizer
         self.generator = JobGenerator(experiment)
         self.now_s = 0.0
         self.count = itertools.count(1)
         self.events: list = []
+        rules = Rules(machine_move_s=experiment.move_s, gates=gates)
         self.schedulers = {
-            load.pool: Scheduler(load.pool, Rules(), 0.0) for load in experiment.loads
+            load.pool: Scheduler(load.pool, rules, 0.0) for load in experiment.loads
         }
         for scheduler in self.schedulers.values():
             scheduler.state.run_times = new_run_times()
         self.stalled_runs = 0
         self.workers: dict[str, VirtualWorker] = {}
         self.machines: dict[str, Machine] = {}
-        self.delivered_requests: dict[str, dict[str, int]] = {
-            pool: {} for pool in self.schedulers
-        }
-        self.requests: dict[str, int] = {}
         self.unfinished: dict[str, SimulatedJob] = {}
         self.outcomes = {load.pool: Outcome() for load in experiment.loads}
         self.machine_s = 0.0
         self.moves = 0
+        self.samples: list[tuple[float, dict[str, PoolSample]]] = []
+        self.coordinator = VirtualCoordinator(self, sizer)
         self._build()
 
     def run(self) -> None:
         """Simulate the whole experiment."""
-        for load in self.experiment.loads:
-            for at_s in self.generator.arrivals(load):
-                self.schedule(at_s, partial(self._submit, load))
+        self._schedule_events()
         end_s = self.experiment.load_s + self.experiment.completion_s
         coordinate_s = 0.0
         while self.now_s < end_s:
@@ -86,14 +106,28 @@
             while self.events and self.events[0][0] <= self.now_s:
                 _at_s, _number, action = heapq.heappop(self.events)
                 action()
-            self._deliver_reports()
-            for pool in self.schedulers:
-                self._run_round(pool)
-            if self.now_s >= coordinate_s:
-                coordinate_s += COORDINATOR_PERIOD_S
-                self._run_coordinator()
+            if not self._is_store_away():
+                self._run_pools()
+                if self.now_s >= coordinate_s:
+                    coordinate_s = self.now_s + COORDINATOR_PERIOD_S
+                    self.coordinator.step()
             working = [item for item in self.machines.values() if item.pool != STANDBY]
             self.machine_s += TICK_S * len(working)
+            if self.now_s >= len(self.samples) * SAMPLE_PERIOD_S:
+                self._sample()
+
+    def _schedule_events(self) -> None:
+        for load in self.experiment.loads:
+            for at_s in self.generator.arrivals(load):
+                self.schedule(at_s, partial(self._submit, load))
+        for fault in self.experiment.faults:
+            if fault.kind == "crash":
+                self.schedule(fault.at_s, partial(self._crash, fault))
+
+    def _run_pools(self) -> None:
+        self._deliver_reports()
+        for pool in self.schedulers:
+            self._run_round(pool)
 
     def schedule(self, delay_s: float, action) -> None:
         """Schedule an action after a delay in seconds of virtual time."""
@@ -134,15 +168,54 @@
 
     def _submit(self, load: QueueLoad) -> None:
         simulated = self.generator.next_job(load, self.now_s)
+        self.outcomes[load.pool].submitted.append(simulated)
+        self._accept(simulated)
+
+    def _accept(self, simulated: SimulatedJob) -> None:
+        if self._is_store_away():
+            self.schedule(RETURN_S, partial(self._accept, simulated))
+            return
+        pool = simulated.job.pool
         self.unfinished[simulated.job.job_id] = simulated
-        outcome = self.outcomes[load.pool]
+        outcome = self.outcomes[pool]
         outcome.jobs += 1
         outcome.work += simulated.work
-        scheduler = self.schedulers[load.pool]
+        scheduler = self.schedulers[pool]
         if isinstance(scheduler.state.run_times, TrueTimes):
             scheduler.state.run_times.note_job(simulated)
         scheduler.add_job(simulated.job, None, self.now_s)
 
+    def _is_store_away(self) -> bool:
+        return any(
+            fault.kind == "store" and fault.covers(self.now_s)
+            for fault in self.experiment.faults
+        )
+
+    def _crash(self, fault: Fault) -> None:
+        """End the workers of some machines with their runs; they come back later."""
+        up = [
+            name
+            for name, machine in sorted(self.machines.items())
+            if machine.pool != STANDBY and name in self.workers
+        ]
+        for name in self.generator.random.sample(up, round(fault.share * len(up))):
+            worker = self.workers.pop(name)
+            self.schedulers[worker.info.pool].remove_worker(worker.info.worker_id)
+            self.coordinator.forget(name)
+            self.machines[name] = replace(
+                self.machines[name], state=MachineState.DOWN, worker_id=""
+            )
+            self.schedule(fault.for_s, partial(self._start_worker, name))
+
+    def _sample(self) -> None:
+        pools = {}
+        for pool, scheduler in self.schedulers.items():
+            need = pool_need(scheduler, self.now_s)
+            size = sum(1 for item in self.machines.values() if item.pool == pool)
+            waiting = sum(scheduler.waiting().values())
+            pools[pool] = PoolSample(size, need.cpu_m, len(need.idle), waiting)
+        self.samples.append((self.now_s, pools))
+
     def _deliver_reports(self) -> None:
         for worker in self.workers.values():
             if worker.ends or self.now_s - worker.last_report_s >= REPORT_PERIOD_S:
@@ -156,7 +229,7 @@
 
     def _run_round(self, pool: str) -> None:
         scheduler = self.schedulers[pool]
-        scheduler.set_drains({}, self.delivered_requests[pool])
+        scheduler.set_drains({}, self.coordinator.delivered[pool])
         scheduler.decide(self.now_s, self.now_s)
         for write in scheduler.take_writes(self.now_s):
             if write.status is not None and write.status.phase.final:
@@ -169,6 +242,7 @@
 
     def _record_completion(self, job_id: str) -> None:
         simulated = self.unfinished.pop(job_id)
+        self.outcomes[simulated.job.pool].finished.append((simulated, self.now_s))
         if self.now_s <= simulated.due_s:
             outcome = self.outcomes[simulated.job.pool]
             outcome.on_time += 1
@@ -207,73 +281,14 @@
             None,
         )
 
-    def _run_coordinator(self) -> None:
-        if self.sizer is None:
-            return
-        needs = {}
-        cleared = set()
-        for pool, scheduler in self.schedulers.items():
-            idle = frozenset(
-                worker.info.machine
-                for worker in scheduler.state.workers.values()
-                if worker.present and not worker.runs
-            )
-            demand = scheduler.demand(self.now_s)
-            loads = {
-                worker.info.machine: worker.runs.values()
-                for worker in scheduler.state.workers.values()
-                if worker.present
-            }
-            needs[pool] = PoolNeed(
-                pool,
-                demand.cpu_m,
-                idle,
-                scheduler.urgent_share(self.now_s),
-                demand.on_time_cpu_m,
-                {
-                    name: len(runs)
-                    for name, runs in loads.items()
-                    if not any(run.task.step.lasting for run in runs)
-                },
-            )
-            cleared.update(
-                name
-                for name, number in scheduler.cleared().items()
-                if self.requests.get(name) == number
-            )
-        machines = dict(self.machines)
-        fleet = FleetView(machines, needs, STANDBY, frozenset(), frozenset(cleared))
-        # The sizer decides on this state after the delay of the reports.
-        self.schedule(REPORT_DELAY_S, lambda: self._apply_sizes(fleet))
-
-    def _apply_sizes(self, fleet: FleetView) -> None:
-        fleet = replace(fleet, machines=dict(self.machines))
-        change = self.sizer.plan(fleet, self.now_s)
-        for name, pool in change.moves:
-            self._move(name, pool)
-        wanted = set(change.draining)
-        for name in list(self.requests):
-            if name not in wanted:
-                del self.requests[name]
-        for name in sorted(wanted):
-            self.requests.setdefault(name, next(self.count))
-        requests_by_pool = {pool: {} for pool in self.schedulers}
-        for name, number in self.requests.items():
-            pool = self.machines[name].pool
-            if pool in requests_by_pool:
-                requests_by_pool[pool][name] = number
-        self.schedule(
-            REQUEST_DELAY_S,
-            lambda: setattr(self, "delivered_requests", requests_by_pool),
-        )
-
-    def _move(self, name: str, pool: str) -> None:
+    def move(self, name: str, pool: str) -> None:
+        """Move a machine without runs to a pool."""
         self.moves += 1
         worker = self.workers.pop(name, None)
         if worker is not None:
             assert not worker.running, f"{name} still has running tasks"
             self.schedulers[worker.info.pool].remove_worker(worker.info.worker_id)
-        self.requests.pop(name, None)
+        self.coordinator.forget(name)
         machine = self.machines[name]
         self.machines[name] = replace(machine, pool=pool, state=MachineState.MOVING)
         self.schedule(self.experiment.move_s, lambda: self._start_worker(name))
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..feature_gates import ALL_ENABLED, FeatureGates
 from ..state.maintenance import Machine, MachineState
 from .fleet_sizes import FleetView, PoolNeed, SizeChange
 from .handover import Handover
@@ -27,6 +28,7 @@
         min_machines: Number of machines that a pool keeps, so that it can lose
             one.
         release_after_s: Time after which unneeded machines are released, seconds.
+        gates: Optional mechanisms that are enabled.
     """
 
     reserve_machines: float = 1.0
@@ -35,6 +37,7 @@
     usable_share: float = 0.9
     min_machines: int = 2
     release_after_s: float = 1.0
+    gates: FeatureGates = ALL_ENABLED
 
 
 @dataclass(slots=True)
@@ -68,13 +71,7 @@
             if short[pool] > 0:
                 self._cancel_releases(fleet, pool)
         self.handover.keep_own(fleet, self._lacking_on_time(fleet))
-        self.handover.update(
-            fleet,
-            self._lacking_on_time(fleet),
-            {pool: self._staying(fleet, pool) for pool in fleet.needs},
-            sum(machine.capacity.cpu_m for machine in self._free(fleet)),
-            self.rules.min_machines,
-        )
+        self._update_handover(fleet)
         short = {pool: self._shortfall_cpu_m(fleet, pool) for pool in fleet.needs}
         moves = self._assign_free(fleet, short)
         taken = {name for name, _pool in moves}
@@ -93,6 +90,17 @@
             tuple(moves), frozenset(leaving - {name for name, _pool in moves})
         )
 
+    def _update_handover(self, fleet: FleetView) -> None:
+        if not self.rules.gates.handover:
+            return
+        self.handover.update(
+            fleet,
+            self._lacking_on_time(fleet),
+            {pool: self._staying(fleet, pool) for pool in fleet.needs},
+            sum(machine.capacity.cpu_m for machine in self._free(fleet)),
+            self.rules.min_machines,
+        )
+
     def target_cpu_m(self, fleet: FleetView, pool: str) -> int:
         """Return the CPU that a pool should have, in thousandths of a core."""
         usable = [
@@ -103,7 +111,9 @@
         need = fleet.needs[pool]
         share = self.rules.reserve_share * sum(usable) / len(fleet.needs)
         mean = sum(usable) / max(1, len(usable))
-        urgency = min(1.0, need.urgent_share / self.rules.full_reserve_share)
+        urgency = 1.0
+        if self.rules.gates.urgency_reserve:
+            urgency = min(1.0, need.urgent_share / self.rules.full_reserve_share)
         reserve = max(self.rules.reserve_machines * mean, urgency * share)
         return int((need.cpu_m + reserve) / self.rules.usable_share)
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copies.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copies.py
@@ -50,7 +50,7 @@
         waiting = waiting_tasks(placement, wall_s) if due or self.copied else []
         if self.copied:
             give_up_copies(placement, self.copied.values(), waiting)
-        if due and placement.complete:
+        if due and placement.complete and state.rules.gates.copies:
             self._start_copies(placement, waiting, wall_s)
 
     def _adopt_copies(self, state: PoolState) -> None:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from ...feature_gates import ALL_ENABLED, FeatureGates
 from ...state.resources import Resources
 from ...state.work import Step
 from .learning import mean_length_s
@@ -83,16 +84,18 @@
         self.urgent_weight *= factor
         self.decayed_s = now_s
 
-    def cpu_m(self, now_s: float) -> float:
+    def cpu_m(self, now_s: float, gates: FeatureGates = ALL_ENABLED) -> float:
         """Return the CPU that keeps up with arrivals, in thousandths of a core."""
         while self.recent and now_s - self.recent[0][0] > ARRIVAL_WINDOW_S:
             self.recent.popleft()
-        if not self.recent:
+        if not self.recent or not gates.arrival_rate:
             return 0.0
         work = sum(item[1] for item in self.recent)
         if len(self.recent) < MIN_JOBS_FOR_RATE:
             return work / ARRIVAL_WINDOW_S
         span_s = max(MIN_ARRIVAL_WINDOW_S, now_s - self.recent[0][0])
+        if not gates.arrival_headroom:
+            return work / span_s
         variance = sum(item[2] for item in self.recent)
         return work / span_s + HEADROOM_DEVIATIONS * math.sqrt(variance / span_s)
 
@@ -149,7 +152,7 @@
             on_time += batch
     if oversized:
         lasting += largest.cpu_m
-    arriving = arrivals.cpu_m(now_s)
+    arriving = arrivals.cpu_m(now_s, state.rules.gates)
     return PoolDemand(
         int(lasting + max(on_time + late, arriving)),
         int(lasting + max(on_time, arriving)),
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/learning.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/learning.py
@@ -63,8 +63,8 @@
     """
     estimate_s = job.job.steps[number].estimate_s
     kind = (job.job.queue, number, estimate_s, job.job.team)
-    # Without any run, nothing is known beyond the estimate.
-    if (job.job.queue, number) not in state.run_times.kinds:
+    known = (job.job.queue, number) in state.run_times.kinds
+    if not known or not state.rules.gates.learned_run_times:
         return estimate_s
     return state.run_times.remaining(0.0, *kind)
 
@@ -89,6 +89,8 @@
     The tasks of the step that have finished count more than its queue.
     """
     step = job.job.steps[number]
+    if not state.rules.gates.learned_run_times:
+        return step.estimate_s
     expected_s = state.run_times.expect(
         job.job.queue, number, step.estimate_s, job.job.team
     )
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/ordering.py
@@ -34,7 +34,7 @@
     for job in stale:
         job.order_key = _order_key(state, job, wall_s, now_s)
         job.order_key_s = wall_s
-    if stale:
+    if stale and state.rules.gates.recent_shares:
         claims = [job.claim for job in jobs if job.claim is not None]
         if state.competition.divide(claims, free_cores(state), now_s):
             over = sorted(state.competition.over)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -22,7 +22,8 @@
         return None
     jobs = sort_jobs(state, wall_s, now_s)
     _place_jobs(placement, jobs)
-    if placement.placed < MAX_PLACEMENTS_PER_ROUND:
+    complete = placement.placed < MAX_PLACEMENTS_PER_ROUND
+    if complete and state.rules.gates.preemption:
         preempt_for_urgent(placement, jobs, wall_s)
     if placement.isolator is not None:
         placement.isolator.reserve()
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/rules.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/rules.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ...feature_gates import ALL_ENABLED, FeatureGates
+
 CLOCK_DRIFT = 0.02  # the platform states that worker clocks may be slow by 2 %
 
 
@@ -22,6 +24,7 @@
             run starts there; 0 for no bound.
         lost_data_centres: Number of data centres whose loss the deployment must
             tolerate; lasting tasks are spread over data centres if it is not 0.
+        gates: Optional mechanisms that are enabled.
     """
 
     lease_s: float = 4.0
@@ -32,3 +35,4 @@
     machine_move_s: float = 1.5
     evacuation_s: float = 0.0
     lost_data_centres: int = 0
+    gates: FeatureGates = ALL_ENABLED
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -48,6 +48,7 @@
     ROUND_AGE_S = "time since the last round of the scheduler, by pool, seconds, gauge"
     WORKERS_USABLE = "workers that may get new runs, by pool, gauge"
     ROLES_HELD = "1 if this node holds the role, else 0, by role, gauge"
+    FEATURE_GATE = "1 if the mechanism is enabled on this node, else 0, by name, gauge"
     CLAIM_AGE_S = "time since the last confirmed renewal of the claims, seconds, gauge"
     CONFIG_AGE_S = "time since the configuration was last confirmed, seconds, gauge"
     CONFIG_VERSION = "version of the configuration in force, gauge"
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/coordinator.py
@@ -82,7 +82,7 @@
         self.waves = WaveExecutor(
             store, external_ports.records, operators, self.orders, self._claim, rules
         )
-        self.sizes = PoolResizer(operators, self.orders)
+        self.sizes = PoolResizer(operators, self.orders, rules.gates)
         self.sweeper = Sweeper(store, self._claim, rules.keep_s)
         self.machines: dict[str, Machine] = {}
         self.machines_read_s = float("-inf")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
@@ -44,6 +44,7 @@
         on_time_cpu_m: Part of ``needed_cpu_m`` without jobs that can no longer be on
             time; -1 from earlier versions, which do not report it.
         backlog: What the pool has to do; empty from holders of an earlier version.
+        disabled_gates: Optional mechanisms that are disabled on the holder.
     """
 
     pool: str
@@ -57,6 +58,7 @@
     urgent_share: float = 1.0
     on_time_cpu_m: int = -1
     backlog: PoolBacklog = PoolBacklog()
+    disabled_gates: tuple[str, ...] = ()
 
 
 class MachineOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
@@ -42,6 +42,7 @@
         lasting: Number of tasks that run until their job is cancelled.
         backlog: Work that waits, core-seconds.
         problem: Why the report cannot be read; empty if it can.
+        disabled: Names of the feature gates that are disabled on the holder.
     """
 
     pool: str
@@ -53,6 +54,7 @@
     lasting: int = 0
     backlog: float = 0.0
     problem: str = ""
+    disabled: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +194,7 @@
             sum(1 for load in report.loads if load.runs),
             sum(load.lasting for load in report.loads),
             round(report.backlog.waiting, 1),
+            disabled=", ".join(report.disabled_gates),
         )
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -4,6 +4,7 @@
 
 from heatherhatch_core.codec import decode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
+from heatherhatch_core.feature_gates import ALL_ENABLED, FeatureGates
 from heatherhatch_core.state.work import Job, JobStatus, Schedule, Step
 
 from ..events import Event, log
@@ -36,6 +37,7 @@
             seconds; 0 while it answers.
         holder_token: Returns the fencing token of the current holder of a pool; None if
             it is not known.
+        gates: Optional mechanisms that are enabled.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         operators: Operators,
         store_outage_s: Callable[[], float] = lambda: 0.0,
         holder_token: Callable[[str], int | None] = lambda _pool: None,
+        gates: FeatureGates = ALL_ENABLED,
     ):
         self.store = store
         self.operators = operators
         self.store_outage_s = store_outage_s
         self.registry = JobRegistry(store, operators)
         self.arrivals = ArrivalCheck(store, holder_token)
+        self.gates = gates
         self.returns = ReturnTimes()
 
     def identify(self, host: str, path: str, key: str) -> Caller:
@@ -98,7 +102,8 @@
         try:
             self._submit(host, path, key, payload, steps, schedule)
         except HeatherhatchError as error:
-            if error.kind is ErrorKind.STORE_UNAVAILABLE:
+            is_outage = error.kind is ErrorKind.STORE_UNAVAILABLE
+            if is_outage and self.gates.spread_returns:
                 earliest_s = error.retry_after_s or RETRY_AFTER_S
                 error.retry_after_s = self.returns.next_s(earliest_s)
             raise
@@ -126,7 +131,8 @@
                 wall_s(),
                 caller.terms(),
             )
-            self.arrivals.check(job)
+            if self.gates.arrival_rejection:
+                self.arrivals.check(job)
             sent_s = now_s()
             result = self.registry.register(job)
             if result is not Registration.CONFIG_CHANGED:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -53,7 +53,7 @@
         hedge_rates: HedgeRates = NO_HEDGES,
     ):
         self.name = name
-        if hedge_rates.enabled:
+        if hedge_rates.enabled and rules.gates.hedged_calls:
             store = HedgedStore(store, hedge_rates, self._hedge_share)
         self.store = store = WatchedStore(store)
         self.external_ports = external_ports
@@ -78,7 +78,11 @@
         self.plan_watcher = PlanWatcher(store)
         self.serving = ServingState(store, self.operators, self.claims)
         self.intake = Intake(
-            store, self.operators, self.serving.store_outage_s, self._holder_token
+            store,
+            self.operators,
+            self.serving.store_outage_s,
+            self._holder_token,
+            rules.gates,
         )
         self.holders: dict[str, PoolHolder] = {}
         self.coordinator: Coordinator | None = None
@@ -104,6 +108,8 @@
         sink = METER.sink
         sink.gauge(Metric.CLAIM_AGE_S, now_s() - self.claims.confirmed_s)
         sink.gauge(Metric.CONFIG_AGE_S, now_s() - self.operators.feed.last_response_s)
+        for name, enabled in self.rules.gates.states().items():
+            sink.gauge(Metric.FEATURE_GATE, int(enabled), name)
         if self.operators.config is not None:
             sink.gauge(Metric.CONFIG_VERSION, self.operators.config.version)
         for role in self._existing_roles():
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
@@ -104,6 +104,7 @@
             urgent_share=round(self.scheduler.urgent_share(now_s()), 3),
             staying=state.evacuated.staying,
             backlog=self._backlog(),
+            disabled_gates=state.rules.gates.disabled(),
         )
 
     def _backlog(self) -> PoolBacklog:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_resizer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_resizer.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Mapping
 
-from heatherhatch_core.coordination.pool_sizes import FleetView, PoolNeed, PoolSizer
+from heatherhatch_core.coordination.pool_sizes import (
+    FleetView,
+    PoolNeed,
+    PoolSizer,
+    SizeRules,
+)
+from heatherhatch_core.feature_gates import ALL_ENABLED, FeatureGates
 from heatherhatch_core.state.maintenance import Machine
 
 from ..events import Event, log
@@ -60,12 +66,18 @@
     Args:
         operators: Holds the configuration.
         orders: Moves that are in progress.
+        gates: Optional mechanisms that are enabled.
     """
 
-    def __init__(self, operators: Operators, orders: MachineOrders):
+    def __init__(
+        self,
+        operators: Operators,
+        orders: MachineOrders,
+        gates: FeatureGates = ALL_ENABLED,
+    ):
         self.operators = operators
         self.orders = orders
-        self.sizer = PoolSizer()
+        self.sizer = PoolSizer(SizeRules(gates=gates))
         self.logged_s = float("-inf")
 
     def plan_moves(
