Size pools by the rate since its last change, whole tasks and deadlines

Three jobs within 0.2 s ordered 17 machines, a tenth of each machine counted as unusable, waiting tasks counted as if all ran at once, and a fleet that started moved its spare machines for those that came up. Change: the rate of arriving work is that since its last change (arrival_rate.py); a task counts as the share of a machine that it takes; waiting work counts by what makes it be on time when ordered machines come (deadline_demand.py); machines not yet seen up are awaited; the reserve is divided among all pools, also those without a report; machines are returned after 0.5 s.

--- a/bench/turns/coordinator.py
+++ b/bench/turns/coordinator.py
@@ -84,7 +84,7 @@
 def pool_need(scheduler: Scheduler, now_s: float) -> PoolNeed:
     """Return the demand of a pool as its holder reports it."""
     present = [item for item in scheduler.state.workers.values() if item.present]
-    demand = scheduler.demand(now_s)
+    demand = scheduler.demand(now_s, now_s)
     return PoolNeed(
         scheduler.state.pool,
         demand.cpu_m,
--- a/bench/turns/experiment.py
+++ b/bench/turns/experiment.py
@@ -67,6 +67,8 @@
         standby: Initial number of machines that are off.
         machine_cores: Number of cores of a machine.
         peak_s: Length of the peak of one queue, seconds.
+        ramp_s: Time in which the rate rises to that of the peak, and in which it falls
+            after it, seconds.
         peak_factor: Rate during the peak of a queue, as a multiple of its mean rate.
         off_peak_factor: Rate outside the peak, as a multiple of the mean rate.
         load_s: Time during which jobs arrive, seconds.
@@ -86,6 +88,7 @@
     standby: int
     machine_cores: int = 32
     peak_s: float = 8.0
+    ramp_s: float = 0.0
     peak_factor: float = 4.0
     off_peak_factor: float = 0.05
     load_s: float = 34.0
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/fleet_sizes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/fleet_sizes.py
@@ -40,6 +40,7 @@
         cleared: Machines that are empty and get no new runs.
         due: Machines that a maintenance wave will take down.
         evacuated: Machines in data centres that operators evacuate.
+        pools: Number of working pools, also of those whose demand is not known.
     """
 
     machines: Mapping[str, Machine]
@@ -49,6 +50,12 @@
     cleared: frozenset[str] = frozenset()
     due: frozenset[str] = frozenset()
     evacuated: frozenset[str] = frozenset()
+    pools: int = 0
+
+    @property
+    def pool_count(self) -> int:
+        """Number of working pools."""
+        return max(self.pools, len(self.needs))
 
     def still_in_pools(self, names: set[str]) -> set[str]:
         """Return the machines of a set that are up in a working pool."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
@@ -1,6 +1,6 @@
 """Moves machines between pools so that the pool sizes follow the demand."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..feature_gates import ALL_ENABLED, FeatureGates
 from ..state.maintenance import Machine, MachineState
@@ -10,6 +10,9 @@
 __all__ = ["FleetView", "PoolNeed", "PoolSizer", "SizeChange", "SizeRules"]
 
 STATES_IN_POOL = (MachineState.UP, MachineState.MOVING)
+# An evacuation that is withdrawn within this time moves no machine.
+EVACUATED_RELEASE_S = 1.0
+START_S = 4.0  # time in which the machines of a fleet that has just started come up
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,8 +26,6 @@
             another machine can be added and that cannot wait for it.
         full_reserve_share: Share of urgent jobs from which on a pool keeps the whole
             reserve. Estimates that are too long make urgent jobs look patient.
-        usable_share: Share of a machine that tasks fill in practice; the rest is
-            too small for another task.
         min_machines: Number of machines that a pool keeps, so that it can lose
             one.
         release_after_s: Time after which unneeded machines are released, seconds.
@@ -32,11 +33,10 @@
     """
 
     reserve_machines: float = 1.0
-    reserve_share: float = 0.15
+    reserve_share: float = 0.18
     full_reserve_share: float = 0.5
-    usable_share: float = 0.9
     min_machines: int = 2
-    release_after_s: float = 1.0
+    release_after_s: float = 0.5
     gates: FeatureGates = ALL_ENABLED
 
 
@@ -52,6 +52,8 @@
             evacuated data centre, monotonic seconds.
         releasing: Machines that were chosen to leave their pool.
         handover: Machines that leave late work for on-time work of other pools.
+        begun_s: When the first plan was made, monotonic seconds.
+        seen_up: Machines that were up since then.
     """
 
     rules: SizeRules = field(default_factory=SizeRules)
@@ -59,9 +61,12 @@
     evacuated_idle_since_s: dict[str, float] = field(default_factory=dict)
     releasing: set[str] = field(default_factory=set)
     handover: Handover = field(default_factory=Handover)
+    begun_s: float = float("inf")
+    seen_up: set[str] = field(default_factory=set)
 
     def plan(self, fleet: FleetView, now_s: float) -> SizeChange:
         """Return the changes to make now."""
+        fleet = self._with_starting(fleet, now_s)
         self.releasing = fleet.still_in_pools(self.releasing)
         # A machine that is evacuated meanwhile cannot serve another pool.
         leaving = self.handover.leaving - fleet.evacuated
@@ -90,6 +95,28 @@
             tuple(moves), frozenset(leaving - {name for name, _pool in moves})
         )
 
+    def _with_starting(self, fleet: FleetView, now_s: float) -> FleetView:
+        """Return the fleet with machines that are starting counted as coming.
+
+        The machines of a fleet that has just started are down until they have come up,
+        which replaces none of them.
+        """
+        self.begun_s = min(self.begun_s, now_s)
+        self.seen_up.update(
+            name
+            for name, machine in fleet.machines.items()
+            if machine.state is MachineState.UP
+        )
+        if now_s - self.begun_s > START_S or not self.rules.gates.await_start:
+            return fleet
+        machines = {
+            name: replace(machine, state=MachineState.MOVING)
+            if machine.state is MachineState.DOWN and name not in self.seen_up
+            else machine
+            for name, machine in fleet.machines.items()
+        }
+        return replace(fleet, machines=machines)
+
     def _update_handover(self, fleet: FleetView) -> None:
         if not self.rules.gates.handover:
             return
@@ -109,13 +136,13 @@
             if machine.name not in fleet.evacuated
         ]
         need = fleet.needs[pool]
-        share = self.rules.reserve_share * sum(usable) / len(fleet.needs)
+        share = self.rules.reserve_share * sum(usable) / fleet.pool_count
         mean = sum(usable) / max(1, len(usable))
         urgency = 1.0
         if self.rules.gates.urgency_reserve:
             urgency = min(1.0, need.urgent_share / self.rules.full_reserve_share)
         reserve = max(self.rules.reserve_machines * mean, urgency * share)
-        return int((need.cpu_m + reserve) / self.rules.usable_share)
+        return int(need.cpu_m + reserve)
 
     def _members(self, fleet: FleetView, pool: str) -> list[Machine]:
         return [
@@ -150,7 +177,7 @@
         It is in thousandths of a core, without reserve; a negative value is a surplus.
         """
         return {
-            pool: int(need.on_time_cpu_m / self.rules.usable_share)
+            pool: need.on_time_cpu_m
             - sum(item.capacity.cpu_m for item in self._staying(fleet, pool))
             for pool, need in fleet.needs.items()
         }
@@ -226,7 +253,7 @@
         self.releasing.update(
             name
             for name, at_s in since_s.items()
-            if now_s - at_s >= self.rules.release_after_s
+            if now_s - at_s >= EVACUATED_RELEASE_S
         )
 
     def _choose_releases(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -1,30 +1,25 @@
 """Estimates the CPU demand of a pool."""
 
-import math
-from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...feature_gates import ALL_ENABLED, FeatureGates
 from ...state.resources import Resources
 from ...state.work import Step
-from .learning import mean_length_s
+from .arrival_rate import Arrival, ArrivalRate
+from .deadline_demand import OpenWork, cpu_to_be_on_time
+from .job_claims import remaining_s
+from .learning import expected_length_s, mean_length_s
 from .live import LiveJob
 from .ordering import critical_path_s, is_late, objective_s
+from .placement_round import find_exclusion
 from .state import PoolState
 
-# Arrivals in this window forecast those until another machine can be added.
-ARRIVAL_WINDOW_S = 2.0
-MIN_ARRIVAL_WINDOW_S = 0.7  # so that a few first jobs do not look like a burst
-MIN_JOBS_FOR_RATE = 3  # fewer jobs give no arrival rate; one large job is no burst
 # Time to see that a pool lacks a machine, to order the move and to start the first run.
 MOVE_OVERHEAD_S = 0.5
 # Half-life of an arrival in the share of urgent work. Between two peaks of a queue its
 # jobs arrive seldom.
 URGENCY_HALF_LIFE_S = 30.0
 MIN_URGENCY_WEIGHT = 3.0  # with fewer recent jobs, all work counts as urgent
-# Jobs arrive at random, so the CPU in use varies around its mean (square-root
-# staffing).
-HEADROOM_DEVIATIONS = 1.0
 # Weight of the waiting tasks of late jobs; they are no reason to add many machines.
 LATE_BACKLOG_WEIGHT = 0.25
 
@@ -33,9 +28,7 @@
     """Work that arrived recently.
 
     Attributes:
-        recent: Arrival time of each job, monotonic seconds, its work in thousandths
-            of a core times seconds, and its part of the variance of the CPU in use:
-            the square of what it uses at a time, times seconds.
+        rate: Rate of the work that arrives.
         weight: Decayed number of jobs.
         urgent_weight: The same of urgent jobs, which could not wait until another
             machine is added.
@@ -43,7 +36,7 @@
     """
 
     def __init__(self):
-        self.recent: deque[tuple[float, float, float]] = deque()
+        self.rate = ArrivalRate()
         self.weight = 0.0
         self.urgent_weight = 0.0
         self.decayed_s = 0.0
@@ -53,15 +46,14 @@
 
         Jobs with tasks that last, or that fit no worker, do not count.
         """
-        work = variance = 0.0
+        work = 0.0
         largest = largest_worker(state)
         for number, step in enumerate(job.job.steps):
             if step.lasting or not _fits(step, largest):
                 return
             length_s = mean_length_s(state, job, number)
-            work += step.count * step.need.cpu_m * length_s
-            variance += (step.count * step.need.cpu_m) ** 2 * length_s
-        self.recent.append((now_s, work, variance))
+            work += step.count * taken_cpu_m(state, step, largest) * length_s
+        self.rate.note(Arrival(now_s, work))
         self._decay(now_s)
         self.weight += 1.0
         slack_s = objective_s(state, job, 0) - critical_path_s(state, job, 0, False)
@@ -86,18 +78,7 @@
 
     def cpu_m(self, now_s: float, gates: FeatureGates = ALL_ENABLED) -> float:
         """Return the CPU that keeps up with arrivals, in thousandths of a core."""
-        while self.recent and now_s - self.recent[0][0] > ARRIVAL_WINDOW_S:
-            self.recent.popleft()
-        if not self.recent or not gates.arrival_rate:
-            return 0.0
-        work = sum(item[1] for item in self.recent)
-        if len(self.recent) < MIN_JOBS_FOR_RATE:
-            return work / ARRIVAL_WINDOW_S
-        span_s = max(MIN_ARRIVAL_WINDOW_S, now_s - self.recent[0][0])
-        if not gates.arrival_headroom:
-            return work / span_s
-        variance = sum(item[2] for item in self.recent)
-        return work / span_s + HEADROOM_DEVIATIONS * math.sqrt(variance / span_s)
+        return self.rate.work_per_s(now_s) if gates.arrival_rate else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,24 +94,60 @@
     on_time_cpu_m: int
 
 
-def measure_demand(state: PoolState, arrivals: Arrivals, now_s: float) -> PoolDemand:
+def measure_demand(
+    state: PoolState, arrivals: Arrivals, now_s: float, wall_s: float
+) -> PoolDemand:
     """Return the CPU demand of the pool.
 
-    Waiting tasks count as if they ran, but those of late jobs only in part. Batch
-    demand is at least what is needed to keep up with recent arrivals. Filler
-    tasks do not count. Tasks that fit no worker of the pool count as one worker
-    together, which may be a larger one.
+    It covers the tasks that run, what has to be added so that those that wait are on
+    time, and a part of the late ones that wait. Batch demand is at least what is needed
+    to keep up with recent arrivals. Filler tasks do not count. Tasks that fit no worker
+    of the pool count as one worker together, which may be a larger one.
+
+    Args:
+        state: State of the pool.
+        arrivals: Work that arrived recently.
+        now_s: Monotonic time, seconds.
+        wall_s: Seconds since the epoch.
     """
+    found = _open_demand(state, now_s, wall_s)
+    on_time = float(found.running_cpu_m)
+    arriving = arrivals.cpu_m(now_s, state.rules.gates)
+    if state.rules.gates.deadline_demand:
+        have_cpu_m = _serving_cpu_m(state) - found.lasting_cpu_m - found.late_running
+        needed = cpu_to_be_on_time(
+            found.on_time,
+            max(0.0, have_cpu_m),
+            state.rules.machine_move_s + MOVE_OVERHEAD_S,
+        )
+        on_time = max(on_time, needed)
+    else:
+        on_time += sum(work.cpu_m for work in found.on_time if not work.runs)
+    late = found.late_running + LATE_BACKLOG_WEIGHT * found.late_waiting
+    return PoolDemand(
+        int(found.lasting_cpu_m + max(on_time + late, arriving)),
+        int(found.lasting_cpu_m + max(on_time, arriving)),
+    )
+
+
+@dataclass(slots=True)
+class _OpenDemand:
+    """CPU that the open tasks of a pool use, in thousandths of a core."""
+
+    lasting_cpu_m: int = 0
+    running_cpu_m: int = 0
+    late_running: int = 0
+    late_waiting: int = 0
+    on_time: list[OpenWork] = field(default_factory=list)
+
+
+def _open_demand(state: PoolState, now_s: float, wall_s: float) -> _OpenDemand:
     largest = largest_worker(state)
+    found = _OpenDemand()
     oversized = False
-    lasting = 0.0
-    on_time = 0.0
-    late = 0.0
     for job in state.jobs.values():
         if job.phase.final:
             continue
-        batch = 0.0
-        weight = LATE_BACKLOG_WEIGHT if is_late(job) else 1.0
         for occurrence in job.expanded:
             for number, step in enumerate(job.job.steps):
                 if step.fills or not job.ready(occurrence, number):
@@ -138,27 +155,70 @@
                 if not _fits(step, largest):
                     oversized = True
                     continue
-                tasks = job.step_tasks(occurrence, number)
-                open_tasks = [task for task in tasks if not task.settled]
-                if step.lasting:
-                    lasting += len(open_tasks) * step.need.cpu_m
-                    continue
-                running = sum(1 for task in open_tasks if task.runs)
-                waiting = len(open_tasks) - running
-                batch += (running + weight * waiting) * step.need.cpu_m
-        if is_late(job):
-            late += batch
-        else:
-            on_time += batch
+                cpu_m = taken_cpu_m(state, step, largest)
+                key = (occurrence, number)
+                _add_step(found, state, job, key, cpu_m, now_s, wall_s)
     if oversized:
-        lasting += largest.cpu_m
-    arriving = arrivals.cpu_m(now_s, state.rules.gates)
-    return PoolDemand(
-        int(lasting + max(on_time + late, arriving)),
-        int(lasting + max(on_time, arriving)),
+        found.lasting_cpu_m += largest.cpu_m
+    return found
+
+
+def _add_step(
+    found: _OpenDemand,
+    state: PoolState,
+    job: LiveJob,
+    key: tuple[int, int],
+    cpu_m: int,
+    now_s: float,
+    wall_s: float,
+) -> None:
+    """Add the open tasks of one step that may run now, each of which takes a CPU."""
+    step = job.job.steps[key[1]]
+    tasks = [task for task in job.step_tasks(*key) if not task.settled]
+    if step.lasting:
+        found.lasting_cpu_m += len(tasks) * cpu_m
+        return
+    running = [task for task in tasks if task.runs]
+    running_cpu_m = len(running) * cpu_m
+    waiting_cpu_m = (len(tasks) - len(running)) * cpu_m
+    if is_late(job):
+        found.late_running += running_cpu_m
+        found.late_waiting += waiting_cpu_m
+        return
+    found.running_cpu_m += running_cpu_m
+    length_s = expected_length_s(state, job, *key)
+    for task in running:
+        left_s = remaining_s(task, length_s, now_s)
+        found.on_time.append(OpenWork(cpu_m, left_s, runs=True))
+    if waiting_cpu_m:
+        # A job without a sort key has only just arrived.
+        begin_in_s = job.begin_by_s - wall_s if job.order_key else 0.0
+        found.on_time.append(OpenWork(waiting_cpu_m, length_s, begin_in_s))
+
+
+def _serving_cpu_m(state: PoolState) -> int:
+    """Return the CPU of the workers that may get new runs, thousandths of a core."""
+    return sum(
+        worker.info.capacity.cpu_m
+        for worker in state.workers.values()
+        if worker.present
+        and not worker.info.draining
+        and not find_exclusion(state, worker)
     )
 
 
+def taken_cpu_m(state: PoolState, step: Step, largest: Resources | None) -> int:
+    """Return the CPU that a task takes from an empty worker, thousandths of a core.
+
+    It is more than the task needs if the tasks do not fill a worker, or if they need
+    more of another resource.
+    """
+    if largest is None or not state.rules.gates.packed_demand:
+        return step.need.cpu_m
+    count = step.occupies.times_in(largest)
+    return largest.cpu_m // count if count else step.need.cpu_m
+
+
 def largest_worker(state: PoolState) -> Resources | None:
     """Return the largest capacity of a worker in each dimension; None without one."""
     largest = None
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -238,9 +238,9 @@
                 counts[live.job.queue] = counts.get(live.job.queue, 0) + 1
         return counts
 
-    def demand(self, now_s: float) -> PoolDemand:
+    def demand(self, now_s: float, wall_s: float) -> PoolDemand:
         """Return the CPU demand of the pool."""
-        return measure_demand(self.state, self.arrivals, now_s)
+        return measure_demand(self.state, self.arrivals, now_s, wall_s)
 
     def urgent_share(self, now_s: float) -> float:
         """Return the share of arriving jobs that could not wait for a machine."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/feature_gates.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/feature_gates.py
@@ -19,26 +19,30 @@
     """Which optional mechanisms are enabled.
 
     Attributes:
-        arrival_headroom: Pools get headroom for the variance of arriving work.
         arrival_rate: The demand of a pool is at least the work that arrives.
         arrival_rejection: Jobs that certainly miss every deadline are rejected.
+        await_start: A fleet that starts is not resized for machines that come up.
         copies: Slow tasks get a second run.
+        deadline_demand: Waiting work counts by what it needs to be on time.
         handover: Late work hands machines over to work that can be on time.
         hedged_calls: Calls to the store without an answer are sent again.
         learned_run_times: Learned run times correct the callers' estimates.
+        packed_demand: Tasks that leave a part of each machine unused count with it.
         preemption: Tasks with checkpoints stop for jobs that would be late.
         recent_shares: Teams that used more than their share go behind the others.
         spread_returns: Refused callers are told to return one after the other.
         urgency_reserve: Pools whose work can wait for a machine keep less in reserve.
     """
 
-    arrival_headroom: bool = True
     arrival_rate: bool = True
     arrival_rejection: bool = True
+    await_start: bool = True
     copies: bool = True
+    deadline_demand: bool = True
     handover: bool = True
     hedged_calls: bool = True
     learned_run_times: bool = True
+    packed_demand: bool = True
     preemption: bool = True
     recent_shares: bool = True
     spread_returns: bool = True
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/resources.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/resources.py
@@ -45,6 +45,15 @@
             and self.accelerators <= free.accelerators
         )
 
+    def times_in(self, capacity: "Resources") -> int:
+        """Return how often this amount fits into a capacity; 0 if it is empty."""
+        pairs = (
+            (self.cpu_m, capacity.cpu_m),
+            (self.memory_mb, capacity.memory_mb),
+            (self.accelerators, capacity.accelerators),
+        )
+        return min((have // need for need, have in pairs if need > 0), default=0)
+
     def within(self, limit: "Resources") -> bool:
         """Return whether this amount is within a limit, in which 0 means no limit."""
         return (
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
@@ -91,7 +91,7 @@
             )
             runs = len(worker.runs) + len(worker.unknown_runs)
             loads.append(MachineLoad(worker.info.machine, runs, lasting))
-        demand = self.scheduler.demand(now_s())
+        demand = self.scheduler.demand(now_s(), wall_s())
         return PoolReport(
             pool=state.pool,
             token=self.token,
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_resizer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_resizer.py
@@ -125,6 +125,7 @@
                 for name, machine in machines.items()
                 if machine.data_centre in self.operators.evacuations.since_s
             ),
+            len(config.active_pools()),
         )
         change = self.sizer.plan(fleet, now_s())
         self._log_sizes(fleet, len(change.moves), len(change.draining))
--- a/tests/test_pool_sizes.py
+++ b/tests/test_pool_sizes.py
@@ -4,9 +4,16 @@
 the capacity of its pool, and almost nothing in between.
 """
 
+from dataclasses import replace
+
 import pytest
 
-from heatherhatch_core.coordination.pool_sizes import FleetView, PoolNeed, PoolSizer
+from heatherhatch_core.coordination.pool_sizes import (
+    START_S,
+    FleetView,
+    PoolNeed,
+    PoolSizer,
+)
 from heatherhatch_core.state.maintenance import Machine, MachineState
 from heatherhatch_core.state.resources import Resources
 
@@ -209,3 +216,41 @@
     simulation.urgent_shares["red"] = 0.5
     simulation.run_rounds()
     assert simulation.size("red") == simulation.size("blue")
+
+
+def starting_fleet(simulation, states):
+    """Return the fleet with some machines in other states."""
+    machines = {
+        name: replace(machine, state=states.get(name, machine.state))
+        for name, machine in simulation.machines.items()
+    }
+    needs = {pool: PoolNeed(pool, 0) for pool in POOLS}
+    return FleetView(machines, needs, STANDBY)
+
+
+def test_a_fleet_whose_machines_are_still_starting_gets_no_others(simulation):
+    """All machines of the pools are down until they have come up."""
+    down = {
+        name: MachineState.DOWN
+        for name, machine in simulation.machines.items()
+        if machine.pool != STANDBY
+    }
+    fleet = starting_fleet(simulation, down)
+    assert simulation.sizer.plan(fleet, 0.0).moves == ()
+    moves = simulation.sizer.plan(fleet, START_S + 0.1).moves
+    assert {pool for _name, pool in moves} == set(POOLS)
+
+
+def test_machines_that_go_down_after_the_start_are_replaced_at_once(simulation):
+    simulation.sizer.plan(starting_fleet(simulation, {}), 0.0)
+    down = {f"red-{number}": MachineState.DOWN for number in range(6)}
+    change = simulation.sizer.plan(starting_fleet(simulation, down), 0.1)
+    assert {pool for _name, pool in change.moves} == {"red"}
+
+
+def test_a_pool_whose_holder_is_lost_leaves_the_reserve_of_the_others(simulation):
+    """Without the reports of two pools, the third one got the reserve of all."""
+    fleet = starting_fleet(simulation, {})
+    one = replace(fleet, needs={"red": fleet.needs["red"]}, pools=len(POOLS))
+    target = simulation.sizer.target_cpu_m(one, "red")
+    assert target == simulation.sizer.target_cpu_m(fleet, "red")
