--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,8 @@
 turns: setup  ## play pools under demand that comes by turns, in virtual time
 	$(BIN)/python -m bench.turns
 
-experiment: setup  ## compare policies in virtual time; FILE=x.yaml, PLOTS=folder for plots
-	$(BIN)/python -m bench.turns.experiment_cli $(FILE) $(if $(PLOTS),--plots $(PLOTS))
+experiment: setup  ## compare policies in virtual time; FILE=x.yaml PLOTS=folder TABLE=file
+	$(BIN)/python -m bench.turns.experiment_cli $(FILE) $(if $(PLOTS),--plots $(PLOTS)) $(if $(TABLE),--table $(TABLE))
 
 pages: setup  ## write the pages of docs/ that are made from the code
 	$(BIN)/python -m heatherhatch_standins.pages
--- a/bench/turns/experiment_cli.py
+++ b/bench/turns/experiment_cli.py
@@ -9,7 +9,7 @@
 from .plan import PlanError, read_plan
 from .plots import plot_day
 from .runner import list_days, play_all
-from .summary import format_row, summarize
+from .summary import format_row, markdown_table, summarize
 
 
 @click.command()
@@ -25,7 +25,12 @@
     type=click.Path(file_okay=False, path_type=Path),
     help="Folder for a plot of the first seed of each fleet and variant.",
 )
-def main(file: Path, processes: int, plots: Path | None) -> None:
+@click.option(
+    "--table",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="File to write the results to, as a table in Markdown.",
+)
+def main(file: Path, processes: int, plots: Path | None, table: Path | None) -> None:
     """Compare the variants of an experiment in virtual time.
 
     A star marks differences to the first variant that are significant at 95 %.
@@ -40,8 +45,11 @@
         play_all(plan, processes), length=days, label="days", file=sys.stderr
     ) as bar:
         results.extend(bar)
-    for row in summarize(results):
+    rows = summarize(results)
+    for row in rows:
         click.echo(format_row(row))
+    if table is not None:
+        table.write_text(markdown_table(rows))
     if plots is not None:
         plots.mkdir(parents=True, exist_ok=True)
         for result in results:
--- /dev/null
+++ b/bench/turns/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiment files."""
--- a/bench/turns/summary.py
+++ b/bench/turns/summary.py
@@ -102,6 +102,31 @@
     return f"{text}  worth {_format(row.worth)}  earned {_format(row.earned)}"
 
 
+def markdown_table(rows: list[Row]) -> str:
+    """Return the rows as a table in Markdown."""
+    lines = [
+        "| load | variant | worth | earned | worst windows | worst queue |"
+        " machine-s | moves | worth, difference | earned, difference |",
+        "|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for row in rows:
+        means = row.means
+        cells = [
+            row.fleet,
+            row.variant,
+            f"{means['worth']:.3f}",
+            f"{means['earned']:.4f}",
+            f"{means['windows']:.3f}",
+            f"{means['queue']:.3f}",
+            f"{means['machine_s']:.0f}",
+            f"{means['moves']:.0f}",
+            _format(row.worth) if row.worth else "",
+            _format(row.earned) if row.earned else "",
+        ]
+        lines.append(f"| {' | '.join(cell.strip() for cell in cells)} |")
+    return "\n".join(lines) + "\n"
+
+
 def _values(worths: list[Worth], name: str) -> list[float]:
     return [getattr(item, name) for item in worths]
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/pool_sizes.py
@@ -1,10 +1,11 @@
 """Moves machines between pools so that the pool sizes follow the demand."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from ..feature_gates import ALL_ENABLED, FeatureGates
 from ..state.maintenance import Machine, MachineState
 from .fleet_sizes import FleetView, PoolNeed, SizeChange
+from .fleet_start import FleetStart
 from .handover import Handover
 
 __all__ = ["FleetView", "PoolNeed", "PoolSizer", "SizeChange", "SizeRules"]
@@ -12,7 +13,6 @@
 STATES_IN_POOL = (MachineState.UP, MachineState.MOVING)
 # An evacuation that is withdrawn within this time moves no machine.
 EVACUATED_RELEASE_S = 1.0
-START_S = 4.0  # time in which the machines of a fleet that has just started come up
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +52,7 @@
             evacuated data centre, monotonic seconds.
         releasing: Machines that were chosen to leave their pool.
         handover: Machines that leave late work for on-time work of other pools.
-        begun_s: When the first plan was made, monotonic seconds.
-        seen_up: Machines that were up since then.
+        start: Machines that have come up since the first plan.
     """
 
     rules: SizeRules = field(default_factory=SizeRules)
@@ -61,12 +60,12 @@
     evacuated_idle_since_s: dict[str, float] = field(default_factory=dict)
     releasing: set[str] = field(default_factory=set)
     handover: Handover = field(default_factory=Handover)
-    begun_s: float = float("inf")
-    seen_up: set[str] = field(default_factory=set)
+    start: FleetStart = field(default_factory=FleetStart)
 
     def plan(self, fleet: FleetView, now_s: float) -> SizeChange:
         """Return the changes to make now."""
-        fleet = self._with_starting(fleet, now_s)
+        if self.rules.gates.await_start:
+            fleet = self.start.with_starting(fleet, now_s)
         self.releasing = fleet.still_in_pools(self.releasing)
         # A machine that is evacuated meanwhile cannot serve another pool.
         leaving = self.handover.leaving - fleet.evacuated
@@ -95,28 +94,6 @@
             tuple(moves), frozenset(leaving - {name for name, _pool in moves})
         )
 
-    def _with_starting(self, fleet: FleetView, now_s: float) -> FleetView:
-        """Return the fleet with machines that are starting counted as coming.
-
-        The machines of a fleet that has just started are down until they have come up,
-        which replaces none of them.
-        """
-        self.begun_s = min(self.begun_s, now_s)
-        self.seen_up.update(
-            name
-            for name, machine in fleet.machines.items()
-            if machine.state is MachineState.UP
-        )
-        if now_s - self.begun_s > START_S or not self.rules.gates.await_start:
-            return fleet
-        machines = {
-            name: replace(machine, state=MachineState.MOVING)
-            if machine.state is MachineState.DOWN and name not in self.seen_up
-            else machine
-            for name, machine in fleet.machines.items()
-        }
-        return replace(fleet, machines=machines)
-
     def _update_handover(self, fleet: FleetView) -> None:
         if not self.rules.gates.handover:
             return
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -4,10 +4,18 @@
 experiment file that silently change nothing.
 """
 
+from pathlib import Path
+
 import pytest
+from bench.turns import experiments
 from bench.turns.plan import PlanError, read_plan
 from bench.turns.runner import Day, list_days, play_day
-from bench.turns.summary import format_row, paired_difference, summarize
+from bench.turns.summary import (
+    format_row,
+    markdown_table,
+    paired_difference,
+    summarize,
+)
 
 PLAN = """
 seeds: 2
@@ -46,6 +54,7 @@
     ]
     assert rows[0].worth is None
     assert "machine-s" in format_row(rows[1])
+    assert len(markdown_table(rows).splitlines()) == 2 + len(rows)
 
 
 @pytest.mark.parametrize(
@@ -70,3 +79,8 @@
     clear = paired_difference([0.6, 0.71, 0.65, 0.74], base)
     assert clear.is_significant
     assert clear.low < 0.1 < clear.high
+
+
+@pytest.mark.parametrize("name", ["ablation", "outage", "turns"])
+def test_the_files_in_the_repository_are_valid(name):
+    read_plan(Path(experiments.__file__).parent / f"{name}.yaml")
--- a/tests/test_pool_sizes.py
+++ b/tests/test_pool_sizes.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from heatherhatch_core.coordination.fleet_start import START_S
 from heatherhatch_core.coordination.pool_sizes import (
-    START_S,
     FleetView,
     PoolNeed,
     PoolSizer,
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -129,15 +129,10 @@
 
 
 class CopiesMachine(SchedulerMachine):
-    """The same, from a state in which a task has two runs.
-
-    At most two workers are lost: from the third on, a task is given up for crashes that
-    may have met none of its runs, with or without copies (KNOWN-RED.txt).
-    """
+    """The same, from a state in which a task has two runs."""
 
     def __init__(self):
         super().__init__()
-        self.lost = 0
         for worker in list(self.environment.workers.values()):
             self.environment.renew(worker, True)
         self.submit(STEP_LISTS[-1])
@@ -147,18 +142,6 @@
         runs = [len(worker.runs) for worker in self.environment.workers.values()]
         assert sorted(runs) == [0, 1, 3]
 
-    @precondition(lambda self: self.lost < 2)
-    @rule(index=INDEX)
-    def restart_worker(self, index):
-        self.lost += 1
-        super().restart_worker(index)
-
-    @precondition(lambda self: self.lost < 2)
-    @rule(index=INDEX)
-    def replace_worker(self, index):
-        self.lost += 1
-        super().replace_worker(index)
-
 
 TestCopies = CopiesMachine.TestCase
 TestCopies.settings = settings(max_examples=200, stateful_step_count=40)
