--- a/bench/turns/runner.py
+++ b/bench/turns/runner.py
@@ -7,7 +7,8 @@
 from heatherhatch_core.coordination.pool_sizes import PoolSizer
 
 from .plan import Plan, build_fleet, build_policy, build_prices
-from .world import PoolSample, World
+from .samples import PoolSample
+from .world import World
 from .worth import Worth, measure_worth
 
 
