Sum up the running tasks of a step in the demand of a pool

Cause: a demand had an entry for each running task, 20 times a second. Change: one entry a step, with the mean of the remaining run times.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -1,6 +1,7 @@
 """Estimates the CPU demand of a pool."""
 
 from dataclasses import dataclass, field
+from statistics import fmean
 
 from ...feature_gates import ALL_ENABLED, FeatureGates
 from ...state.resources import Resources
@@ -132,7 +133,15 @@
 
 @dataclass(slots=True)
 class _OpenDemand:
-    """CPU that the open tasks of a pool use, in thousandths of a core."""
+    """CPU that the open tasks of a pool use, in thousandths of a core.
+
+    Attributes:
+        lasting_cpu_m: Of tasks that run until their job is cancelled.
+        running_cpu_m: Of tasks that run and can be on time.
+        late_running: Of tasks that run and are late.
+        late_waiting: Of tasks that wait and are late.
+        on_time: Tasks that run or wait and can be on time, by step.
+    """
 
     lasting_cpu_m: int = 0
     running_cpu_m: int = 0
@@ -172,7 +181,17 @@
     now_s: float,
     wall_s: float,
 ) -> None:
-    """Add the open tasks of one step that may run now, each of which takes a CPU."""
+    """Add the open tasks of one step that may run now.
+
+    Args:
+        found: Demand to add to.
+        state: State of the pool.
+        job: Job of the step.
+        key: Occurrence and number of the step.
+        cpu_m: CPU that each of its tasks takes, thousandths of a core.
+        now_s: Monotonic time, seconds.
+        wall_s: Seconds since the epoch.
+    """
     step = job.job.steps[key[1]]
     tasks = [task for task in job.step_tasks(*key) if not task.settled]
     if step.lasting:
@@ -187,9 +206,9 @@
         return
     found.running_cpu_m += running_cpu_m
     length_s = expected_length_s(state, job, *key)
-    for task in running:
-        left_s = remaining_s(task, length_s, now_s)
-        found.on_time.append(OpenWork(cpu_m, left_s, runs=True))
+    if running:
+        left_s = fmean(remaining_s(task, length_s, now_s) for task in running)
+        found.on_time.append(OpenWork(running_cpu_m, left_s, runs=True))
     if waiting_cpu_m:
         # A job without a sort key has only just arrived.
         begin_in_s = job.begin_by_s - wall_s if job.order_key else 0.0
