--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/arrival_rate.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/arrival_rate.py
@@ -11,7 +11,10 @@
 
 MAX_WINDOW_S = 3.0  # an older arrival says little about the next second
 MAX_ARRIVALS = 100  # more would not make the rate more precise, only slower to compute
-MIN_SPAN_S = 0.7  # so that a few jobs at once do not look like a peak
+# Shorter spans count as this long: callers that return together, as after an outage,
+# are no peak, and a few jobs at once even less.
+MIN_SPAN_S = 0.5
+MIN_SPAN_OF_FEW_S = 0.7
 FEW_ARRIVALS = 3  # fewer jobs give no rate, as one large job is no peak
 # Log-likelihood ratio from which on two rates explain the arrivals better than one. The
 # moment of the change is chosen among all arrivals, so that half of it is often chance.
@@ -69,7 +72,7 @@
 
 def least_span_s(count: int) -> float:
     """Return the time below which a number of arrivals is likely to be a cluster."""
-    return MIN_SPAN_S * min(1.0, FEW_ARRIVALS / max(1, count))
+    return MIN_SPAN_OF_FEW_S if count <= FEW_ARRIVALS else MIN_SPAN_S
 
 
 def find_change(times_s: list[float], now_s: float) -> int:
--- a/tests/test_arrival_rate.py
+++ b/tests/test_arrival_rate.py
@@ -59,6 +59,13 @@
     assert rate_after([], 5.0) == 0.0
 
 
+def test_callers_that_return_together_are_no_lasting_peak():
+    """After an outage, the machines of the next peak went to a queue without one."""
+    returning = [20.0 + 0.002 * number for number in range(25)]
+    assert rate_after([2.0, 7.0, 13.0, *returning], 20.1) <= 50.0
+    assert rate_after([2.0, 7.0, 13.0, *returning], 21.0) < 2.0
+
+
 def test_the_memory_is_bounded():
     rate = ArrivalRate()
     for number in range(10 * MAX_ARRIVALS):
