--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -8,9 +8,8 @@
 from ...state.work import Step
 from .arrival_rate import Arrival, ArrivalRate
 from .deadline_demand import OpenWork, cpu_to_be_on_time
-from .job_claims import remaining_s
-from .learning import expected_length_s, mean_length_s
-from .live import LiveJob
+from .learning import mean_length_s
+from .live import LiveJob, Task
 from .ordering import critical_path_s, is_late, objective_s
 from .placement_round import find_exclusion
 from .state import PoolState
@@ -205,16 +204,22 @@
         found.late_waiting += waiting_cpu_m
         return
     found.running_cpu_m += running_cpu_m
-    length_s = expected_length_s(state, job, *key)
     if running:
-        left_s = fmean(remaining_s(task, length_s, now_s) for task in running)
+        age_s = fmean(_age_s(task, now_s) for task in running)
+        left_s = mean_length_s(state, job, key[1], age_s)
         found.on_time.append(OpenWork(running_cpu_m, left_s, runs=True))
     if waiting_cpu_m:
+        length_s = mean_length_s(state, job, key[1])
         # A job without a sort key has only just arrived.
         begin_in_s = job.begin_by_s - wall_s if job.order_key else 0.0
         found.on_time.append(OpenWork(waiting_cpu_m, length_s, begin_in_s))
 
 
+def _age_s(task: Task, now_s: float) -> float:
+    begun_s = min(run.begun_s for run in task.runs.values())
+    return max(0.0, now_s - begun_s)
+
+
 def _serving_cpu_m(state: PoolState) -> int:
     """Return the CPU of the workers that may get new runs, thousandths of a core."""
     return sum(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/learning.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/learning.py
@@ -56,17 +56,26 @@
         )
 
 
-def mean_length_s(state: PoolState, job: LiveJob, number: int) -> float:
-    """Return the mean run time of the tasks of a step, seconds.
+def mean_length_s(
+    state: PoolState, job: LiveJob, number: int, age_s: float = 0.0
+) -> float:
+    """Return the mean time that tasks of a step still run, seconds.
 
     Sums of work need it: a few long runs raise the mean far above the median.
+
+    Args:
+        state: State of the pool.
+        job: Job of the step.
+        number: Number of the step.
+        age_s: How long the tasks have run so far, seconds.
     """
     estimate_s = job.job.steps[number].estimate_s
     kind = (job.job.queue, number, estimate_s, job.job.team)
     known = (job.job.queue, number) in state.run_times.kinds
     if not known or not state.rules.gates.learned_run_times:
-        return estimate_s
-    return state.run_times.remaining(0.0, *kind)
+        # Without any run, nothing is known beyond the estimate.
+        return max(0.0, estimate_s - age_s)
+    return state.run_times.remaining(age_s, *kind)
 
 
 def learn_from_step(state: PoolState, task: Task) -> None:
--- a/tests/test_scheduler_load.py
+++ b/tests/test_scheduler_load.py
@@ -18,6 +18,7 @@
 from heatherhatch_core.coordination.scheduler.free_capacity_index import (
     FreeCapacityIndex,
 )
+from heatherhatch_core.coordination.scheduler.learning import mean_length_s
 from heatherhatch_core.coordination.scheduler.rules import Rules
 from heatherhatch_core.coordination.scheduler.worker import Worker
 from heatherhatch_core.state.resources import Resources
@@ -167,3 +168,16 @@
     mean_s = 0.9 * 1.0 + 0.1 * 7.0
     arrived = sum(item.work for item in model.scheduler.arrivals.rate.recent)
     assert arrived >= 0.9 * 20 * 1000 * mean_s
+
+
+def test_tasks_that_outlast_what_was_expected_keep_their_machines():
+    """Taken for ended soon, they left their machines to the work that waited."""
+    model = PoolModel(workers=1, cores=8)
+    for number in range(400):
+        run_s = 7.0 if number % 10 == 0 else 1.0
+        model.scheduler.state.run_times.learn("q", 0, 1.0, run_s)
+    state = model.scheduler.state
+    model.add(make_job(make_step(8, cores=1), at_s=model.now_s))
+    (job,) = state.jobs.values()
+    assert mean_length_s(state, job, 0) > 1.4
+    assert mean_length_s(state, job, 0, age_s=2.0) > 2.5
