--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -104,6 +104,9 @@
     )
     DECIDED = EventInfo(1651, "A decision was made; its field what names it.")
     WRITE_FAILED = EventInfo(1652, "A write of records to the store failed.")
+    SWEPT = EventInfo(
+        1653, "A sweep of the status records ended; it tells what was read and removed."
+    )
     MACHINE_ORDERED = EventInfo(1661, "The provider accepted an order for a machine.")
     MACHINE_REFUSED = EventInfo(1662, "An order for a machine was not executed.")
     WAVE_SEEN = EventInfo(1663, "A maintenance wave was announced.")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/sweeper.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/sweeper.py
@@ -1,6 +1,7 @@
 """Removes the status records of jobs that ended long ago."""
 
 from collections.abc import Callable
+from dataclasses import asdict, dataclass
 
 import gevent
 
@@ -10,7 +11,7 @@
 
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Transaction
-from .clock import wall_s
+from .clock import now_s, wall_s
 from .keys import STATUS_PREFIX
 from .supervision import spawn_supervised
 
@@ -20,6 +21,23 @@
 MAX_KEYS_PER_TRANSACTION = 15
 
 
+@dataclass(slots=True)
+class SweepReport:
+    """How far a sweep has come; for its log line.
+
+    Attributes:
+        records: Number of records read.
+        bytes: Size of their keys and values.
+        read_s: Time that the read took, seconds; None if it failed.
+        removed: Number of records removed.
+    """
+
+    records: int = 0
+    bytes: int = 0
+    read_s: float | None = None
+    removed: int = 0
+
+
 class Sweeper:
     """Removes the status of each ended job once its retention time is over.
 
@@ -51,9 +69,21 @@
         Raises:
             StoreError: If the store does not answer.
         """
+        started_s = now_s()
+        report = SweepReport()
+        try:
+            self._sweep(report, started_s)
+        finally:
+            took_s = round(now_s() - started_s, 3)
+            log(Event.SWEPT, **asdict(report), took_s=took_s)
+        return report.removed
+
+    def _sweep(self, report: SweepReport, started_s: float) -> None:
         entries = self.store.range(STATUS_PREFIX).entries
+        report.read_s = round(now_s() - started_s, 3)
+        report.records = len(entries)
+        report.bytes = sum(len(item.key) + len(item.value) for item in entries)
         expired = [entry for entry in entries if self._is_expired(entry)]
-        removed = 0
         for start in range(0, len(expired), MAX_KEYS_PER_TRANSACTION):
             batch = expired[start : start + MAX_KEYS_PER_TRANSACTION]
             expects = [Expect(entry.key, entry.revision) for entry in batch]
@@ -61,8 +91,7 @@
             outcome = self.store.transact(
                 Transaction((self.claim(), *expects), (), keys)
             )
-            removed += len(batch) if outcome.succeeded else 0
-        return removed
+            report.removed += len(batch) if outcome.succeeded else 0
 
     def _is_expired(self, entry: Entry) -> bool:
         try:
@@ -77,8 +106,6 @@
         while True:
             gevent.sleep(SWEEP_INTERVAL_S)
             try:
-                removed = self.sweep()
+                self.sweep()
             except StoreError as error:
                 log(Event.WRITE_FAILED, what="sweep", error=str(error))
-                continue
-            log(Event.DECIDED, what="swept", removed=removed)
--- a/tests/test_pool_sweeper.py
+++ b/tests/test_pool_sweeper.py
@@ -5,8 +5,10 @@
 import pytest
 
 from heatherhatch_core.codec import encode_json
+from heatherhatch_core.exceptions import StoreError
 from heatherhatch_core.state.work import JobStatus, Phase
-from heatherhatch_daemon.pools.keys import claim_key, status_key
+from heatherhatch_daemon.events import LOG, Event
+from heatherhatch_daemon.pools.keys import STATUS_PREFIX, claim_key, status_key
 from heatherhatch_daemon.pools.sweeper import CLOCK_MARGIN_S, Sweeper
 from heatherhatch_daemon.transport.memory_store import MemoryStore
 from heatherhatch_daemon.transport.store import Expect, Put, Transaction
@@ -48,6 +50,23 @@
     assert sweeper.sweep() == 40
 
 
+def test_a_sweep_logs_what_it_read(store, sweeper, monkeypatch):
+    lines = []
+    monkeypatch.setattr(LOG, "sink", lambda *line: lines.append(line))
+    put_status(store, "old", Phase.COMPLETED, 1000)
+    put_status(store, "running", Phase.RUNNING, 0)
+    entries = store.range(STATUS_PREFIX).entries
+    sweeper.sweep()
+    store.range = lambda _prefix: (_ for _ in ()).throw(StoreError("no answer"))
+    with pytest.raises(StoreError):
+        sweeper.sweep()
+    (event, swept), (_event, failed) = lines
+    assert event is Event.SWEPT
+    assert (swept["records"], swept["removed"]) == (2, 1)
+    assert swept["bytes"] == sum(len(item.key) + len(item.value) for item in entries)
+    assert (swept["read_s"] is None, failed["read_s"]) == (False, None)
+
+
 def test_nothing_is_removed_once_another_node_is_the_coordinator(store, sweeper):
     put_status(store, "old", Phase.COMPLETED, 1000)
     key = claim_key("coordinator")
