Tell in refusals whether the instance was ready and what it waited for

Cause: a refusal carried the ages of the lease and the configuration, but not whether the instance called itself ready, nor how many calls to the store it had open and for how long. Change: the view of the store that call_refused, call_unknown, serving and not_serving carry has obstacle, pending_calls and oldest_call_s; polls, which wait by design, are not counted.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_store.py
@@ -18,6 +18,7 @@
     Entry,
     HedgeableStore,
     Outcome,
+    PendingCalls,
     Snapshot,
     Transaction,
 )
@@ -145,6 +146,10 @@
         """Abort calls that have waited ``waited_s`` or longer; return their number."""
         return self.store.abort_overdue(waited_s)
 
+    def pending(self) -> PendingCalls:
+        """Return the calls that wait for an answer."""
+        return self.store.pending()
+
     def _send_once(self, send: Callable[[], T]) -> T:
         try:
             return send()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/serving.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/serving.py
@@ -35,6 +35,9 @@
             0 if it works.
         claims_failing_s: The same for the feed of the claims.
         config_version: Version of the configuration in force; 0 if there is none.
+        obstacle: Why the instance is not ready; empty if it is.
+        pending_calls: Calls to the store that wait for an answer, polls excluded.
+        oldest_call_s: How long the oldest of them has waited, seconds.
     """
 
     silent_s: float
@@ -43,6 +46,9 @@
     config_failing_s: float
     claims_failing_s: float
     config_version: int
+    obstacle: str = ""
+    pending_calls: int = 0
+    oldest_call_s: float = 0.0
 
 
 class ServingState(Task):
@@ -97,6 +103,8 @@
         """Return this instance's view of the store."""
         now = now_s()
         config = self.operators.config
+        obstacle = self.obstacle()
+        pending = self.store.pending()
         return StoreView(
             round(now - self.store.answered_s, 2),
             round(now - self.claims.confirmed_s, 2),
@@ -104,6 +112,9 @@
             round(max(0.0, self.operators.feed_failing_s()), 2),
             round(max(0.0, now - self.claims.feed.failing_since_s), 2),
             config.version if config else 0,
+            obstacle.value if obstacle else "",
+            pending.number,
+            round(pending.oldest_s, 3),
         )
 
     def step(self) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
@@ -13,6 +13,7 @@
     Changes,
     Entry,
     Outcome,
+    PendingCalls,
     PolledStore,
     Snapshot,
     Transaction,
@@ -77,6 +78,10 @@
         """Return whether a large change under a prefix is being received."""
         return self.store.is_receiving(prefix)
 
+    def pending(self) -> PendingCalls:
+        """Return the calls that wait for an answer."""
+        return self.store.pending()
+
     def _forward(self, call: Callable[[], T]) -> T:
         try:
             answer = call()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/memory_store.py
@@ -15,6 +15,7 @@
     Changes,
     Entry,
     Outcome,
+    PendingCalls,
     Snapshot,
     Transaction,
     WatchEvent,
@@ -175,6 +176,10 @@
         """Return 0: calls only wait for changes, never for a response."""
         return 0
 
+    def pending(self) -> PendingCalls:
+        """Return that no call waits: answers take no time."""
+        return PendingCalls()
+
     def compact(self) -> None:
         """Discard the history, as a store does that compacts it."""
         self.history.clear()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/store.py
@@ -122,6 +122,19 @@
     events: tuple[WatchEvent, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PendingCalls:
+    """The calls to the store that wait for an answer, polls excluded.
+
+    Attributes:
+        number: How many there are.
+        oldest_s: How long the oldest has waited, seconds; 0 if there is none.
+    """
+
+    number: int = 0
+    oldest_s: float = 0.0
+
+
 class PolledStore(Protocol):
     """Interface of a store that is polled for changes, for pools, claims and feeds.
 
@@ -164,6 +177,9 @@
     def abort_overdue(self, waited_s: float) -> int:
         """Abort calls that have waited ``waited_s`` or longer; return their number."""
 
+    def pending(self) -> PendingCalls:
+        """Return the calls that wait for an answer."""
+
 
 class HedgeableStore(PolledStore, Protocol):
     """Interface of a polled store that shows how far its calls have come."""
--- a/tests/test_pool_serving.py
+++ b/tests/test_pool_serving.py
@@ -217,6 +217,7 @@
     last = log_lines[-1][1]
     assert last["config_version"] == 1
     assert last["config_age_s"] < 1.0
+    assert last["obstacle"] == last["reason"]
 
 
 # Guards against callers that go from one ready instance to the next, each refusing.
--- a/tests/test_slow_transfers.py
+++ b/tests/test_slow_transfers.py
@@ -13,6 +13,7 @@
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.etcd_store import EtcdStore
 from heatherhatch_daemon.transport.http import ExchangeError, HttpClient, HttpRequest
+from heatherhatch_daemon.transport.store import PendingCalls
 from heatherhatch_platform import machines
 from heatherhatch_platform.kv_store import CALL_TIMEOUT_S, KvStore
 from heatherhatch_platform.machines import HttpMachines
@@ -133,6 +134,20 @@
     assert not store.is_receiving("op/")
 
 
+def test_a_store_tells_which_calls_wait_for_an_answer(serve):
+    store = KvStore(serve(LONG.encode(), 0.1))
+    calls = [gevent.spawn(store.poll, "op/", 1, 1.0), gevent.spawn(store.get, "k")]
+    with gevent.Timeout(HANG_S):
+        while len(store.client.pending_calls) < 2:
+            gevent.sleep(0)
+        for call in store.client.pending_calls:
+            call.started_s -= 100.0
+        pending = store.pending()
+        gevent.killall(calls)
+    assert (pending.number, pending.oldest_s >= 100.0) == (1, True)
+    assert store.pending() == PendingCalls()
+
+
 class KeepAliveServer:
     """Answers each request for a key; open connections may be muted.
 
