Log requests that are answered late, still open, or never answered

Cause: the logs named a refused request only. One that waits, whose caller had left, whose greenlet ended, or whose answer could not be written left no line: errors of the connection were silent also after a request had begun. Change: each request of a listener has a trace on its greenlet, with the time by stage, the calls to the store and their hedges. The listener's watch logs call_slow (answered after 0.5 s), call_open (open for 1.5 s, once, while it waits) and call_unanswered (no complete answer), each at most 20 times a second, and counts all in slow_calls, open_calls and unanswered_calls. The bounds apply to the listeners for callers and for readiness checks of an instance; lost answers are logged by all listeners. A head that can't be read is logged as refused. Idle connections that close stay silent.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -102,6 +102,15 @@
     JOB_CANCELLING = EventInfo(
         1644, "A cancellation is stored and the caller is notified."
     )
+    CALL_SLOW = EventInfo(
+        1645, "A request was answered late; the event tells where its time went."
+    )
+    CALL_OPEN = EventInfo(
+        1646, "A request has been open for long; the event tells what it waits for."
+    )
+    CALL_UNANSWERED = EventInfo(
+        1647, "A request was read, but its caller got no complete answer."
+    )
     DECIDED = EventInfo(1651, "A decision was made; its field what names it.")
     WRITE_FAILED = EventInfo(1652, "A write of records to the store failed.")
     SWEPT = EventInfo(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_call.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_call.py
@@ -10,6 +10,7 @@
 from heatherhatch_core.coordination.hedging import HedgePolicy
 from heatherhatch_core.exceptions import LeaseExpiredError, StoreError
 
+from ..transport.request_trace import trace_of
 from .clock import now_s
 
 T = TypeVar("T")
@@ -165,6 +166,9 @@
         self.hedges[greenlet] = now_s()
         self.open_hedges.add(greenlet)
         self.context.count("sent", 1)
+        trace = trace_of(self.caller)
+        if trace is not None:
+            trace.hedges += 1
         greenlet.start()
 
     def _hedge(self) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
@@ -8,6 +8,7 @@
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.work import Job, JobStatus, Phase
 
+from ..transport.request_trace import InStage, Stage
 from ..transport.store import Entry, Expect, Outcome, PolledStore, Put, Transaction
 from .clock import sleep
 from .keys import job_key, status_key
@@ -130,7 +131,8 @@
                         ErrorKind.STORE_UNAVAILABLE, error.detail, RETRY_AFTER_S
                     ) from error
                 last_error = error
-                sleep(STORE_PAUSE_S)
+                with InStage(Stage.RETRY_PAUSE):
+                    sleep(STORE_PAUSE_S)
         # An earlier attempt may still be applied, so this is not a rejection.
         raise HeatherhatchError(
             ErrorKind.CHANGE_UNKNOWN, last_error.detail
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -10,6 +10,7 @@
 from heatherhatch_core.state.maintenance import Wave
 
 from ..events import Event, log
+from ..transport.request_trace import Stage, timed
 from ..transport.store import Entry, Expect, PolledStore, Snapshot, Transaction
 from .clock import now_s
 from .evacuation_requests import EvacuationRequests
@@ -83,6 +84,7 @@
         """Return how long the feed has failed, seconds; -inf if it works."""
         return now_s() - self.feed.failing_since_s
 
+    @timed(Stage.CONFIGURATION)
     def confirm(self, max_age_s: float = MAX_AGE_S) -> FleetConfiguration:
         """Return a configuration that was recently confirmed as the newest.
 
@@ -112,6 +114,7 @@
                 raise self._unconfirmed_error()
         return self.config
 
+    @timed(Stage.CONFIGURATION)
     def await_change(self) -> None:
         """Wait while a new configuration is being received.
 
@@ -139,6 +142,7 @@
             f"the configuration was last confirmed {self.config_age_s():.1f} s ago",
         )
 
+    @timed(Stage.CONFIGURATION)
     def refresh(self, since_s: float | None = None) -> None:
         """Make sure that the configuration is the newest.
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
@@ -10,6 +10,7 @@
 from heatherhatch_core.exceptions import StoreError
 
 from ..events import Event, log
+from ..transport.request_trace import InStage, Stage
 from .clock import now_s, sleep
 
 STORE_ATTEMPTS = 4  # after a brief store outage, callers need not retry
@@ -91,6 +92,7 @@
             )
             if attempt == STORE_ATTEMPTS or outage_s():
                 raise StoreError(error.detail, maybe_applied) from error
-        sleep(pause_s)
+        with InStage(Stage.RETRY_PAUSE):
+            sleep(pause_s)
         pause_s *= 2
         attempt += 1
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/watched_store.py
@@ -9,6 +9,7 @@
 
 from ..events import Event, log
 from ..tasks.task import Task
+from ..transport.request_trace import Stage, record_store_call
 from ..transport.store import (
     Changes,
     Entry,
@@ -48,7 +49,9 @@
 
     def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if there is none."""
-        return self._forward(lambda: self.store.get(key))
+        return record_store_call(
+            Stage.STORE_READ, key, lambda: self._forward(lambda: self.store.get(key))
+        )
 
     def range(self, prefix: str) -> Snapshot:
         """Return all entries under a prefix."""
@@ -56,7 +59,11 @@
 
     def transact(self, transaction: Transaction) -> Outcome:
         """Carry out a transaction."""
-        return self._forward(lambda: self.store.transact(transaction))
+        return record_store_call(
+            Stage.STORE_WRITE,
+            _first_key(transaction),
+            lambda: self._forward(lambda: self.store.transact(transaction)),
+        )
 
     def grant_lease(self, ttl_s: float) -> int:
         """Return the id of a new lease."""
@@ -115,3 +122,10 @@
         sent_s = now_s()
         if self.store.is_available():
             self._note_answer(now_s() - sent_s)
+
+
+def _first_key(transaction: Transaction) -> str:
+    """Return the key that names a transaction in the log; empty if it has none."""
+    for item in (*transaction.puts, *transaction.expects):
+        return item.key
+    return transaction.deletes[0] if transaction.deletes else ""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -9,12 +9,14 @@
 import gevent
 from gevent import socket
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIServer
 
 from ..events import Event, log
 from ..settings import Address, LimitSettings
 from .request_head import HeadReader, check_framing
+from .request_watch import NO_BOUNDS, AnswerBounds, RequestWatch
 from .syn_filter import drop_new_connections
+from .traced_handler import TracedHandler
 
 POLL_INTERVAL_S = 0.01
 CLOSE_TIMEOUT_S = 0.1
@@ -29,7 +31,7 @@
 )
 
 
-class BoundedHandler(WSGIHandler):
+class BoundedHandler(TracedHandler):
     """Serves one connection within the limits of its listener.
 
     Attributes:
@@ -96,11 +98,17 @@
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
 
-    def _handle_client_error(self, _error):
+    def _handle_client_error(self, error):
+        self.server.listener.watch.refuse(self.trace, error)
         return ("400", BAD_HEAD_RESPONSE)
 
     def handle_error(self, kind, value, traceback):
-        """Close the connection; log the error unless the client disconnected."""
+        """Close the connection; log the error unless the client disconnected.
+
+        The end of a request without a complete answer is logged in any case.
+        """
+        if self.response_length or (kind is not None and issubclass(kind, OSError)):
+            self.trace.failure = value
         if kind is not None and issubclass(kind, OSError):
             self.close_connection = True
             return
@@ -146,9 +154,16 @@
         address: Address to listen on.
         app: WSGI application.
         limits: Limits of the connections.
+        bounds: Times after which a request is logged.
     """
 
-    def __init__(self, address: Address, app: Callable, limits: LimitSettings):
+    def __init__(
+        self,
+        address: Address,
+        app: Callable,
+        limits: LimitSettings,
+        bounds: AnswerBounds = NO_BOUNDS,
+    ):
         self.app = app
         self.limits = limits
         self.open_requests = 0
@@ -156,11 +171,13 @@
         self.idle_handlers: set[BoundedHandler] = set()
         self.new_handlers: set[BoundedHandler] = set()
         self.pool = Pool(limits.connections)
+        self.watch = RequestWatch(bounds, self.pool)
         self.server = BoundedServer(self, address, self.pool)
 
     def start(self) -> Address:
         """Start to listen and return the address in use."""
         self.server.start()
+        self.watch.start()
         host, port = self.server.address[:2]
         return Address(host, port)
 
@@ -185,6 +202,7 @@
             self._wait_for_connections()
         completed = self.open_requests == 0
         self.server.stop(timeout=CLOSE_TIMEOUT_S)
+        self.watch.stop()
         return completed
 
     def _stop_accepting(self):
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -22,6 +22,7 @@
 from heatherhatch_daemon.pools.operators import Operators
 from heatherhatch_daemon.pools.ports import OperatorRecords
 from heatherhatch_daemon.transport.memory_store import MemoryStore
+from heatherhatch_daemon.transport.request_trace import RequestTrace, Stage
 from heatherhatch_daemon.transport.store import Put, Transaction
 
 QUEUE = Queue("q", "h", "/q/", "till", attempts=2)
@@ -283,6 +284,21 @@
     assert held_store.confirmations == 1
 
 
+def test_a_request_that_waits_for_the_configuration_says_so(held_store, unconfirmed):
+    trace = RequestTrace("GET", "/q/j1")
+
+    def serve():
+        gevent.getcurrent().request_trace = trace
+        unconfirmed.confirm()
+
+    caller = gevent.spawn(serve)
+    gevent.sleep(0.01)
+    assert trace.stage is Stage.CONFIGURATION
+    held_store.released.set()
+    caller.get(timeout=30)
+    assert trace.stage is not Stage.CONFIGURATION
+
+
 def test_a_configuration_is_not_confirmed_by_a_read_that_began_too_early(
     held_store, unconfirmed
 ):
