--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -138,6 +138,23 @@
     assert lines[0]["lease_age_s"] == 0.2
 
 
+@pytest.mark.parametrize(
+    ("method", "action", "status"),
+    [("GET", lambda: 1 / 0, 500), ("POST", lambda: None, 400)],
+)
+def test_each_answer_that_is_not_final_is_logged_with_the_view_of_the_store(
+    intake, monkeypatch, method, action, status
+):
+    lines = []
+    monkeypatch.setattr(LOG, "sink", lambda _event, details: lines.append(details))
+    intake.action = action
+    call(intake, method, body=b"{")
+    assert [(line["method"], line["path"], line["status"]) for line in lines] == [
+        (method, "/q/1", status)
+    ]
+    assert lines[0]["config_version"] == 7
+
+
 # Guards against a Retry-After that ends after the caller's deadline.
 @pytest.mark.parametrize(
     ("deadline_ms", "retry_after"),
