--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -102,8 +102,20 @@
     JOB_CANCELLING = EventInfo(
         1644, "A cancellation is stored and the caller is notified."
     )
+    CALL_SLOW = EventInfo(
+        1645, "A request was answered late; the event tells where its time went."
+    )
+    CALL_OPEN = EventInfo(
+        1646, "A request has been open for long; the event tells what it waits for."
+    )
+    CALL_UNANSWERED = EventInfo(
+        1647, "A request was read, but its caller got no complete answer."
+    )
     DECIDED = EventInfo(1651, "A decision was made; its field what names it.")
     WRITE_FAILED = EventInfo(1652, "A write of records to the store failed.")
+    SWEPT = EventInfo(
+        1653, "A sweep of the status records ended; it tells what was read and removed."
+    )
     MACHINE_ORDERED = EventInfo(1661, "The provider accepted an order for a machine.")
     MACHINE_REFUSED = EventInfo(1662, "An order for a machine was not executed.")
     WAVE_SEEN = EventInfo(1663, "A maintenance wave was announced.")
