Refuse a read while its caller can still ask another instance

What callers saw: no answer in time about the state of one accepted job, while those beside it were answered; suspected for LOST, not shown.

Cause: an instance that gets no answer from the store tried a read up to four times, a second each with its hedges, and kept the request until the deadline of its caller. It then answered 504, as if a change were unknown, or 503 with Retry-After 1 when less than a second was left. No time remained for another instance, which could have answered at once.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -153,14 +153,23 @@
             RETRY_AFTER_S,
         )
 
-    def status(self, host: str, path: str, key: str) -> JobStatus:
+    def status(
+        self, host: str, path: str, key: str, limit_s: float = float("inf")
+    ) -> JobStatus:
         """Return the status of a job.
 
+        Args:
+            host: Host that the request addresses.
+            path: Path of the request.
+            key: Key of the caller's team.
+            limit_s: Time after which the store is not asked again, seconds.
+
         Raises:
             HeatherhatchError: ``NO_SUCH_JOB`` if the job is not known.
         """
         caller = self.identify(host, path, key)
-        return self._find(caller, path.removeprefix(caller.queue.prefix)).status
+        job_id = path.removeprefix(caller.queue.prefix)
+        return self._find(caller, job_id, limit_s).status
 
     def cancel(self, host: str, path: str, key: str) -> None:
         """Store a request to cancel a job; do nothing if the job has ended.
@@ -211,13 +220,15 @@
                 kind, error.detail, retry_after_s(self.store_outage_s())
             ) from error
 
-    def waiting(self, host: str, path: str, key: str) -> int:
-        """Return how many jobs of a queue have not started."""
+    def waiting(
+        self, host: str, path: str, key: str, limit_s: float = float("inf")
+    ) -> int:
+        """Return how many jobs of a queue have not started; see `status`."""
         caller = self.identify(host, path, key)
         # A queue that was just removed must not be reported any more.
         if self.operators.confirm().queue_named(caller.queue.name) is None:
             raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no queue at "{path}"')
-        entry = self._get(report_key(caller.queue.pool))
+        entry = self._get(report_key(caller.queue.pool), limit_s)
         report = decode_json(entry.value, PoolReport) if entry else None
         if report is None or wall_s() - report.at_s > MAX_REPORT_AGE_S:
             raise HeatherhatchError(
@@ -228,10 +239,14 @@
         self.arrivals.note_report(report)
         return report.waiting.get(caller.queue.name, 0)
 
-    def _find(self, caller: Caller, job_id: str) -> FoundStatus:
+    def _find(
+        self, caller: Caller, job_id: str, limit_s: float = float("inf")
+    ) -> FoundStatus:
         found = None
         if JOB_ID.fullmatch(job_id):
-            found = find_status(caller.queue.name, job_id, self._get)
+            found = find_status(
+                caller.queue.name, job_id, lambda key: self._get(key, limit_s)
+            )
         if found is None:
             raise HeatherhatchError(ErrorKind.NO_SUCH_JOB, f'no job "{job_id}"')
         if not found.status.is_owned_by(caller.team):
@@ -240,10 +255,10 @@
             )
         return found
 
-    def _get(self, key: str) -> Entry | None:
+    def _get(self, key: str, limit_s: float) -> Entry | None:
         try:
             return call_with_retries(
-                lambda: self.store.get(key), self.store_outage_s, subject=key
+                lambda: self.store.get(key), self.store_outage_s, key, limit_s
             )
         except StoreError as error:
             raise HeatherhatchError(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/retries.py
@@ -61,7 +61,10 @@
 
 
 def call_with_retries(
-    call: Callable[[], T], outage_s: Callable[[], float], subject: str
+    call: Callable[[], T],
+    outage_s: Callable[[], float],
+    subject: str,
+    limit_s: float = float("inf"),
 ) -> T:
     """Return the result of a call that may be sent more than once.
 
@@ -70,11 +73,13 @@
         outage_s: Returns how long the store is known not to answer, seconds; there
             is no further attempt unless it is 0.
         subject: What the call is about, for the log.
+        limit_s: Time after which there is no further attempt, seconds.
 
     Raises:
         StoreError: Each attempt failed; a write may be applied if any attempt of it
             may be.
     """
+    until_s = now_s() + limit_s
     maybe_applied = False
     pause_s = FIRST_PAUSE_S
     attempt = 1
@@ -90,7 +95,8 @@
                 attempt=attempt,
                 error=str(error),
             )
-            if attempt == STORE_ATTEMPTS or outage_s():
+            is_last = attempt == STORE_ATTEMPTS or now_s() + pause_s >= until_s
+            if is_last or outage_s():
                 raise StoreError(error.detail, maybe_applied) from error
         with InStage(Stage.RETRY_PAUSE):
             sleep(pause_s)
