Name the caller that has left as the cause of a write that then fails

Cause: the kernel accepts the first write to a peer that has closed, and the next one fails. Change: a caller that had closed before the first byte of the answer is named first. Result: the test fails without the change and passes with it.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/traced_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/traced_handler.py
@@ -78,8 +78,11 @@
     def _loss(self, trace: RequestTrace, status: str) -> Loss | None:
         if isinstance(trace.failure, gevent.GreenletExit):
             return Loss.ENDED
+        # The kernel accepts the first write to a peer that has closed, and fails later.
+        if trace.caller_left:
+            return Loss.CALLER_LEFT
         if trace.failure is not None and self.response_length:
             return Loss.INTERRUPTED
         if trace.failure is not None or not status:
             return Loss.NOT_WRITTEN
-        return Loss.CALLER_LEFT if trace.caller_left else None
+        return None
--- a/tests/test_request_watch.py
+++ b/tests/test_request_watch.py
@@ -169,12 +169,15 @@
     assert (line["took_s"], line["stalled_s"]) == (4.0, 3.0)
 
 
-def test_an_answer_to_a_caller_that_has_left_is_logged(listen, records):
+@pytest.mark.parametrize("fails", [False, True])
+def test_an_answer_to_a_caller_that_has_left_is_logged(listen, records, fails):
     has_left = Signal()
 
     def wait(environ, start_response):
         has_left.wait()
-        return answer(environ, start_response)
+        yield from answer(environ, start_response)
+        if fails:
+            raise BrokenPipeError("the peer has closed")
 
     listener, sock = listen(wait)
     sock.sendall(GET)
