--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -129,6 +129,7 @@
 def test_a_short_soak_violates_no_invariant():
     result = Soak(seed=1, seconds=6.0).run()
     assert result.violations == ()
+    assert result.inconclusive == ()
     assert result.accepted > 0
 
 
