Run no request whose head is cut off

Callers whose connection broke within a request line got an answer about another job, whose identifier was the part that had arrived.

Cause: the library takes the end of the connection for the end of a line. It runs a line of two words as HTTP/0.9, and takes a header that is cut off as complete, so that a request could also run with a part of its key or without its body.

A request head whose last line has no line end now gets no answer, is logged as unanswered and its connection is closed: 400 would tell the caller not to send it again. A request line without a version, or with HTTP/0.9, is refused with 400 (RFC 9112, section 3).

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -13,7 +13,7 @@
 
 from ..events import Event, log
 from ..settings import Address, LimitSettings
-from .request_head import HeadReader, check_framing
+from .request_head import HeadCutOffError, HeadReader, check_framing
 from .request_watch import NO_BOUNDS, AnswerBounds, RequestWatch
 from .syn_filter import drop_new_connections
 from .traced_handler import TracedHandler
@@ -99,6 +99,11 @@
         super().finalize_headers()
 
     def _handle_client_error(self, error):
+        # A caller whose connection ended early may send the same request again; 400
+        # would tell it not to.
+        if isinstance(error, HeadCutOffError):
+            self.trace.failure = error
+            return None
         self.server.listener.watch.refuse(self.trace, error)
         return ("400", BAD_HEAD_RESPONSE)
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/traced_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/traced_handler.py
@@ -4,6 +4,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler
 
+from .request_head import check_request_line
 from .request_trace import RequestTrace, Stage
 from .request_watch import Loss
 
@@ -24,6 +25,7 @@
         """Read the request head; the request is open from here on."""
         self.trace = self.server.listener.watch.begin(raw_requestline)
         gevent.getcurrent().request_trace = self.trace
+        check_request_line(raw_requestline)
         complete = super().read_request(raw_requestline)
         self.trace.enter(Stage.OTHER)
         return complete
--- a/tests/test_closing_connections.py
+++ b/tests/test_closing_connections.py
@@ -64,3 +64,20 @@
     answer = read_until(connection, b"ok")
     assert paths == []
     assert not answer or answer.startswith(b"HTTP/1.1 400")
+
+
+# Guards against a request that is run with a part of its key, or without its body.
+def test_a_request_head_that_is_cut_off_is_not_run(connection, paths):
+    connection.sendall(REQUEST[:-6])
+    connection.shutdown(socket.SHUT_WR)
+    assert read_until(connection, b"ok") == b""
+    assert paths == []
+
+
+@pytest.mark.parametrize("line", [b"GET /q/job1", b"GET /q/job1 HTTP/0.9"])
+def test_a_request_of_http_0_9_is_refused(connection, paths, line):
+    connection.sendall(line + b"\r\n\r\n")
+    answer = read_until(connection, b"ok")
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"Connection: close" in answer
+    assert paths == []
