Answer a request that arrives as its idle connection closes

Callers that kept a connection and sent on it while the instance stopped got no answer, though the listener reported that it had ended no request.

Cause: before the system call, the library's shutdown(SHUT_RD) cancels the pending read with EBADF, so that the handler closes at once, whatever has arrived.

The socket below the library is shut instead, which owns no second descriptor. The read then wakes by itself; it finds what arrived since the check, or else the end.

Before: assert b"".startswith(b"HTTP/1.1 200"); now the test passes. A request of which only a part is there when the read wakes is still not run.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -64,14 +64,14 @@
     def close_if_idle(self) -> None:
         """Close a waiting connection, unless a request is in its receive buffer.
 
-        Only the receiving side is shut down. A request that arrives after the check
-        is then still read and answered, and the connection is not reset.
+        Only the receiving side is shut down, and below the library, which would cancel
+        the pending read: that read finds the end, or a request that came late.
         """
         poll = select.poll()
         poll.register(self.socket.fileno(), select.POLLIN)
         if not poll.poll(0):
             with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_RD)
+                self.socket._sock.shutdown(socket.SHUT_RD)
 
     def read_request(self, raw_requestline):
         """Read the request head with one timeout for all of it.
