--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -13,7 +13,7 @@
 
 from ..events import Event, log
 from ..settings import Address, LimitSettings
-from .request_head import HeadReader, check_framing
+from .request_head import HeadCutOffError, HeadReader, check_framing
 from .request_watch import NO_BOUNDS, AnswerBounds, RequestWatch
 from .syn_filter import drop_new_connections
 from .traced_handler import TracedHandler
@@ -64,14 +64,14 @@
     def close_if_idle(self) -> None:
         """Close a waiting connection, unless a request is in its receive buffer.
 
-        Only the receiving side is shut down. A request that arrives after the check
-        is then still read and answered, and the connection is not reset.
+        Only the receiving side is shut down, and below the library, which would cancel
+        the pending read: that read finds the end, or a request that came late.
         """
         poll = select.poll()
         poll.register(self.socket.fileno(), select.POLLIN)
         if not poll.poll(0):
             with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_RD)
+                self.socket._sock.shutdown(socket.SHUT_RD)
 
     def read_request(self, raw_requestline):
         """Read the request head with one timeout for all of it.
@@ -99,6 +99,11 @@
         super().finalize_headers()
 
     def _handle_client_error(self, error):
+        # A caller whose connection ended early may send the same request again; 400
+        # would tell it not to.
+        if isinstance(error, HeadCutOffError):
+            self.trace.failure = error
+            return None
         self.server.listener.watch.refuse(self.trace, error)
         return ("400", BAD_HEAD_RESPONSE)
 
