Let a call end whose hedge is aborted before it runs

Callers saw: a request, or the write of a role, that never ended. It needs an event loop that lags: a hedge is sent, and before its greenlet has run, the timer of the next one finds that another send is being answered and aborts it; then that other send fails. Cause: only the body of a hedge took it out of the set of open hedges. A greenlet that is killed before it runs has no body, so the call waited for its end for ever. Change: the hedge leaves the set, and wakes the call, through a link on the greenlet's end, which is also called if it never ran. Such a hedge sent nothing and adds no error, so the call raises the error of its first send. The other greenlets that a set, a counter or a flag counts enter it in their own body (requests, pending calls, watchers), are counted by a link (gevent's pools), or are never killed (heartbeats, the read of the configuration, the log of hedges).

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_call.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_call.py
@@ -163,6 +163,8 @@
 
     def _send_hedge(self) -> None:
         greenlet = gevent.Greenlet(self._hedge)
+        # A hedge that is aborted before it runs ends without its body.
+        greenlet.rawlink(self._on_hedge_end)
         self.hedges[greenlet] = now_s()
         self.open_hedges.add(greenlet)
         self.context.count("sent", 1)
@@ -172,8 +174,7 @@
         greenlet.start()
 
     def _hedge(self) -> None:
-        greenlet = gevent.getcurrent()
-        sent_s = self.hedges[greenlet]
+        sent_s = self.hedges[gevent.getcurrent()]
         try:
             answer = self.send()
         except LeaseExpiredError as error:
@@ -186,10 +187,12 @@
             raise
         else:
             self._decide(answer, sent_s, by_hedge=True)
-        finally:
-            self.open_hedges.discard(greenlet)
-            if self.settled is not None and (self.decided or not self.open_hedges):
-                self.settled.set()
+
+    def _on_hedge_end(self, greenlet: gevent.Greenlet) -> None:
+        """Let the call end if nothing remains to be awaited; runs in the hub."""
+        self.open_hedges.discard(greenlet)
+        if self.settled is not None and (self.decided or not self.open_hedges):
+            self.settled.set()
 
     def _decide(
         self, answer: T | LeaseExpiredError, sent_s: float, by_hedge: bool
