Keep connections to the store for what callers wait for

Callers saw: status requests without an answer in time while the store was slow or lost calls. Cause: an instance had 32 connections to the store for all calls. Polls, and the writes of roles that wait for their timeout of 1 s, held them, and a status read waited for one of them to end. Change: the client of the store has further connections that only urgent calls use. KvStore uses them for reads of status records and reports, for transactions that store a job or a request to cancel one, and for the check of the configuration. The choice is by key, so that it holds for a hedge, and for a read that several callers share, without knowing who sent it. The keys that may be hedged as reads are the same and now stand in one place. Pending calls, aborts of overdue calls and what is being received remain those of one client; a timeout closes the idle connections of both kinds. Each is opened when a call finds none idle, so that their number follows the calls under way at once. Reasoned from the code, not measured in a fleet. Not covered: the first read of a configuration, ranges and operators' writes stay with the roles.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_store.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/hedged_store.py
@@ -22,17 +22,15 @@
     Snapshot,
     Transaction,
 )
+from .caller_calls import is_callers_read
 from .clock import now_s
 from .hedged_call import HedgeContext, HedgedCall
-from .keys import REPORT_PREFIX, STATUS_PREFIX
 from .repeatable_writes import encoded_bytes, resolve, takes_effect_once
 
 T = TypeVar("T")
 
 # A link of 5 Mbit/s carries this in 26 ms, less than the shortest delay of a hedge.
 MAX_HEDGED_BYTES = 16_384
-# Small records that callers wait for; a configuration may have 850 KB.
-HEDGED_READ_PREFIXES = (STATUS_PREFIX, REPORT_PREFIX)
 LOG_INTERVAL_S = 1.0
 # An instance doesn't know how many there are; the largest deployment has 97.
 MAX_INSTANCES = 128
@@ -97,7 +95,7 @@
     def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if there is none."""
         send = partial(self.store.get, key)
-        if not key.startswith(HEDGED_READ_PREFIXES):
+        if not is_callers_read(key):
             return self._send_once(send)
         return HedgedCall(send, self.reads).run()
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -12,12 +12,10 @@
 from ..settings import Address
 from .connections import Connections
 from .pending_call import PendingCall, RecordedResponse
+from .response_body import read_body
 
-READ_BLOCK_BYTES = 65_536
-MAX_RESPONSE_BYTES = 16_777_216
 HOST_PLACEHOLDER = "0.0.0.0:00000"
 STATUS_LINE_BYTES = 19
-NO_BODY_STATUSES = (204, 304)
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,14 +78,31 @@
     A connection on which anything went wrong is closed and never reused, so
     that a late response cannot be taken for the response to another request.
 
+    Args:
+        address: Address of the peer.
+        connections: Maximum number of connections.
+        connect_timeout_s: Timeout of a new connection, seconds.
+        reserved: Number of further connections, which only urgent calls use.
+
     Attributes:
         pool: Connection pool.
+        urgent_pool: Connection pool of the urgent calls.
         pending_calls: Calls that wait for a response.
     """
 
-    def __init__(self, address: Address, connections: int, connect_timeout_s: float):
+    def __init__(
+        self,
+        address: Address,
+        connections: int,
+        connect_timeout_s: float,
+        reserved: int = 0,
+    ):
         self.address = address
-        self.pool = Connections(address, connections, connect_timeout_s)
+        self.pool = self.urgent_pool = Connections(
+            address, connections, connect_timeout_s
+        )
+        if reserved:
+            self.urgent_pool = Connections(address, reserved, connect_timeout_s)
         self.pending_calls: set[PendingCall] = set()
 
     def abort_overdue(self, waited_s: float) -> int:
@@ -117,6 +132,7 @@
         timeout_s: float,
         by_progress: bool = False,
         may_send: Callable[[], bool] = lambda: True,
+        is_urgent: bool = False,
     ) -> HttpAnswer:
         """Send a request once and return the complete response.
 
@@ -128,6 +144,7 @@
                 time would fail at each attempt.
             may_send: Called when the connection is ready. The wait for it may outlast
                 a permission, above all if the process is suspended meanwhile.
+            is_urgent: True to use a reserved connection if the client has any.
 
         Raises:
             ExchangeError: If there was no complete response; ``sent`` states whether
@@ -136,10 +153,11 @@
         sent = False
         sock = None
         answer = None
+        pool = self.urgent_pool if is_urgent else self.pool
         call = PendingCall(request.path, timeout_s, by_progress)
         self.pending_calls.add(call)
         try:
-            sock = self.pool.get_socket()
+            sock = pool.get_socket()
             data = request.encode(str(self.address))
             if not may_send():
                 raise ExchangeError(
@@ -152,14 +170,15 @@
             # From here on the response object owns the socket. It returns it to the
             # pool, even if its constructor fails.
             owned, sock = sock, None
-            answer = RecordedResponse(owned, self.pool, call, request.method)
-            body = _read_body(answer)
+            answer = RecordedResponse(owned, pool, call, request.method)
+            body = read_body(answer)
             return HttpAnswer(answer.status_code, _headers_of(answer), body)
         except gevent.Timeout as error:
             if error is not call.timeout:
                 raise
             # Connections that were open before may have gone silent with this one.
             self.pool.close_idle(call.started_s)
+            self.urgent_pool.close_idle(call.started_s)
             raise ExchangeError(
                 ErrorKind.BACKEND_TIMEOUT, call.describe(), sent
             ) from error
@@ -171,7 +190,7 @@
             call.timeout.close()
             self.pending_calls.discard(call)
             if sock is not None:
-                self.pool.release_socket(sock)
+                pool.release_socket(sock)
             if answer is not None:
                 answer.release()
 
@@ -204,34 +223,7 @@
     def close(self) -> None:
         """Close every idle connection."""
         self.pool.close()
-
-
-def _read_body(answer: HTTPSocketPoolResponse) -> bytes:
-    """Return the body of a response, which must have a detectable end.
-
-    Raises:
-        HTTPParseError: If the body is truncated, too large, or ends only with the
-            connection, so that a truncation could not be detected.
-    """
-    has_no_body = answer.method == "HEAD" or answer.status_code in NO_BODY_STATUSES
-    length = answer.content_length
-    chunked = "transfer-encoding" in answer
-    if not has_no_body and length is None and not chunked:
-        raise HTTPParseError("the response has neither a Content-Length nor chunks")
-    if not has_no_body and (length or 0) > MAX_RESPONSE_BYTES:
-        raise HTTPParseError(f"the response is larger than {MAX_RESPONSE_BYTES} bytes")
-    if not chunked:
-        return bytes(answer.read())
-    blocks = []
-    size = 0
-    while block := answer.read(READ_BLOCK_BYTES):
-        blocks.append(bytes(block))
-        size += len(block)
-        if size > MAX_RESPONSE_BYTES:
-            raise HTTPParseError(
-                f"the response is larger than {MAX_RESPONSE_BYTES} bytes"
-            )
-    return b"".join(blocks)
+        self.urgent_pool.close()
 
 
 def _headers_of(answer: HTTPSocketPoolResponse) -> tuple[tuple[str, str], ...]:
