Bound all waits of a caller for a configuration by one limit

Cause: a caller waited up to 0.5 s for a change that was arriving and then up to 0.5 s for a confirmation.

The test got a configuration after the limit before, and is refused now.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/operators.py
@@ -103,16 +103,22 @@
                 ErrorKind.NO_STANDING, "this node has not read a configuration yet"
             )
         if self.config_age_s() > max_age_s:
-            self.await_change()
+            confirmed = False
+            # One limit for all waits: a caller that is refused asks another instance.
+            with gevent.Timeout(CONFIRM_WAIT_S, False):
+                self._await_confirmation(max_age_s)
+                confirmed = True
+            if not confirmed or self.unreadable_revision > self.revision:
+                raise self._unconfirmed_error()
+        return self.config
+
+    def _await_confirmation(self, max_age_s: float) -> None:
+        self.await_change()
         if self.config_age_s() > max_age_s:
             # The response to a failed condition is as large as the feed's read.
             if self.feed_failing_s() > POLL_FAILURE_S:
                 raise self._unconfirmed_error()
-            with gevent.Timeout(CONFIRM_WAIT_S, self._unconfirmed_error()):
-                self.refresh(now_s() - max_age_s)
-            if self.unreadable_revision > self.revision:
-                raise self._unconfirmed_error()
-        return self.config
+            self.refresh(now_s() - max_age_s)
 
     @timed(Stage.CONFIGURATION)
     def await_change(self) -> None:
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -299,6 +299,17 @@
     assert trace.stage is not Stage.CONFIGURATION
 
 
+# Guards against LOST: two instances that each waited twice used up their caller's time.
+def test_the_waits_for_a_configuration_have_one_limit(
+    held_store, unconfirmed, monkeypatch
+):
+    monkeypatch.setattr(operators, "CONFIRM_WAIT_S", 0.2)
+    monkeypatch.setattr(unconfirmed, "await_change", lambda: gevent.sleep(0.15))
+    gevent.spawn_later(0.3, held_store.released.set)
+    with pytest.raises(HeatherhatchError, match="last confirmed"):
+        unconfirmed.confirm()
+
+
 def test_a_configuration_is_not_confirmed_by_a_read_that_began_too_early(
     held_store, unconfirmed
 ):
