--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -171,16 +171,24 @@
         job_id = path.removeprefix(caller.queue.prefix)
         return self._find(caller, job_id, limit_s).status
 
-    def cancel(self, host: str, path: str, key: str) -> None:
+    def cancel(
+        self, host: str, path: str, key: str, limit_s: float = float("inf")
+    ) -> None:
         """Store a request to cancel a job; do nothing if the job has ended.
 
+        Args:
+            host: Host that the request addresses.
+            path: Path of the request.
+            key: Key of the caller's team.
+            limit_s: Time after which the job is not looked for again, seconds.
+
         Raises:
             HeatherhatchError: ``NO_SUCH_JOB`` if the job is not known.
         """
         caller = self.identify(host, path, key)
         job_id = path.removeprefix(caller.queue.prefix)
         for _attempt in range(CONFLICT_ATTEMPTS):
-            found = self._find(caller, job_id)
+            found = self._find(caller, job_id, limit_s)
             status = found.status
             if status.phase.final:
                 return
@@ -239,9 +247,7 @@
         self.arrivals.note_report(report)
         return report.waiting.get(caller.queue.name, 0)
 
-    def _find(
-        self, caller: Caller, job_id: str, limit_s: float = float("inf")
-    ) -> FoundStatus:
+    def _find(self, caller: Caller, job_id: str, limit_s: float) -> FoundStatus:
         found = None
         if JOB_ID.fullmatch(job_id):
             found = find_status(
