--- a/tests/test_request_watch.py
+++ b/tests/test_request_watch.py
@@ -242,3 +242,21 @@
     sock.close()
     wait_until(lambda: not len(listener.pool))
     assert records.lines == []
+
+
+# Guards against a log that takes a caller that only half-closes for one that has left.
+def test_a_caller_that_has_ended_its_direction_and_reads_is_not_lost(records, listen):
+    def app(environ, start_response):
+        gevent.sleep(0.1)
+        return answer(environ, start_response)
+
+    _listener, caller = listen(app)
+    caller.sendall(GET)
+    caller.shutdown(socket.SHUT_WR)
+    received = b""
+    with gevent.Timeout(HANG_S):
+        while data := caller.recv(4096):
+            received += data
+    gevent.sleep(0.05)
+    assert received.endswith(b"body")
+    assert not records.of(Event.CALL_UNANSWERED)
--- a/tests/test_store_connections.py
+++ b/tests/test_store_connections.py
@@ -9,10 +9,14 @@
 from gevent.server import StreamServer
 
 from heatherhatch_core.exceptions import StoreError
-from heatherhatch_daemon.pools.keys import status_key
+from heatherhatch_daemon.pools.keys import job_key, status_key
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.store import Put, Transaction
-from heatherhatch_platform.kv_store import CONNECTIONS, KvStore
+from heatherhatch_platform.kv_store import (
+    CALLER_CONNECTIONS,
+    CONNECTIONS,
+    KvStore,
+)
 
 HANG_S = 30  # limits a test that hangs; normally nothing takes this long
 
@@ -55,3 +59,21 @@
         (first,) = gevent.wait([read, *writes], count=1)
     gevent.killall([read, *writes])
     assert first is read
+
+
+# Guards against status requests that wait for submissions, also by their hedges.
+def test_a_status_read_does_not_wait_for_a_connection_of_a_submission(held_writes):
+    store, held = held_writes
+
+    def write():
+        with contextlib.suppress(StoreError):
+            store.transact(Transaction((), (Put(job_key("till", "j1"), b""),)))
+
+    writes = [gevent.spawn(write) for _number in range(CALLER_CONNECTIONS)]
+    with gevent.Timeout(HANG_S):
+        while len(held) < CALLER_CONNECTIONS:
+            gevent.sleep(0.001)
+        read = gevent.spawn(store.get, status_key("j1"))
+        (first,) = gevent.wait([read, *writes], count=1)
+    gevent.killall([read, *writes])
+    assert first is read
