Let the test of an aborted read watch the connections that the read uses

Since reads of callers have connections of their own the test looked at the other pool and could not fail. It looks at theirs now, and that one connection was opened; it fails if the pool does not get the connection back (tried by a release that is left out). It stands with the other tests of the entry, as strict as it was meant to be.

--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -1,16 +1,22 @@
 """The HTTP interface for callers: every call gets exactly one correct answer."""
 
 import contextlib
+import gc
 import json
 
 import gevent
 import pytest
+from gevent.event import Event as Signal
+from gevent.server import StreamServer
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.work import JobStatus, Phase
 from heatherhatch_daemon.events import LOG
+from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.serving import StoreView
+from heatherhatch_daemon.settings import Address
 from heatherhatch_platform.entry import EntryApp, ReadyApp
+from heatherhatch_platform.kv_store import KvStore
 
 SLOW_READ_S = 0.24  # of a store that is slow for all instances
 VIEW = StoreView(0.1, 0.2, 0.3, 0.0, 0.0, 7)
@@ -217,3 +223,26 @@
     headers = call(intake, HTTP_DEADLINE_MS=deadline_ms)[1]
     assert headers["Retry-After"] == retry_after
     assert int(headers["Retry-After"]) * 1000 < int(deadline_ms)
+
+
+@pytest.fixture
+def silent_store():
+    server = StreamServer(("127.0.0.1", 0), lambda _sock, _address: Signal().wait())
+    server.start()
+    yield KvStore(Address("127.0.0.1", server.server_port))
+    server.stop(timeout=0)
+
+
+# Guards against connections that are held until the next collection of cycles.
+def test_a_read_that_its_time_ends_returns_its_connection(silent_store, intake):
+    pool = silent_store.client.urgent_pool
+    free = pool._semaphore.counter
+    intake.action = lambda: silent_store.get(status_key("j1"))
+    gc.collect()
+    gc.disable()
+    try:
+        assert call(intake, HTTP_DEADLINE_MS="600")[0] == 503
+        assert (pool.opened, pool._semaphore.counter) == (1, free)
+        assert not silent_store.client.pending_calls
+    finally:
+        gc.enable()
