--- a/review/standins.py
+++ b/review/standins.py
@@ -139,6 +139,7 @@
         """Write no log."""
 
     def _serve(self):
+        threading.current_thread().caller = self.connection
         length = int(self.headers.get("Content-Length") or 0)
         data = self.rfile.read(length) if length else b""
         body = json.loads(data) if data else {}
@@ -547,10 +548,22 @@
         return 200, {"machines": rows, "nextToken": None}
 
 
+def caller_has_left():
+    """Return whether the caller of the present call has closed its connection."""
+    sock = threading.current_thread().caller
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class Advice:
     """The policy service as one calling machine meets it: one call at a time, in turn.
 
-    It lets every worker run every step.
+    It lets every worker run every step, and drops a call whose caller has left before
+    its turn.
     """
 
     def __init__(self, record, rules):
@@ -569,6 +582,11 @@
             self.waiting.append(ticket)
             while self.waiting[0] is not ticket:
                 self.turn.wait()
+        if caller_has_left():
+            with self.turn:
+                self.waiting.remove(ticket)
+                self.turn.notify_all()
+            return None, {}
         count = len(body["workers"])
         time.sleep((self.rules["decisionMs"] + count * self.rules["eachMs"]) / 1000)
         with self.turn:
