Call the policy service for all pools of an instance in turn

Cause: the service handles one call of an instance at a time, but each pool called by itself, with a fixed limit of 2 s, and repeated a call that had timed out after 0.2 s. Four calls of 0.66 s wait for 2.64 s, so that the last is always given up, and its repeat keeps the queue as long as it is. One call about 30 workers can take as long by itself.

Evidence: the instance logs timeouts after 2.001 s with 0 bytes, while the record of the service has an answer each 0.66 s until the end. A service that refuses would show a status; permits that expire would show refused starts.

Change: one greenlet of the instance calls for all pools, in turn; in a pool by priority and length of the wait. A call leaves half of a permit's lifetime, and names fewer workers while others wait. Metrics and log lines show what waits, and for how long.

The existing tests of permits take the calls of an instance in place of the requester of a pool, and compare the keys of `wanted`, which is now ordered; their assertions are the same.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
@@ -6,6 +6,7 @@
 from .messages import TaskName
 
 RENEWAL_MARGIN_S = 0.5  # a permit this close to its expiry is renewed, not used
+MIN_USE_S = 0.3  # a round of the scheduler and the write before the start take less
 
 
 class StepName(NamedTuple):
@@ -40,6 +41,21 @@
     until_s: float
 
 
+def expiry_s(sent_s: float, answered_s: float, lifetime_s: float) -> float:
+    """Return when permits count as expired, monotonic seconds.
+
+    It is not known when the policy service begins the lifetime, so that it counts from
+    the request. A permit whose answer took as long as that is tried once; the worker
+    refuses an expired one.
+
+    Args:
+        sent_s: When the request was sent, monotonic seconds.
+        answered_s: When the answer was received, monotonic seconds.
+        lifetime_s: Lifetime of the permits, seconds.
+    """
+    return max(sent_s + lifetime_s, answered_s + RENEWAL_MARGIN_S + MIN_USE_S)
+
+
 @dataclass(slots=True)
 class Permits:
     """Permits by step and worker, and the steps that wait for an answer.
@@ -48,12 +64,22 @@
         held: Permits by step, then by worker.
         refused: Workers that may not run a step; a refusal is final for this
             incarnation of the worker.
-        wanted: Steps for which permits must be requested.
+        wanted: Steps for which permits must be requested, the one that waits for the
+            longest first, with the start of the wait in monotonic seconds.
     """
 
     held: dict[StepName, dict[str, Permit]] = field(default_factory=dict)
     refused: dict[StepName, set[str]] = field(default_factory=dict)
-    wanted: set[StepName] = field(default_factory=set)
+    wanted: dict[StepName, float] = field(default_factory=dict)
+
+    def want(self, step: StepName, now_s: float) -> None:
+        """Let permits be requested for a step, unless it waits for them already."""
+        self.wanted.setdefault(step, now_s)
+
+    def postpone(self, step: StepName) -> None:
+        """Let a step whose request failed wait behind all others."""
+        if step in self.wanted:
+            self.wanted[step] = self.wanted.pop(step)
 
     def allows(self, step: StepName, worker_id: str, now_s: float) -> bool:
         """Return True if a step may start on a worker now."""
@@ -85,7 +111,7 @@
             granted: Ticket for each worker that may run the step.
             until_s: When the permits expire, monotonic seconds.
         """
-        self.wanted.discard(step)
+        self.wanted.pop(step, None)
         held = self.held.setdefault(step, {})
         for worker_id, ticket in granted.items():
             held[worker_id] = Permit(ticket, until_s)
@@ -107,4 +133,5 @@
         for table in (self.held, self.refused):
             for step in [step for step in table if step.job_id == job_id]:
                 del table[step]
-        self.wanted = {step for step in self.wanted if step.job_id != job_id}
+        for step in [step for step in self.wanted if step.job_id == job_id]:
+            del self.wanted[step]
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
@@ -144,7 +144,7 @@
     if task.job.job.queue in placement.state.permit_rules:
         name = step_name(task.name)
         if not placement.state.permits.allows(name, worker.worker_id, placement.now_s):
-            placement.state.permits.wanted.add(name)
+            placement.state.permits.want(name, placement.now_s)
             return PERMIT
     return ""
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/fleet_configuration.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/fleet_configuration.py
@@ -19,6 +19,20 @@
     per_worker_s: float = 0.0
     validity_s: float = 0.0
 
+    def answer_s(self, workers: int) -> float:
+        """Return how long a query about some workers takes, seconds."""
+        return self.decision_s + workers * self.per_worker_s
+
+    def workers_within(self, limit_s: float) -> float:
+        """Return the number of workers that a query of this length may name.
+
+        Args:
+            limit_s: Time until the answer, seconds.
+        """
+        if not self.per_worker_s:
+            return float("inf")
+        return (limit_s - self.decision_s) / self.per_worker_s
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -18,6 +18,7 @@
 from .intake import Intake
 from .keys import COORDINATOR, pool_role
 from .operators import Operators
+from .permit_calls import PermitCalls
 from .pool_holder import PoolHolder
 from .ports import DirectoryEntry, ExternalPorts
 from .record_watchers import PlanWatcher
@@ -84,6 +85,7 @@
             self._holder_token,
             rules.gates,
         )
+        self.permit_calls = PermitCalls(external_ports.policy)
         self.holders: dict[str, PoolHolder] = {}
         self.coordinator: Coordinator | None = None
 
@@ -122,6 +124,9 @@
             sink.gauge(Metric.OLDEST_IDLE_S, health.oldest_idle_s, holder.pool)
             sink.gauge(Metric.ROUND_AGE_S, round_age_s, holder.pool)
             sink.gauge(Metric.WORKERS_USABLE, health.usable_workers, holder.pool)
+            permits = holder.permits
+            sink.gauge(Metric.PERMITS_WANTED, permits.steps_waiting, holder.pool)
+            sink.gauge(Metric.PERMIT_WAIT_S, permits.oldest_wait_s(), holder.pool)
 
     def _on_config(self, config: FleetConfiguration) -> None:
         for holder in self.holders.values():
@@ -174,6 +179,7 @@
             self.directory,
             self.plan_watcher,
             self.rules,
+            self.permit_calls,
         )
         self.holders[role] = holder
         holder.start()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -14,6 +14,7 @@
 from .feed import RETRY_S
 from .keys import pool_role
 from .operators import Operators
+from .permit_calls import PermitCalls
 from .permit_requester import PermitRequester
 from .pool_grants import PoolGrants
 from .pool_metrics import record_decision
@@ -46,6 +47,7 @@
         directory: The registered workers.
         plan_watcher: The coordinator's plan and the grants of team limits.
         rules: Timing limits of the scheduler.
+        permit_calls: Sends the requests of all pools to the policy service.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         directory: Directory,
         plan_watcher: PlanWatcher,
         rules: Rules,
+        permit_calls: PermitCalls,
     ):
         self.pool = pool
         self.role = pool_role(pool)
@@ -86,7 +89,7 @@
         self.reports = PoolReporter(
             store, self.scheduler, self._claim, token, plan_watcher
         )
-        self.permits = PermitRequester(external_ports.policy, self.scheduler, self.wake)
+        self.permits = PermitRequester(permit_calls, pool, self.scheduler, self.wake)
         self.watchdog = PoolWatchdog(self.scheduler, self.may_order, self.give_up)
         self.greenlets: list[gevent.Greenlet] = []
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
@@ -109,9 +109,15 @@
     """Decides which workers may run a step; raises `ExchangeError`."""
 
     def request_permits(
-        self, step: str, worker_ids: list[str]
+        self, step: str, worker_ids: list[str], timeout_s: float
     ) -> tuple[dict[str, str], float]:
-        """Return the tickets of permitted workers, and their lifetime in seconds."""
+        """Return the tickets of permitted workers, and their lifetime in seconds.
+
+        Args:
+            step: Name of the step.
+            worker_ids: Workers to ask about.
+            timeout_s: How long to wait for the answer, seconds.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/pool_node.py
+++ b/tests/pool_node.py
@@ -101,6 +101,10 @@
         """Write one record."""
         self.store.transact(Transaction((), (Put(key, value),)))
 
+    def delete(self, key):
+        """Delete one record."""
+        self.store.transact(Transaction((), (), (key,)))
+
     def put_job(self, job):
         """Store a job as the intake does."""
         status = JobStatus(Phase.QUEUED, POOL, QUEUE.name)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -219,7 +219,7 @@
 @given(corrupted({"good": [["i-1", "t"]], "validityMs": 100}))
 def test_any_answer_of_the_policy_service_is_decoded_or_an_error(value):
     try:
-        with_answer(HttpPolicy(ADDRESS), value).request_permits("s", ["i-1"])
+        with_answer(HttpPolicy(ADDRESS), value).request_permits("s", ["i-1"], 1.0)
     except ExchangeError:
         return
 
--- a/tests/test_scheduler_permits.py
+++ b/tests/test_scheduler_permits.py
@@ -35,7 +35,7 @@
     add_restricted(model, "a")
     add_restricted(model, "b")
     permits = model.scheduler.state.permits
-    assert permits.wanted == {StepName("a", 0, 0), StepName("b", 0, 0)}
+    assert permits.wanted.keys() == {StepName("a", 0, 0), StepName("b", 0, 0)}
 
 
 def test_a_restarted_worker_is_asked_about_again(model):
