Request no permits for steps whose tasks are all placed

Cause: each worker without a permit that the placement looked at on its way to a permitted one let another request be sent, for a step that needed none.

The new test failed before ("wanted" held the step), and passes. The tests of permits, placement and the policy service pass, 28 in all.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/permits.py
@@ -76,6 +76,10 @@
         """Let permits be requested for a step, unless it waits for them already."""
         self.wanted.setdefault(step, now_s)
 
+    def cancel_request(self, step: StepName) -> None:
+        """Let no permits be requested for a step that needs no more of them."""
+        self.wanted.pop(step, None)
+
     def postpone(self, step: StepName) -> None:
         """Let a step whose request failed wait behind all others."""
         if step in self.wanted:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -4,6 +4,7 @@
 from ...state.work import Step
 from .live import LiveJob, Task
 from .ordering import sort_jobs
+from .permits import StepName
 from .placement_round import PlacementRound
 from .preempting import preempt_for_urgent
 from .state import PoolState
@@ -46,8 +47,13 @@
         waiting = 0
         for occurrence in sorted(job.expanded):
             for number in range(len(job.job.steps)):
-                if job.ready(occurrence, number):
-                    waiting += _place_step(placement, job, occurrence, number)
+                if not job.ready(occurrence, number):
+                    continue
+                left = _place_step(placement, job, occurrence, number)
+                waiting += left
+                if not left:
+                    step = StepName(job.job.job_id, occurrence, number)
+                    placement.state.permits.cancel_request(step)
         if waiting:
             placement.waiting.append(job)
         else:
--- a/tests/test_scheduler_permits.py
+++ b/tests/test_scheduler_permits.py
@@ -48,3 +48,13 @@
     model.add_worker("w1", "m1", born_ms=2)
     assert permits.not_refused(step, ["w0", "w1"]) == ["w0", "w1"]
     assert not permits.allows(step, "w1", model.now_s)
+
+
+def test_a_step_whose_tasks_are_all_placed_asks_for_no_more_permits(model):
+    """Each worker without a permit that was looked at on the way asked for another."""
+    permits = model.scheduler.state.permits
+    step = StepName("a", 0, 0)
+    permits.record_answer(step, ["w1"], {"w1": "ticket"}, model.now_s + 9.0)
+    add_restricted(model, "a")
+    assert [worker for worker, _task, _run in model.alive_runs()] == ["w1"]
+    assert not permits.wanted
