Let a cancellation of an unknown job make its submission fail

Cause: the cancellation of a job that is not known wrote nothing, while the write of its submission was on its way from an instance that had given it up. When that write arrived, all its conditions held.

Evidence: in the record the status appears 10 ms after the cut heals. The instance that was cut off logs nothing about the job after the end of the caller's time, so that it is the write of before and no new attempt.

Change: such a cancellation stores a withdrawal under the queue and the identifier, whose absence every submission expects, before it is answered.

--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -156,6 +156,8 @@
         ended_s: When the job ended, seconds since the epoch; 0 until then.
         shares_id: True if another queue used the job's identifier first.
         reason: Why the job failed; empty if it has not.
+        withdrawn: True if the job was cancelled before a submission of it was stored,
+            so that it is not known to callers and is never accepted.
     """
 
     phase: Phase
@@ -165,6 +167,7 @@
     ended_s: float = 0.0
     shares_id: bool = False
     reason: str = ""
+    withdrawn: bool = False
 
     @property
     def shared_by(self) -> str:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -39,6 +39,7 @@
         "run times learned, by the expected share of runs that are not longer (to_50,"
         " to_90, to_99, above_99); at_least for runs that did not end; count"
     )
+    WITHDRAWALS = "cancellations of jobs that were not known, stored or refused, count"
     JOBS_REJECTED = (
         "jobs rejected as no use could be made of their result, by pool, count"
     )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/caller_calls.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/caller_calls.py
@@ -15,9 +15,16 @@
 def is_callers_write(transaction: Transaction) -> bool:
     """Return whether a transaction is for the answer to a caller.
 
-    It stores a job or the request to cancel one, which holders of roles only delete,
-    or it writes nothing and confirms the configuration.
+    It stores a job, the request to cancel one, which holders of roles only delete, or
+    that one was cancelled before it was stored; or it writes nothing and confirms the
+    configuration.
     """
     if not transaction.puts and not transaction.deletes:
         return True
-    return any(put.key.startswith(JOBS_PREFIX) for put in transaction.puts)
+    written = [put.key for put in transaction.puts]
+    # Holders of roles change a status only together with the progress of the job.
+    return any(key.startswith(JOBS_PREFIX) for key in written) or (
+        bool(written)
+        and not transaction.deletes
+        and all(key.startswith(STATUS_PREFIX) for key in written)
+    )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
@@ -158,7 +158,7 @@
             StoreError: If the store does not answer.
         """
         found = find_status(queue, job_id, self.store.get)
-        if found is None:
+        if found is None or found.status.withdrawn:
             raise HeatherhatchError(
                 ErrorKind.NO_SUCH_JOB, f'no job "{job_id}" of queue "{queue}"'
             )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -8,13 +8,14 @@
 from heatherhatch_core.state.work import Job, JobStatus, Schedule, Step
 
 from ..events import Event, log
-from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
+from ..transport.store import Entry, PolledStore
 from .arrival_check import ArrivalCheck
 from .callers import JOB_ID, Caller, identify, new_job_id
+from .cancellation import Cancellations
 from .clock import now_s, wall_s
 from .fleet_records import PoolReport
 from .job_registry import FoundStatus, JobRegistry, Registration, find_status
-from .keys import cancel_key, report_key
+from .keys import report_key
 from .operators import MAX_SERVING_AGE_S, Operators
 from .retries import RETRY_AFTER_S, ReturnTimes, call_with_retries, retry_after_s
 
@@ -52,6 +53,7 @@
         self.operators = operators
         self.store_outage_s = store_outage_s
         self.registry = JobRegistry(store, operators)
+        self.cancellations = Cancellations(store, lambda: self.store_outage_s())
         self.arrivals = ArrivalCheck(store, holder_token)
         self.gates = gates
         self.returns = ReturnTimes()
@@ -169,7 +171,10 @@
         """
         caller = self.identify(host, path, key)
         job_id = path.removeprefix(caller.queue.prefix)
-        return self._find(caller, job_id, limit_s).status
+        found = self._find(caller, job_id, limit_s)
+        if found is None or found.status.withdrawn:
+            raise _no_such_job(job_id)
+        return found.status
 
     def cancel(
         self, host: str, path: str, key: str, limit_s: float = float("inf")
@@ -183,51 +188,16 @@
             limit_s: Time after which the job is not looked for again, seconds.
 
         Raises:
-            HeatherhatchError: ``NO_SUCH_JOB`` if the job is not known.
+            HeatherhatchError: See `Cancellations.cancel`.
         """
         caller = self.identify(host, path, key)
         job_id = path.removeprefix(caller.queue.prefix)
-        for _attempt in range(CONFLICT_ATTEMPTS):
-            found = self._find(caller, job_id, limit_s)
-            status = found.status
-            if status.phase.final:
-                return
-            key = cancel_key(status.pool, job_id)
-            # The end of the job changes its status and deletes this key, so that a
-            # request that is stored late finds one of the conditions false.
-            expects = (Expect(found.key, found.revision), Expect(key, 0))
-            transaction = Transaction(expects, (Put(key, b"{}"),))
-            if self._store_cancel(transaction, key, job_id):
-                log(
-                    Event.JOB_CANCELLING,
-                    job=job_id,
-                    queue=status.queue,
-                    team=status.team,
-                    phase=status.phase.value,
-                )
-                return
-        raise HeatherhatchError(
-            ErrorKind.CHANGE_UNKNOWN, f'job "{job_id}" changed during each attempt'
+        if not JOB_ID.fullmatch(job_id):
+            raise _no_such_job(job_id)
+        self.cancellations.cancel(
+            caller, job_id, lambda: self._find(caller, job_id, limit_s)
         )
 
-    def _store_cancel(self, transaction: Transaction, key: str, job_id: str) -> bool:
-        """Store a cancellation; return False if the job has changed."""
-        try:
-            outcome = call_with_retries(
-                lambda: self.store.transact(transaction), self.store_outage_s, job_id
-            )
-            # Another caller, or an attempt without an answer, may have stored it.
-            return outcome.succeeded or any(
-                entry.key == key for entry in outcome.entries
-            )
-        except StoreError as error:
-            kind = ErrorKind.CHANGE_UNKNOWN
-            if not error.maybe_applied:
-                kind = ErrorKind.STORE_UNAVAILABLE
-            raise HeatherhatchError(
-                kind, error.detail, retry_after_s(self.store_outage_s())
-            ) from error
-
     def waiting(
         self, host: str, path: str, key: str, limit_s: float = float("inf")
     ) -> int:
@@ -247,19 +217,20 @@
         self.arrivals.note_report(report)
         return report.waiting.get(caller.queue.name, 0)
 
-    def _find(self, caller: Caller, job_id: str, limit_s: float) -> FoundStatus:
-        found = None
-        if JOB_ID.fullmatch(job_id):
-            found = find_status(
-                caller.queue.name, job_id, lambda key: self._get(key, limit_s)
-            )
-        if found is None:
-            raise HeatherhatchError(ErrorKind.NO_SUCH_JOB, f'no job "{job_id}"')
-        if not found.status.is_owned_by(caller.team):
-            raise HeatherhatchError(
-                ErrorKind.FORBIDDEN, f'job "{job_id}" belongs to another team'
-            )
-        return found
+    def _find(self, caller: Caller, job_id: str, limit_s: float) -> FoundStatus | None:
+        """Return the status of a job, or of its withdrawal; None if there is none."""
+        if not JOB_ID.fullmatch(job_id):
+            return None
+        found = find_status(
+            caller.queue.name, job_id, lambda key: self._get(key, limit_s)
+        )
+        if found is None or found.status.is_owned_by(caller.team):
+            return found
+        if found.status.withdrawn:
+            return None
+        raise HeatherhatchError(
+            ErrorKind.FORBIDDEN, f'job "{job_id}" belongs to another team'
+        )
 
     def _get(self, key: str, limit_s: float) -> Entry | None:
         try:
@@ -272,3 +243,7 @@
                 error.detail,
                 retry_after_s(self.store_outage_s()),
             ) from error
+
+
+def _no_such_job(job_id: str) -> HeatherhatchError:
+    return HeatherhatchError(ErrorKind.NO_SUCH_JOB, f'no job "{job_id}"')
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+import msgspec
+
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.work import Job, JobStatus, Phase
@@ -75,18 +77,29 @@
         config = self.operators.expect()
         first_key = status_key(job.job_id)
         first_revision = 0
+        withdrawn_revision = 0
         while True:
-            outcome = self._transact(self._transaction(job, first_revision, config))
+            outcome = self._transact(
+                self._transaction(job, first_revision, withdrawn_revision, config)
+            )
             if outcome.succeeded:
                 return Registration.STORED
             found = {entry.key: entry for entry in outcome.entries}
             own = found.get(status_key(job.job_id, job.queue))
             first = found.get(first_key)
             if own is None and first is not None:
-                own = first if _status(first).queue == job.queue else None
+                own = first if read_status(first).queue == job.queue else None
             if own is not None:
-                _check_owner(_status(own), job)
-                return Registration.KNOWN
+                status = read_status(own)
+                if not status.withdrawn:
+                    _check_owner(status, job)
+                    return Registration.KNOWN
+                if status.is_owned_by(job.team):
+                    return self._store_cancelled(own, config)
+                if own.revision != withdrawn_revision:
+                    # Another team cannot cancel the job.
+                    withdrawn_revision = own.revision
+                    continue
             if job_key(job.pool, job.job_id) in found:
                 raise HeatherhatchError(
                     ErrorKind.CONFLICT,
@@ -96,28 +109,45 @@
                 )
             revision = first.revision if first is not None else 0
             if revision == first_revision:
-                if not self.operators.apply_entries(outcome.entries):
-                    self.operators.refresh()
-                return Registration.CONFIG_CHANGED
+                return self._note_config_changed(outcome)
             first_revision = revision
             job = replace(job, shares_id=bool(revision))
 
+    def _store_cancelled(self, withdrawal: Entry, config: Expect) -> Registration:
+        """Store a job that its owner has cancelled before; it never runs."""
+        status = msgspec.structs.replace(read_status(withdrawal), withdrawn=False)
+        expects = (Expect(withdrawal.key, withdrawal.revision), config)
+        put = Put(withdrawal.key, encode_json(status))
+        outcome = self._transact(Transaction(expects, (put,)))
+        if outcome.succeeded:
+            return Registration.KNOWN
+        return self._note_config_changed(outcome)
+
+    def _note_config_changed(self, outcome: Outcome) -> Registration:
+        if not self.operators.apply_entries(outcome.entries):
+            self.operators.refresh()
+        return Registration.CONFIG_CHANGED
+
     def _transaction(
-        self, job: Job, first_revision: int, config: Expect
+        self, job: Job, first_revision: int, withdrawn_revision: int, config: Expect
     ) -> Transaction:
         status = JobStatus(
             Phase.QUEUED, job.pool, job.queue, job.team, shares_id=job.shares_id
         )
         own_key = status_key(job.job_id, job.shared_by)
         stored_key = job_key(job.pool, job.job_id)
+        # Where a cancellation that came before the job is recorded.
+        queue_key = status_key(job.job_id, job.queue)
+        is_replaced = withdrawn_revision and own_key != queue_key
         return Transaction(
             (
                 Expect(status_key(job.job_id), first_revision),
-                Expect(status_key(job.job_id, job.queue), 0),
+                Expect(queue_key, withdrawn_revision),
                 Expect(stored_key, 0),
                 config,
             ),
             (Put(own_key, encode_json(status)), Put(stored_key, encode_json(job))),
+            (queue_key,) if is_replaced else (),
         )
 
     def _transact(self, transaction: Transaction) -> Outcome:
@@ -142,7 +172,7 @@
 def find_status(
     queue: str, job_id: str, get: Callable[[str], Entry | None]
 ) -> FoundStatus | None:
-    """Return the status of a job; None if it is not known.
+    """Return the status of a job, or of its withdrawal; None if there is none.
 
     Args:
         queue: Name of the job's queue.
@@ -150,14 +180,19 @@
         get: Reads one entry of the store.
     """
     entry = get(status_key(job_id))
-    if entry is None or _status(entry).queue != queue:
+    if entry is None or read_status(entry).queue != queue:
         entry = get(status_key(job_id, queue))
     if entry is None:
         return None
-    return FoundStatus(_status(entry), entry.key, entry.revision)
+    return FoundStatus(read_status(entry), entry.key, entry.revision)
 
 
-def _status(entry: Entry) -> JobStatus:
+def read_status(entry: Entry) -> JobStatus:
+    """Decode the status of a job.
+
+    Raises:
+        HeatherhatchError: ``INTERNAL`` if it is unreadable.
+    """
     try:
         return decode_json(entry.value, JobStatus)
     except HeatherhatchError as error:
--- a/tests/test_caller_calls.py
+++ b/tests/test_caller_calls.py
@@ -23,6 +23,7 @@
         ((), (), True),
         ((STATUS, Put(job_key("till", "j1"), b"{}")), (), True),
         ((Put(cancel_key("till", "j1"), b"{}"),), (), True),
+        ((STATUS,), (), True),
         ((STATUS, RUN), (), False),
         ((STATUS,), (job_key("till", "j1"), RUN.key), False),
         ((Put(report_key("till"), b"{}"),), (), False),
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -16,6 +16,7 @@
 )
 from heatherhatch_core.state.work import Phase, Schedule, Step
 from heatherhatch_daemon.pools import operators, retries
+from heatherhatch_daemon.pools.cancellation import MAX_WITHDRAWAL_BURST
 from heatherhatch_daemon.pools.clock import now_s
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
@@ -40,7 +41,8 @@
     """A store whose next transactions and reads fail as a test specifies.
 
     A ``lost`` transaction is applied but not answered, a ``cut`` one is neither
-    applied nor answered, and a ``refused`` one is answered as not applied.
+    applied nor answered, a ``held`` one is not answered and may be applied later, and a
+    ``refused`` one is answered as not applied.
     """
 
     def __init__(self):
@@ -48,6 +50,12 @@
         self.script = []
         self.read_script = []
         self.reads = 0
+        self.held = []
+
+    def deliver(self):
+        """Apply the transactions that were held, if their conditions still hold."""
+        for transaction in self.held:
+            super().transact(transaction)
 
     def get(self, key):
         self.reads += 1
@@ -60,7 +68,9 @@
         action = self.script.pop(0) if self.script else ""
         if action == "refused":
             raise StoreError("refused")
-        if action == "cut":
+        if action == "held":
+            self.held.append(transaction)
+        if action in ("cut", "held"):
             raise StoreError("no answer", True)
         outcome = super().transact(transaction)
         if action == "lost":
@@ -402,6 +412,90 @@
     assert len(pauses) == retries.STORE_ATTEMPTS - 1
 
 
+# Guards against a job that runs although its cancellation was acknowledged: its
+# submission was on its way to the store.
+def test_a_submission_that_arrives_after_its_cancellation_is_not_stored(harness):
+    harness.store.script = ["held"] * 4
+    assert error_kind(harness.submit) is ErrorKind.CHANGE_UNKNOWN
+    cancel = harness.intake.cancel
+    assert error_kind(cancel, "h", "/q/j1", "k1") is ErrorKind.NO_SUCH_JOB
+    harness.store.deliver()
+    assert len(harness.store.held) == 4
+    assert harness.jobs() == []
+    status = harness.intake.status
+    assert error_kind(status, "h", "/q/j1", "k1") is ErrorKind.NO_SUCH_JOB
+
+
+# Guards against a cancelled job that runs because its caller sends it again.
+def test_a_job_that_is_submitted_after_its_cancellation_is_shown_as_cancelled(harness):
+    cancel = harness.intake.cancel
+    for _cancellation in range(2):
+        assert error_kind(cancel, "h", "/q/j1", "k1") is ErrorKind.NO_SUCH_JOB
+    for _submission in range(2):
+        harness.submit()
+        assert harness.jobs() == []
+        assert harness.intake.status("h", "/q/j1", "k1").phase is Phase.CANCELLED
+    cancel("h", "/q/j1", "k1")
+
+
+# Guards against a 410 for a cancellation that nothing has stored.
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        (["cut", "lost"], ErrorKind.NO_SUCH_JOB),
+        (["refused"] * 100, ErrorKind.STORE_UNAVAILABLE),
+        (["cut"] * 100, ErrorKind.CHANGE_UNKNOWN),
+    ],
+)
+def test_the_cancellation_of_an_unknown_job_is_reported_truly(
+    harness, pauses, script, kind
+):
+    harness.store.script = list(script)
+    assert error_kind(harness.intake.cancel, "h", "/q/j1", "k1") is kind
+
+
+@pytest.fixture
+def two_teams(harness, monkeypatch) -> IntakeHarness:
+    """Return a harness whose configuration has a second team with the key k2."""
+    teams = (Team("t", ("k1",)), Team("u", ("k2",)))
+    config = replace(CONFIGS[b"1"], version=4, teams=teams)
+    monkeypatch.setitem(CONFIGS, b"4", config)
+    harness.configure(b"4")
+    harness.operators.refresh()
+    return harness
+
+
+# Guards against a team that cancels the jobs of another one in advance.
+def test_a_team_cannot_withdraw_the_jobs_of_another_one(two_teams):
+    cancel = two_teams.intake.cancel
+    assert error_kind(cancel, "h", "/q/j1", "k1") is ErrorKind.NO_SUCH_JOB
+    two_teams.submit(key="k2")
+    assert two_teams.intake.status("h", "/q/j1", "k2").phase is Phase.QUEUED
+    assert len(two_teams.jobs()) == 1
+
+
+# Guards against a withdrawal that holds for one of two teams only.
+@pytest.mark.parametrize("key", ["k1", "k2"])
+def test_a_job_that_two_teams_have_cancelled_is_withdrawn_for_both(two_teams, key):
+    for team_key in ("k1", "k2"):
+        kind = error_kind(two_teams.intake.cancel, "h", "/q/j1", team_key)
+        assert kind is ErrorKind.NO_SUCH_JOB
+    two_teams.submit(key=key)
+    assert two_teams.jobs() == []
+
+
+# Guards against a store that is filled by cancellations of random identifiers.
+def test_the_cancellations_of_unknown_jobs_are_limited(harness):
+    kinds = [
+        error_kind(harness.intake.cancel, "h", f"/q/x{number}", "k1")
+        for number in range(2 * MAX_WITHDRAWAL_BURST)
+    ]
+    assert kinds[0] is ErrorKind.NO_SUCH_JOB
+    assert kinds[-1] is ErrorKind.LIMIT_REACHED
+    harness.submit()
+    harness.intake.cancel("h", "/q/j1", "k1")
+
+
 @pytest.fixture
 def change_arrives(harness, monkeypatch) -> list[bool]:
     """Whether a change of the configuration is being received, one entry if so."""
