Count a job as begun once a worker has taken a run of it

Cause: a job counted as begun when a run of it was placed, before its start was stored or sent, and a refused start did not take that back. A new holder took each job with a stored run number for begun.

Change: the answer to a start, a listed run or a listed end are evidence; it is stored with the progress. The first placement still writes the phase running, which saves a write; a refused start without another run writes queued again, once. The delay of the first start is measured at that start.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/job_claims.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/job_claims.py
@@ -27,8 +27,8 @@
             length_s = expected_length_s(state, job, occurrence, number)
             step_cores = step.need.cpu_m / 1000.0
             ready = job.ready(occurrence, number)
-            if not ready or not job.began:
-                # None of its tasks has begun, so they need not be looked at.
+            if not ready or not job.was_placed:
+                # None of its tasks has a run, so they need not be looked at.
                 waiting += step.count * step_cores * length_s
                 waiting_cores += step.count * step_cores if ready else 0.0
                 continue
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -105,7 +105,8 @@
     Attributes:
         job: The job as it was accepted.
         phase: Current phase.
-        shown: Phase that callers see, as of the last stored write.
+        shown: Phase that callers see, as of the last stored write; None if an earlier
+            holder wrote it.
         writing_phase: Phase in the write in progress.
         tasks: Tasks of the occurrences in progress, by occurrence, step and
             index.
@@ -118,7 +119,8 @@
         writing: Version that is being written; 0 if none.
         stored: Last version that was stored.
         reason: Why the job failed; empty if it has not.
-        began: True once a run of the job has been placed.
+        began: True once a worker is known to have taken a run of the job.
+        was_placed: True once a run of the job has been placed.
         order_key: Sort key of the job in the queue.
         order_key_s: When the sort key was computed, seconds since the epoch;
             -inf if it must be computed again.
@@ -131,7 +133,7 @@
 
     job: Job
     phase: Phase = Phase.QUEUED
-    shown: Phase = Phase.QUEUED
+    shown: Phase | None = Phase.QUEUED
     writing_phase: Phase = Phase.QUEUED
     tasks: dict[tuple[int, int, int], Task] = field(default_factory=dict)
     occurrences_done: set[int] = field(default_factory=set)
@@ -143,6 +145,7 @@
     stored: int = 0
     reason: str = ""
     began: bool = False
+    was_placed: bool = False
     order_key: tuple = ()
     order_key_s: float = float("-inf")
     placed_version: int = -1
@@ -154,6 +157,11 @@
         """Number of times that the steps of the job run."""
         return max(1, self.job.schedule.count)
 
+    @property
+    def is_untouched(self) -> bool:
+        """True if no worker is known to have taken a run of the job, and none may."""
+        return not self.began and not any(task.runs for task in self.tasks.values())
+
     def due_s(self, occurrence: int) -> float:
         """Return when an occurrence is due, seconds since the epoch."""
         if not self.job.schedule.count:
@@ -232,11 +240,14 @@
         return Progress(
             tuple(task.record() for task in self.tasks.values() if task.last_run),
             tuple(sorted(self.occurrences_done)),
+            self.began,
         )
 
     def restore(self, progress: Progress) -> None:
         """Restore the stored progress of the job."""
         self.occurrences_done.update(progress.occurrences_done)
+        self.shown = None
+        self.began = progress.began
         for record in progress.tasks:
             self.expand(record.occurrence)
             task = self.tasks.get((record.occurrence, record.step, record.index))
@@ -249,7 +260,11 @@
             task.preemptions = record.preemptions
             task.done = record.done
             task.checkpoint = record.checkpoint
-            self.began = True
+            self.was_placed = True
+            if record.runs:
+                self.phase = Phase.RUNNING
+        if self.began:
+            self.phase = Phase.RUNNING
         for occurrence in list(self.expanded):
             for number in list(self.open_steps[occurrence]):
                 if all(item.done for item in self.step_tasks(occurrence, number)):
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -97,6 +97,7 @@
             # not run again.
             run = Run(task, end.task, end.number, worker.worker_id, 0)
     if run is not None:
+        state.note_begun(run)
         state.note(
             "run ended",
             task=end.task,
@@ -131,6 +132,7 @@
             state.orders.append(StopOrder(worker.worker_id, row.task, row.number))
             continue
         run.state = RunState.ALIVE
+        state.note_begun(run)
         run.born_ms = worker.info.born_ms
         run.expected_from_s = sent_s
         run.begun_s = min(run.begun_s, now_s)
@@ -165,11 +167,6 @@
     ]
 
 
-def _is_gone(run: Run, sent_s: float) -> bool:
-    """Return whether a report that does not list a run proves that it has ended."""
-    return run.expected_from_s < sent_s or run.stop_acked_s < sent_s
-
-
 def _note_crashed_runs(
     state: PoolState, worker: Worker, missing: list[Run], sent_s: float, now_s: float
 ) -> None:
@@ -178,7 +175,7 @@
         for run in worker.runs.values()
         if run.born_ms != worker.info.born_ms
         # A worker that does not say when it started has lost it all the same.
-        or (run in missing and _is_gone(run, sent_s) and run.was_alive)
+        or (run in missing and run.is_gone(sent_s) and run.was_alive)
     ]
     note_crash(state, worker, crashed, now_s)
 
@@ -187,7 +184,7 @@
     state: PoolState, worker: Worker, missing: list[Run], sent_s: float, now_s: float
 ) -> None:
     for run in missing:
-        if _is_gone(run, sent_s):
+        if run.is_gone(sent_s):
             restarted = run.born_ms != worker.info.born_ms
             state.lose_run(run, "worker restarted" if restarted else "gone", now_s)
         elif run.state is RunState.DOUBTFUL:
@@ -209,8 +206,10 @@
         run=order.number,
         worker=order.worker_id,
         result=result.value,
+        first=result is StartResult.STARTED and run.is_first,
     )
     if result is StartResult.STARTED:
+        state.note_begun(run)
         if run.state is not RunState.ALIVE:
             run.state = RunState.ALIVE
             run.expected_from_s = now_s
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
@@ -94,6 +94,19 @@
         """True if the run was known to be alive and was not to be stopped."""
         return self.begun_s < float("inf") and not self.stopping
 
+    @property
+    def is_first(self) -> bool:
+        """True if no worker is known to have taken a run of the job yet."""
+        return self.task is not None and not self.task.job.began
+
+    def is_gone(self, sent_s: float) -> bool:
+        """Return whether a report that does not list the run proves that it has ended.
+
+        Args:
+            sent_s: When the report was requested, monotonic seconds.
+        """
+        return self.expected_from_s < sent_s or self.stop_acked_s < sent_s
+
 
 def run_of(task: Task, number: int, worker_id: str, born_ms: int, machine: str) -> Run:
     """Return a run of a task, which holds what the task's step occupies.
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -82,8 +82,6 @@
             self.arrivals.note(self.state, live, now_s)
             return
         live.restore(progress)
-        if live.began:
-            live.phase = live.shown = Phase.RUNNING
         for record in progress.tasks:
             task = live.tasks.get((record.occurrence, record.step, record.index))
             for run in record.runs:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -102,13 +102,25 @@
         self._occupy(run, worker)
         task.last_run = max(task.last_run, number)
         job = task.job
-        job.began = True
-        if job.phase is Phase.QUEUED:
+        if job.phase is Phase.QUEUED and not job.was_placed:
+            # Saves a write: most workers take their runs. After a refused start, the
+            # job is shown as running once a worker has taken a run of it.
             job.phase = Phase.RUNNING
+        job.was_placed = True
         self.touch(job)
         run.version = job.version
         return run
 
+    def note_begun(self, run: Run) -> None:
+        """Record that a worker has taken a run."""
+        if not run.is_first:
+            return
+        job = run.task.job
+        job.began = True
+        if job.phase is Phase.QUEUED:
+            job.phase = Phase.RUNNING
+            self.touch(job)
+
     def adopt_run(self, task: Task, worker: Worker, record: RunRecord) -> Run:
         """Add a run that an earlier holder of the pool placed."""
         run = run_of(
@@ -144,6 +156,8 @@
         if job.phase.final or task.settled:
             return
         apply_run_end(self, run, ending, checkpoint, now_s)
+        if job.is_untouched and job.phase is Phase.RUNNING:
+            job.phase = Phase.QUEUED
         self.touch(job)
         if job.phase.final:
             self.retire(job, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -232,7 +232,9 @@
     Attributes:
         tasks: Tasks that have started, of occurrences that are not done.
         occurrences_done: Occurrences whose tasks are all done.
+        began: True if a worker is known to have taken a run of the job.
     """
 
     tasks: tuple[TaskRecord, ...] = ()
     occurrences_done: tuple[int, ...] = ()
+    began: bool = False
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_metrics.py
@@ -37,7 +37,7 @@
         METER.sink.count(metric, label=details[detail])
     elif what == "run moved" and "to" in details:
         METER.sink.count(Metric.RUNS_MOVED, label=state.pool)
-    elif what == "placed" and details["version"] == 1:
+    if what == "start answered" and details["first"]:
         job = state.jobs.get(details["task"].job_id)
         if job is not None:
             delay_ms = (wall_s() - job.job.accepted_s) * 1000.0
