--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement_round.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement_round.py
@@ -9,7 +9,8 @@
 from .live import LiveJob, Task
 from .spread import SiblingCounts, count_siblings_by_place, find_racks
 from .state import PoolState
-from .worker import LAST_RESORT_INTERVAL_S, Worker
+from .worker import Worker
+from .worker_quarantine import LAST_RESORT_INTERVAL_S
 
 # Why a worker gets no new runs, whatever its own state.
 CLOSED = "machine closed by the plan"
