Try a worker that refused starts with one run

Each refusal ends a run, takes writes of its job, and adds work to a worker that may be overloaded.

Change: from a refused start until the worker takes one, it has one start under way at a time. Runs that it refused go to other workers with room in the next round, as before; a test states that.

Whole tests: passed, 4 expected failures.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -216,6 +216,7 @@
         run.begun_s = min(run.begun_s, now_s)
         run.whole = not order.checkpoint
         worker.answered_s = now_s
+        worker.refuses_starts = False
         return
     if result is StartResult.UNKNOWN:
         if run.state is RunState.ORDERED:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -5,7 +5,7 @@
 from ...state.resources import NO_RESOURCES, Resources
 from .messages import TaskName, WorkerInfo
 from .rules import CLOCK_DRIFT, Rules
-from .run import Run
+from .run import Run, RunState
 from .worker_quarantine import WorkerQuarantine
 
 UNHEALTHY_BACKOFF_INITIAL_S = 0.5  # first pause after a worker reports a problem
@@ -43,6 +43,7 @@
         backoff_until_s: The worker gets no runs before this time, monotonic
             seconds.
         backoff_s: Duration of the last such pause, seconds.
+        refuses_starts: True from a refused start until the worker takes one.
         quarantine: Quarantine because of failed runs.
         leaves_at_s: Earliest time at which the worker leaves, monotonic seconds; inf
             unless it drains.
@@ -67,6 +68,7 @@
     unacked_ends: dict[int, tuple[str, int]] = field(default_factory=dict)
     backoff_until_s: float = float("-inf")
     backoff_s: float = 0.0
+    refuses_starts: bool = False
     quarantine: WorkerQuarantine = field(default_factory=WorkerQuarantine)
     leaves_at_s: float = float("inf")
 
@@ -90,6 +92,14 @@
             run.succeeded or run.pace == 0 for run in self.runs.values()
         )
 
+    @property
+    def is_tried(self) -> bool:
+        """True while one start shows whether the worker refuses them no longer."""
+        return self.refuses_starts and any(
+            run.state in (RunState.RECORDING, RunState.ORDERED)
+            for run in self.runs.values()
+        )
+
     def note_info(self, info: WorkerInfo, now_s: float) -> None:
         """Replace the directory entry."""
         self.info = info
@@ -125,6 +135,7 @@
         next_pause_s = max(UNHEALTHY_BACKOFF_INITIAL_S, 2 * self.backoff_s)
         self.backoff_s = min(UNHEALTHY_BACKOFF_MAX_S, next_pause_s)
         self.backoff_until_s = now_s + self.backoff_s
+        self.refuses_starts = True
 
     def record_success(self) -> None:
         """Record a run that succeeded."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
@@ -135,7 +135,8 @@
         return LABEL
     if rack and rack not in worker.info.labels:
         return RACK
-    if worker.on_trial and worker.worker_id not in placement.last_resorts:
+    is_last_resort = worker.worker_id in placement.last_resorts
+    if worker.is_tried or (worker.on_trial and not is_last_resort):
         return ON_TRIAL
     if placement.isolator and not placement.isolator.allows(task, worker):
         return ISOLATION
--- a/tests/test_scheduler_trust.py
+++ b/tests/test_scheduler_trust.py
@@ -163,3 +163,31 @@
         model.receive_reports()
         model.round()
     assert len(model.alive_runs()) == 2
+
+
+def test_a_worker_that_refused_starts_is_tried_with_one_run():
+    """All waiting runs were sent to it after each pause, and refused one by one."""
+    model = PoolModel(workers=1)
+    worker = model.workers["w0"]
+    worker.start = lambda _order: StartResult.UNWELL
+    for number in range(5):
+        model.add(make_job(make_step(), job_id=f"j{number}"))
+    model.round(3.0)
+    model.orders.clear()
+    model.round(3.0)
+    assert len(model.orders) == 1
+    del worker.start
+    model.round(3.0)
+    model.round()
+    assert len(model.alive_runs()) == 5
+
+
+def test_runs_that_a_worker_refused_go_to_another_one_with_room():
+    model = PoolModel(workers=1)
+    model.workers["w0"].start = lambda _order: StartResult.UNWELL
+    for number in range(5):
+        model.add(make_job(make_step(), job_id=f"j{number}"))
+    model.add_worker("w1", "m1")
+    model.round()
+    assert {worker for worker, _task, _run in model.alive_runs()} == {"w1"}
+    assert len(model.alive_runs()) == 5
