Let all members of a gang resume from one checkpoint

Cause: a checkpoint that a report listed was kept for one member, while that of an end was kept for all. A gang that lost several members with their worker started again with a different checkpoint for each, although "all must carry the same value" (PROTOCOL.md).

Change: a new checkpoint in a report is recorded for all members, as at an end. A run remembers the last one that it reported, so that the members do not replace each other's value with each report.

The new test failed before (three values) and passes. Tests of the scheduler, copies, preemption and competition pass.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -22,7 +22,7 @@
     """Update task, job and worker after a run has ended."""
     task = run.task
     if checkpoint:
-        _save_checkpoint(task, checkpoint)
+        save_checkpoint(task, checkpoint)
     _record_outcome(state, run, ending, now_s)
     if task.copy_number:
         _note_copy_outcome(state, run, ending, now_s)
@@ -43,8 +43,11 @@
     return task.job.step_tasks(task.name.occurrence, task.name.step)
 
 
-def _save_checkpoint(task: Task, checkpoint: str) -> None:
-    # A checkpoint of one gang member is valid for all, and all must record it.
+def save_checkpoint(task: Task, checkpoint: str) -> None:
+    """Record the last checkpoint of a task.
+
+    A checkpoint of one gang member is valid for all, and all must resume from it.
+    """
     for member in gang_members(task):
         member.checkpoint = checkpoint
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -14,6 +14,7 @@
     StopOrder,
     TaskName,
 )
+from .outcomes import save_checkpoint
 from .permits import step_name
 from .run import Run, RunState
 from .state import PoolState
@@ -153,10 +154,9 @@
         run.succeeded = True
         task.failures = 0
         worker.record_success()
-    if row.checkpoint and not task.done:
-        if row.checkpoint != task.checkpoint:
-            run.checkpoint_s = now_s
-        task.checkpoint = row.checkpoint
+    if row.checkpoint not in ("", run.checkpoint) and not task.done:
+        run.checkpoint, run.checkpoint_s = row.checkpoint, now_s
+        save_checkpoint(task, row.checkpoint)
 
 
 def _missing_runs(worker: Worker, present: set[tuple[TaskName, int]]) -> list[Run]:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
@@ -58,6 +58,7 @@
         whole: True if it is known when it began, and that it had no checkpoint.
         adopted: True if an earlier holder placed the run.
         crash_noted: True once a crash of its worker was counted for its task.
+        checkpoint: Last reported checkpoint, or the one that the run resumed from.
         checkpoint_s: When a new checkpoint of the run was last reported; -inf if never.
         pace_set_s: When the pace was last ordered, monotonic seconds; None if never,
             -inf if an earlier holder may have ordered one.
@@ -86,6 +87,7 @@
     whole: bool = False
     adopted: bool = False
     crash_noted: bool = False
+    checkpoint: str = ""
     checkpoint_s: float = float("-inf")
     pace_set_s: float | None = None
 
@@ -118,4 +120,13 @@
         born_ms: Start time of that worker incarnation, milliseconds since the epoch.
         machine: Machine of the worker; empty if unknown.
     """
-    return Run(task, task.name, number, worker_id, born_ms, task.step.occupies, machine)
+    return Run(
+        task,
+        task.name,
+        number,
+        worker_id,
+        born_ms,
+        task.step.occupies,
+        machine,
+        checkpoint=task.checkpoint,
+    )
