Refuse unknown keys on public queues

Cause: on a public queue any key was taken, also one that no configuration ever held.

Change: only a request without a key needs none. The check against the newest configuration before a refusal holds here too.

The new test failed before and passes; the tests of intake, entry, identity, explanation and command line pass. No site file has a public route.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/callers.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/callers.py
@@ -40,7 +40,7 @@
     if queue is None:
         raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no queue at "{host}{path}"')
     team = config.team_with(key) if key else None
-    if team is None and not queue.public:
+    if team is None and (key or not queue.public):
         raise HeatherhatchError(ErrorKind.UNAUTHENTICATED, "the key is not valid")
     return Caller(queue, team.name if team else "")
 
--- a/tests/test_pool_intake.py
+++ b/tests/test_pool_intake.py
@@ -581,3 +581,17 @@
     with pytest.raises(HeatherhatchError):
         harness.submit()
     assert len(attempts) == 1
+
+
+# Guards against a public queue that runs jobs with a key that was never valid: only a
+# request without a key needs none.
+def test_a_public_queue_refuses_an_unknown_key_and_takes_none(harness, monkeypatch):
+    queue = replace(QUEUE, public=True)
+    config = replace(CONFIGS[b"1"], version=5, queues=(queue,))
+    monkeypatch.setitem(CONFIGS, b"5", config)
+    harness.configure(b"5")
+    harness.operators.refresh()
+    assert error_kind(harness.submit, "j1", "bad") is ErrorKind.UNAUTHENTICATED
+    harness.submit("j1", "")
+    harness.submit("j2", "k1")
+    assert len(harness.jobs()) == 2
