Try a worker with one run only after several refusals in a row

Change: the limit begins with six refusals since the worker last took a start, and ends with its next incarnation. The reset of a worker at its restart moves from reports.py to the worker.

A new test has a worker that sheds half of its starts: it gets all that fit.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -1,7 +1,5 @@
 """Processes the reports and answers of workers."""
 
-import dataclasses
-
 from .crashes import note_answered, note_crash
 from .live import Task
 from .messages import (
@@ -75,15 +73,7 @@
         before_ms=worker.info.born_ms,
         runs=len(worker.runs),
     )
-    worker.info = dataclasses.replace(worker.info, born_ms=born_ms)
-    worker.last_end_sequence = 0
-    worker.acked = 0
-    worker.unacked_ends.clear()
-    worker.deadline_ms = 0.0
-    worker.unknown_runs.clear()
-    worker.fenced = False
-    worker.claimed_s = now_s
-    worker.leaves_at_s = float("inf")
+    worker.begin_incarnation(born_ms, now_s)
     state.permits.forget_worker(worker.worker_id)
 
 
@@ -216,7 +206,7 @@
         run.begun_s = min(run.begun_s, now_s)
         run.whole = not order.checkpoint
         worker.answered_s = now_s
-        worker.refuses_starts = False
+        worker.refusals = 0
         return
     if result is StartResult.UNKNOWN:
         if run.state is RunState.ORDERED:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -1,5 +1,6 @@
 """In-memory state of a worker."""
 
+import dataclasses
 from dataclasses import dataclass, field
 
 from ...state.resources import NO_RESOURCES, Resources
@@ -10,6 +11,7 @@
 
 UNHEALTHY_BACKOFF_INITIAL_S = 0.5  # first pause after a worker reports a problem
 UNHEALTHY_BACKOFF_MAX_S = 2.0  # longest pause; a refused start costs only a call
+MAX_REFUSALS = 6  # in a row; a worker that sheds half of its starts rarely gets there
 
 
 @dataclass(slots=True, eq=False)
@@ -43,7 +45,7 @@
         backoff_until_s: The worker gets no runs before this time, monotonic
             seconds.
         backoff_s: Duration of the last such pause, seconds.
-        refuses_starts: True from a refused start until the worker takes one.
+        refusals: Number of starts that the worker refused since it last took one.
         quarantine: Quarantine because of failed runs.
         leaves_at_s: Earliest time at which the worker leaves, monotonic seconds; inf
             unless it drains.
@@ -68,7 +70,7 @@
     unacked_ends: dict[int, tuple[str, int]] = field(default_factory=dict)
     backoff_until_s: float = float("-inf")
     backoff_s: float = 0.0
-    refuses_starts: bool = False
+    refusals: int = 0
     quarantine: WorkerQuarantine = field(default_factory=WorkerQuarantine)
     leaves_at_s: float = float("inf")
 
@@ -94,12 +96,25 @@
 
     @property
     def is_tried(self) -> bool:
-        """True while one start shows whether the worker refuses them no longer."""
-        return self.refuses_starts and any(
+        """True while one start shows whether the worker still refuses all of them."""
+        return self.refusals >= MAX_REFUSALS and any(
             run.state in (RunState.RECORDING, RunState.ORDERED)
             for run in self.runs.values()
         )
 
+    def begin_incarnation(self, born_ms: int, now_s: float) -> None:
+        """Forget what was known of an earlier incarnation, except its runs."""
+        self.info = dataclasses.replace(self.info, born_ms=born_ms)
+        self.last_end_sequence = 0
+        self.acked = 0
+        self.unacked_ends.clear()
+        self.deadline_ms = 0.0
+        self.unknown_runs.clear()
+        self.fenced = False
+        self.claimed_s = now_s
+        self.refusals = 0
+        self.leaves_at_s = float("inf")
+
     def note_info(self, info: WorkerInfo, now_s: float) -> None:
         """Replace the directory entry."""
         self.info = info
@@ -135,7 +150,7 @@
         next_pause_s = max(UNHEALTHY_BACKOFF_INITIAL_S, 2 * self.backoff_s)
         self.backoff_s = min(UNHEALTHY_BACKOFF_MAX_S, next_pause_s)
         self.backoff_until_s = now_s + self.backoff_s
-        self.refuses_starts = True
+        self.refusals += 1
 
     def record_success(self) -> None:
         """Record a run that succeeded."""
--- a/tests/test_scheduler_trust.py
+++ b/tests/test_scheduler_trust.py
@@ -182,6 +182,19 @@
     assert len(model.alive_runs()) == 5
 
 
+def test_a_worker_that_sheds_some_starts_gets_all_that_fit():
+    model = PoolModel(workers=1)
+    worker = model.workers["w0"]
+    start = worker.start
+    worker.start = lambda order: (
+        start(order) if order.task.index % 2 else StartResult.UNWELL
+    )
+    model.add(make_job(make_step(8, cores=0.5)))
+    model.orders.clear()
+    model.round(3.0)
+    assert len(model.orders) == 4
+
+
 def test_runs_that_a_worker_refused_go_to_another_one_with_room():
     model = PoolModel(workers=1)
     model.workers["w0"].start = lambda _order: StartResult.UNWELL
