--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copies.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copies.py
@@ -5,11 +5,11 @@
 from ...state.resources import Resources
 from .copy_gain import Straggler, find_stragglers, pool_capacity, used_share
 from .copy_release import copy_run, give_up_copies
-from .live import Task
 from .messages import TaskName
 from .placement_round import PlacementRound
 from .preference import penalties
 from .state import PoolState
+from .task import Task
 from .waiting_work import WaitingTask, waiting_tasks
 from .worker import Worker
 from .worker_choice import fits_allowance, iter_fitting
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_estimates.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_estimates.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterator
 
 from .learning import expected_length_s
-from .live import LiveJob, Task
+from .live import LiveJob
 from .run import Run, RunState
 from .state import PoolState
+from .task import Task
 
 # A worker that misses a renewal is as often gone as it is cut off for a moment. A
 # worker that left the directory is gone.
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_gain.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_gain.py
@@ -7,10 +7,10 @@
 
 from ...state.resources import Resources
 from .copy_estimates import Estimates
-from .live import Task
 from .ordering import MAX_LATE_FACTOR, objective_s
 from .run import Run
 from .state import PoolState
+from .task import Task
 
 COPY_OVERHEAD_S = 0.1  # to store, order and report the copy
 MAX_COPIES_PER_TASK = 2  # a task that is slow a third time is slow by itself
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_release.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_release.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 
 from ...state.resources import NO_RESOURCES, Resources
-from .live import Task
 from .placement_round import PlacementRound
 from .run import Run, RunState
 from .state import PoolState
+from .task import Task
 from .waiting_work import WaitingTask
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/crashes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/crashes.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .live import LiveJob, Task
+from .live import LiveJob
 from .outcomes import gang_members
 from .run import Run, RunState
+from .task import Task
 from .worker import Worker
 
 if TYPE_CHECKING:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/demand.py
@@ -9,10 +9,11 @@
 from .arrival_rate import Arrival, ArrivalRate
 from .deadline_demand import OpenWork, cpu_to_be_on_time
 from .learning import mean_length_s
-from .live import LiveJob, Task
+from .live import LiveJob
 from .ordering import critical_path_s, is_late, objective_s
 from .placement_round import find_exclusion
 from .state import PoolState
+from .task import Task
 
 # Time to see that a pool lacks a machine, to order the move and to start the first run.
 MOVE_OVERHEAD_S = 0.5
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuated.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/evacuated.py
@@ -9,8 +9,8 @@
 from ...state.resources import NO_RESOURCES, Resources
 
 if TYPE_CHECKING:
-    from .live import Task
     from .messages import TaskName
+    from .task import Task
     from .worker import Worker
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/explanation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/explanation.py
@@ -9,11 +9,12 @@
 from ..competition.rejection import path_length_s
 from .backlog import pool_backlog
 from .learning import expected_length_s
-from .live import LiveJob, Task
+from .live import LiveJob
 from .ordering import LASTING, LATE, ON_TIME, OVERDUE, find_order_reason, sort_jobs
 from .placement import MAX_PLACEMENTS_PER_ROUND, expand_due_jobs, place_tasks
 from .placement_round import PlacementRound, find_exclusion
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 from .worker_choice import CAPACITY, find_obstacle
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/isolation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/isolation.py
@@ -3,9 +3,9 @@
 from enum import IntEnum
 
 from .crashes import MAX_CRASHES, MAX_SHARED_CRASHES, is_settled
-from .live import Task
 from .run import Run
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 
 MAX_SUSPECT_SHARE = 0.5  # of the workers, that suspects may bring down at a time
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/job_claims.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/job_claims.py
@@ -4,9 +4,10 @@
 
 from ..competition.recent_shares import Claim
 from .learning import expected_length_s
-from .live import LiveJob, Task
+from .live import LiveJob
 from .run import Run
 from .state import PoolState
+from .task import Task
 
 
 def job_claim(state: PoolState, job: LiveJob, on_time: bool, now_s: float) -> Claim:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/learning.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/learning.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from ..run_times import RunSeen
-from .live import LiveJob, Task
+from .live import LiveJob
 from .messages import Ending
 from .run import Run
+from .task import Task
 
 if TYPE_CHECKING:
     from .state import PoolState
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -1,101 +1,11 @@
-"""In-memory state of jobs and tasks."""
+"""In-memory state of a job."""
 
 from dataclasses import dataclass, field
 
-from ...state.work import Job, JobStatus, Phase, Progress, RunRecord, Step, TaskRecord
+from ...state.work import Job, JobStatus, Phase, Progress
 from ..competition.recent_shares import Claim
 from .messages import TaskName
-from .run import Run
-
-
-@dataclass(slots=True, eq=False)
-class Task:
-    """One task of a job that is not final.
-
-    Attributes:
-        job: Job that the task belongs to.
-        name: Name of the task.
-        step: Step that the task belongs to.
-        runs: Runs that may be alive, by run number.
-        last_run: Highest run number used so far.
-        failures: Number of failed runs.
-        failed_run: Run number of the last failed run; 0 for none.
-        crashes: Number of workers that crashed with a run of the task.
-        sole_crashes: Number of these crashes that no other run can have caused.
-        crashed_run: Number of the last run that crashed with its worker; 0 for none.
-        crashed_late: True if that run had outlived its start.
-        lapses: Number of its runs that were lost with workers that are still silent.
-        crashed_machines: Machines of these workers.
-        held_since_s: Since when the task waits for a worker on which it is isolated,
-            monotonic seconds; inf if it does not.
-        preemptions: Number of its runs that were stopped for urgent jobs.
-        done: True once a run has succeeded.
-        ran_s: Run time of that run, seconds; 0 if it is not known.
-        outrun_s: Largest age of a run that stalled or that a copy outran, seconds; 0
-            for none.
-        checkpoint: Last saved checkpoint; empty for none.
-        avoid: Workers on which the task failed or stalled, or that did not answer its
-            start.
-        not_before_s: Earliest time for the next start, monotonic seconds.
-        away_since_s: When a run of a lasting task last ended.
-        copies: Number of its runs that were started beside another one.
-        copy_number: Number of the run that was started beside the other run that the
-            task has; 0 if it has not two runs.
-    """
-
-    job: "LiveJob"
-    name: TaskName
-    step: Step
-    runs: dict[int, Run] = field(default_factory=dict)
-    last_run: int = 0
-    failures: int = 0
-    failed_run: int = 0
-    crashes: int = 0
-    sole_crashes: int = 0
-    crashed_run: int = 0
-    crashed_late: bool = False
-    lapses: int = 0
-    crashed_machines: set[str] = field(default_factory=set)
-    held_since_s: float = float("inf")
-    preemptions: int = 0
-    done: bool = False
-    ran_s: float = 0.0
-    outrun_s: float = 0.0
-    checkpoint: str = ""
-    avoid: set[str] = field(default_factory=set)
-    not_before_s: float = float("-inf")
-    away_since_s: float = 0.0
-    copies: int = 0
-    copy_number: int = 0
-
-    @property
-    def settled(self) -> bool:
-        """True if the task needs no further run."""
-        return self.done and not self.step.lasting
-
-    @property
-    def is_suspect(self) -> bool:
-        """True if the task may have crashed a worker."""
-        return self.crashes > 0 or self.lapses > 0
-
-    def record(self) -> TaskRecord:
-        """Return the record of the task to store."""
-        return TaskRecord(
-            self.name.occurrence,
-            self.name.step,
-            self.name.index,
-            self.last_run,
-            self.failures,
-            self.done,
-            self.checkpoint if not self.done else "",
-            tuple(
-                RunRecord(run.number, run.worker_id, run.born_ms, run.machine)
-                for run in self.runs.values()
-            ),
-            self.crashes,
-            self.sole_crashes,
-            self.preemptions,
-        )
+from .task import Task
 
 
 @dataclass(slots=True, eq=False)
@@ -157,10 +67,28 @@
         """Number of times that the steps of the job run."""
         return max(1, self.job.schedule.count)
 
-    @property
-    def is_untouched(self) -> bool:
-        """True if no worker is known to have taken a run of the job, and none may."""
-        return not self.began and not any(task.runs for task in self.tasks.values())
+    def note_placed(self) -> None:
+        """Record that a run of the job was placed on a worker."""
+        # Saves a write: most workers take their runs. After a refused start, the job is
+        # shown as running once a worker has taken a run of it.
+        if self.phase is Phase.QUEUED and not self.was_placed:
+            self.phase = Phase.RUNNING
+        self.was_placed = True
+
+    def note_begun(self) -> bool:
+        """Record that a worker has taken a run; return whether the phase changed."""
+        self.began = True
+        if self.phase is not Phase.QUEUED:
+            return False
+        self.phase = Phase.RUNNING
+        return True
+
+    def note_run_ended(self) -> None:
+        """Let the job wait again if no worker has taken a run of it, and none may."""
+        if self.began or self.phase is not Phase.RUNNING:
+            return
+        if not any(task.runs for task in self.tasks.values()):
+            self.phase = Phase.QUEUED
 
     def due_s(self, occurrence: int) -> float:
         """Return when an occurrence is due, seconds since the epoch."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/outcomes.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from .learning import learn_from_step
-from .live import Task
 from .messages import Ending
 from .run import Run
+from .task import Task
 
 if TYPE_CHECKING:
     from .state import PoolState
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -2,12 +2,13 @@
 
 from ...state.resources import Resources
 from ...state.work import Step
-from .live import LiveJob, Task
+from .live import LiveJob
 from .ordering import sort_jobs
 from .permits import StepName
 from .placement_round import PlacementRound
 from .preempting import preempt_for_urgent
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 from .worker_choice import choose_last_resort, choose_worker, is_within_allowance
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement_round.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement_round.py
@@ -6,9 +6,10 @@
 from ...state.resources import Resources
 from .free_capacity_index import FreeCapacityIndex
 from .isolation import Isolator
-from .live import LiveJob, Task
+from .live import LiveJob
 from .spread import SiblingCounts, count_siblings_by_place, find_racks
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 from .worker_quarantine import LAST_RESORT_INTERVAL_S
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preempting.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preempting.py
@@ -9,11 +9,12 @@
     total_loss,
 )
 from .job_claims import ends_in_s, expected_s, remaining_s, waiting_tasks
-from .live import LiveJob, Task
+from .live import LiveJob
 from .ordering import CHAIN_OVERHEAD_S
 from .permits import step_name
 from .placement_round import PlacementRound
 from .run import Run
+from .task import Task
 from .victims import may_stop
 from .worker import Worker
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preference.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preference.py
@@ -1,8 +1,8 @@
 """Ranks the workers that have enough free capacity for a task."""
 
-from .live import Task
 from .spread import SiblingCounts
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -1,7 +1,6 @@
 """Processes the reports and answers of workers."""
 
 from .crashes import note_answered, note_crash
-from .live import Task
 from .messages import (
     Ending,
     ListedEnd,
@@ -16,6 +15,7 @@
 from .permits import step_name
 from .run import Run, RunState
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 
 AT_WORK_PERCENT = 100  # a run counts as at work from this share of its speed
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/run.py
@@ -10,7 +10,7 @@
 from .messages import TaskName
 
 if TYPE_CHECKING:
-    from .live import Task
+    from .task import Task
 
 FULL_PACE_PERCENT = 100
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/spread.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/spread.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from ...state.resources import Resources
-    from .live import Task
     from .state import PoolState
+    from .task import Task
     from .worker import Worker
 
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -6,18 +6,19 @@
 
 from ...state.fleet_configuration import PermitRules
 from ...state.resources import Resources
-from ...state.work import Phase, RunRecord
+from ...state.work import RunRecord
 from ..competition import PoolCompetition
 from ..run_times import RunTimes
 from .crashes import LapsedRuns
 from .evacuated import EvacuatedDataCentres
 from .learning import learn_from_end
-from .live import LiveJob, Task
+from .live import LiveJob
 from .messages import Ending, Order, StartOrder, StopOrder, TaskName
 from .outcomes import apply_run_end
 from .permits import Permits, step_name
 from .rules import Rules
 from .run import Run, RunState, run_of
+from .task import Task
 from .worker import Worker
 
 STOP_RETRY_S = 0.6  # stop_s plus a network round trip
@@ -102,24 +103,15 @@
         self._occupy(run, worker)
         task.last_run = max(task.last_run, number)
         job = task.job
-        if job.phase is Phase.QUEUED and not job.was_placed:
-            # Saves a write: most workers take their runs. After a refused start, the
-            # job is shown as running once a worker has taken a run of it.
-            job.phase = Phase.RUNNING
-        job.was_placed = True
+        job.note_placed()
         self.touch(job)
         run.version = job.version
         return run
 
     def note_begun(self, run: Run) -> None:
         """Record that a worker has taken a run."""
-        if not run.is_first:
-            return
-        job = run.task.job
-        job.began = True
-        if job.phase is Phase.QUEUED:
-            job.phase = Phase.RUNNING
-            self.touch(job)
+        if run.is_first and run.task.job.note_begun():
+            self.touch(run.task.job)
 
     def adopt_run(self, task: Task, worker: Worker, record: RunRecord) -> Run:
         """Add a run that an earlier holder of the pool placed."""
@@ -156,8 +148,7 @@
         if job.phase.final or task.settled:
             return
         apply_run_end(self, run, ending, checkpoint, now_s)
-        if job.is_untouched and job.phase is Phase.RUNNING:
-            job.phase = Phase.QUEUED
+        job.note_run_ended()
         self.touch(job)
         if job.phase.final:
             self.retire(job, now_s)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 
 from ...state.resources import Resources
-from .live import Task
 from .permits import step_name
 from .placement_round import PlacementRound
 from .preference import count_siblings, lasting_score, penalties
 from .state import PoolState
+from .task import Task
 from .worker import Worker
 
 # Why a worker that may get new runs cannot run a task.
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -201,8 +201,7 @@
                 gevent.sleep(ROUND_S)
             self._flush()
             # Long rounds run less often, so that they do not delay responses.
-            duration_s = now_s() - begun_s
-            pause_s = min(ROUND_S, duration_s * (1 / ROUNDS_CPU_SHARE - 1))
+            pause_s = min(ROUND_S, (now_s() - begun_s) * (1 / ROUNDS_CPU_SHARE - 1))
 
     def _decide(self) -> None:
         config = self.operators.config
