End the calls of the policy service with the last pool of an instance

Cause: the greenlet that calls for all pools went on to look for requests 50 times a second after the instance had lost its last pool. Before, each pool had its own, which ended with it.

The new test failed before (the greenlet did not end within 30 s) and passes.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_calls.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_calls.py
@@ -53,7 +53,7 @@
         if self.policy is None:
             return
         self.requesters.append(requester)
-        if self.greenlet is None:
+        if self.greenlet is None or self.greenlet.dead:
             self.start()
 
     def remove(self, requester: PermitRequester) -> None:
@@ -65,7 +65,7 @@
             self.requesters.remove(requester)
 
     def start(self) -> None:
-        """Start to send requests."""
+        """Start to send requests, until no pool is left."""
         self.greenlet = spawn_supervised("permits", self._run)
 
     def stop(self) -> None:
@@ -133,7 +133,7 @@
         requester.record_answer(request, granted, lifetime_s, sent_s)
 
     def _run(self) -> None:
-        while True:
+        while self.requesters:
             try:
                 requested = self.request_next()
             except ExchangeError:
--- a/tests/test_permit_requester.py
+++ b/tests/test_permit_requester.py
@@ -199,3 +199,15 @@
     assert requester.request_next()
     assert requester.pause_s() == pauses_s[0]
     assert requester.requesters[0].oldest_wait_s() == 0.0
+
+
+def test_an_instance_without_pools_does_not_look_for_requests(requester, policy):
+    """It went on to look 50 times a second after it had lost its last pool."""
+    (pool,) = requester.requesters
+    requester.start()
+    requester.remove(pool)
+    requester.greenlet.join(timeout=30)
+    assert requester.greenlet.dead
+    requester.add(pool)
+    assert not requester.greenlet.dead
+    requester.stop()
