--- a/review/6/case.py
+++ b/review/6/case.py
@@ -41,12 +41,15 @@
     again = [
         (task, run, worker.worker_id, round(at_s, 3))
         for at_s, worker, task, run in world.starts
-        if any(end[2] == task and end[4] == "done" and end[0] < at_s for end in world.ends)
+        if any(
+            end[2] == task and end[4] == "done" and end[0] < at_s for end in world.acked
+        )
     ]
     if not again:
         return ""
     return (
-        f"starts of tasks that had ended done (task, run, worker, at): {again}; the "
+        f"starts of tasks whose end done had been taken note of (task, run, worker, at): "
+        f"{again}; the "
         f"repeated request was answered {status}; GET for the accepted job before it "
         f"was answered (instance, status): {answers}"
     )
