Identify a job by the address of its queue instead of the queue's name

Cause: jobs were kept under the name of their queue and the identifier, while callers name them by host, path prefix and identifier. The name belongs to the operators. Ruled out: instances with an old configuration (they would answer 404) and a swept record (nothing was swept); a status record with the new name beside the old one, and job_accepted with known=false, show the cause.

Change: jobs and their status carry the address of the queue. job_location.py finds a status by address and identifier; submissions, status requests, cancellations, the check of arriving jobs and the command line use it. Records of the version before, which have no address, are found by name, also after that name is gone. Withdrawals are stored under the key of that version too.

Fixtures: Entrance stores configurations and writes an end as the holder does.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -161,6 +161,7 @@
             ended_s,
             job.shares_id,
             self.reason,
+            address=job.address,
         )
 
     def progress(self) -> Progress:
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/fleet_configuration.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/fleet_configuration.py
@@ -64,6 +64,11 @@
     public: bool = False
     permit_rules: PermitRules | None = None
 
+    @property
+    def address(self) -> str:
+        """Host and path prefix, by which callers know the queue."""
+        return self.host + self.prefix
+
 
 @dataclass(frozen=True, slots=True)
 class Pool:
@@ -153,6 +158,10 @@
         """Return the queue with a name."""
         return next((queue for queue in self.queues if queue.name == name), None)
 
+    def queue_names(self) -> frozenset[str]:
+        """Return the names of all queues."""
+        return frozenset(queue.name for queue in self.queues)
+
     def active_pools(self) -> tuple[str, ...]:
         """Return the names of the pools that are not on standby."""
         return tuple(pool.name for pool in self.pools if not pool.standby)
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -124,8 +124,10 @@
         schedule: When the steps run.
         accepted_s: When the job was accepted, seconds since the epoch.
         terms: Rules of the queue at that time.
-        shares_id: True if another queue used the identifier first, so that the status
-            is stored under the queue and the identifier.
+        shares_id: True if a job at another address used the identifier first, so that
+            the status is stored under the address and the identifier.
+        address: Host and path prefix of the queue that accepted the job; empty from
+            earlier versions.
     """
 
     job_id: str
@@ -138,11 +140,7 @@
     accepted_s: float = 0.0
     terms: Terms = Terms()
     shares_id: bool = False
-
-    @property
-    def shared_by(self) -> str:
-        """Queue of the job if it shares its identifier; empty otherwise."""
-        return self.queue if self.shares_id else ""
+    address: str = ""
 
 
 class JobStatus(msgspec.Struct, frozen=True):
@@ -154,10 +152,12 @@
         queue: Name of the queue that accepted the job.
         team: Team that submitted the job; empty on a public queue.
         ended_s: When the job ended, seconds since the epoch; 0 until then.
-        shares_id: True if another queue used the job's identifier first.
+        shares_id: True if a job at another address used the identifier first.
         reason: Why the job failed; empty if it has not.
         withdrawn: True if the job was cancelled before a submission of it was stored,
             so that it is not known to callers and is never accepted.
+        address: Host and path prefix of the queue that accepted the job; empty from
+            earlier versions.
     """
 
     phase: Phase
@@ -168,11 +168,7 @@
     shares_id: bool = False
     reason: str = ""
     withdrawn: bool = False
-
-    @property
-    def shared_by(self) -> str:
-        """Queue of the job if it shares its identifier; empty otherwise."""
-        return self.queue if self.shares_id else ""
+    address: str = ""
 
     def is_owned_by(self, team: str) -> bool:
         """Return whether a team may use the job; without a team, anyone may."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/arrival_check.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/arrival_check.py
@@ -20,7 +20,7 @@
 from ..transport.store import PolledStore
 from .clock import now_s, wall_s
 from .fleet_records import PoolReport
-from .job_registry import find_status
+from .job_location import JobLocation, find_status
 from .keys import report_key
 
 READ_INTERVAL_S = 1.0  # between two reads of a pool's report by one instance
@@ -55,9 +55,13 @@
         self.reports[report.pool] = report
         self.read_s[report.pool] = now_s()
 
-    def check(self, job: Job) -> None:
+    def check(self, job: Job, location: JobLocation) -> None:
         """Check a job that is about to be stored.
 
+        Args:
+            job: The job.
+            location: Where its status may be stored.
+
         Raises:
             HeatherhatchError: ``DEADLINE_UNREACHABLE`` if the job is new and its pool
                 certainly can't complete it while it is of use.
@@ -68,7 +72,7 @@
         if found is None:
             return
         try:
-            if find_status(job.queue, job.job_id, self.store.get) is not None:
+            if find_status(location, self.store.get) is not None:
                 return  # the registry tells whose it is
         except (StoreError, HeatherhatchError):
             return  # the job may be known
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/cancellation.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/cancellation.py
@@ -10,11 +10,11 @@
 
 from ..events import Event, log
 from ..metrics import METER, Metric
-from ..transport.store import Expect, Outcome, PolledStore, Put, Transaction
+from ..transport.store import Entry, Expect, Outcome, PolledStore, Put, Transaction
 from .callers import Caller
 from .clock import now_s, wall_s
-from .job_registry import FoundStatus, read_status
-from .keys import cancel_key, status_key
+from .job_location import FoundStatus, JobLocation, read_status
+from .keys import cancel_key
 from .rate_limit import RateLimit
 from .retries import RETRY_AFTER_S, call_with_retries, retry_after_s
 
@@ -24,11 +24,13 @@
 WITHDRAWALS_PER_S = 1.0
 MAX_WITHDRAWAL_BURST = 50
 
+Find = Callable[[], FoundStatus | None]
+
 
 class Cancellations:
     """Stores what lets a cancelled job never start again.
 
-    The cancellation of a job that is not known writes a record under the job's queue
+    The cancellation of a job that is not known writes a record under the job's address
     and identifier, whose absence every submission expects. A submission that reaches
     the store later, sent by an instance that has given it up, therefore fails.
 
@@ -42,14 +44,12 @@
         self.store_outage_s = store_outage_s
         self.limits: dict[str, RateLimit] = {}
 
-    def cancel(
-        self, caller: Caller, job_id: str, find: Callable[[], FoundStatus | None]
-    ) -> None:
+    def cancel(self, caller: Caller, location: JobLocation, find: Find) -> None:
         """Store a request to cancel a job; do nothing if the job has ended.
 
         Args:
             caller: The team that cancels the job, and the queue.
-            job_id: Identifier of the job.
+            location: Where the status of the job may be stored.
             find: Returns the status of the job, or of its withdrawal.
 
         Raises:
@@ -57,10 +57,11 @@
                 accepted any more; ``LIMIT_REACHED`` if the team cancels too many jobs
                 that are not known.
         """
+        job_id = location.job_id
         for _attempt in range(CONFLICT_ATTEMPTS):
             found = find()
             if found is None:
-                is_gone = self._withdraw(caller, job_id)
+                is_gone = self._withdraw(caller, location)
             else:
                 is_gone = found.status.withdrawn
             if is_gone:
@@ -87,34 +88,29 @@
             _log_stored(job_id, status, status.phase.value)
         return stored
 
-    def _withdraw(self, caller: Caller, job_id: str) -> bool:
+    def _withdraw(self, caller: Caller, location: JobLocation) -> bool:
         """Make later submissions of a job fail; return False if it is known now."""
         self._check_rate(caller.team)
         status = _withdrawal(caller)
-        key = status_key(job_id, status.queue)
-        first_key = status_key(job_id)
-        expects = (Expect(first_key, 0), Expect(key, 0))
+        found: dict[str, Entry] = {}
         for _attempt in range(CONFLICT_ATTEMPTS):
-            put = Put(key, encode_json(status))
-            outcome = self._transact(Transaction(expects, (put,)), job_id)
+            outcome = self._transact(
+                _withdrawal_transaction(status, location, found), location.job_id
+            )
             if outcome.succeeded:
                 METER.sink.count(Metric.WITHDRAWALS, label="stored")
-                _log_stored(job_id, status, "not submitted")
+                _log_stored(location.job_id, status, "not submitted")
                 return True
             found = {entry.key: entry for entry in outcome.entries}
-            first, earlier = found.get(first_key), found.get(key)
-            if first is not None and read_status(first).queue == status.queue:
+            statuses = [read_status(entry) for entry in found.values()]
+            own = [item for item in statuses if location.owns(item)]
+            if any(not item.withdrawn for item in own):
                 return False
-            if earlier is not None:
-                other = read_status(earlier)
-                if not other.withdrawn or other.is_owned_by(caller.team):
-                    return other.withdrawn
+            if any(item.is_owned_by(caller.team) for item in own):
+                return True
+            if own:
                 # Several teams have cancelled it: it is withdrawn for all of them.
                 status = msgspec.structs.replace(status, team="")
-            expects = (
-                Expect(first_key, first.revision if first is not None else 0),
-                Expect(key, earlier.revision if earlier is not None else 0),
-            )
         return False
 
     def _check_rate(self, team: str) -> None:
@@ -153,7 +149,30 @@
         wall_s(),
         shares_id=True,
         withdrawn=True,
+        address=caller.queue.address,
+    )
+
+
+def _withdrawal_transaction(
+    status: JobStatus, location: JobLocation, found: dict[str, Entry]
+) -> Transaction:
+    """Return the transaction that stores a withdrawal.
+
+    Args:
+        status: The withdrawal.
+        location: Where the status of the job may be stored.
+        found: Entries under these keys that do not make the job known.
+    """
+    expects = tuple(
+        Expect(key, found[key].revision if key in found else 0) for key in location.keys
+    )
+    value = encode_json(status)
+    puts = tuple(
+        Put(key, value)
+        for key in location.withdrawal_keys
+        if key not in found or location.owns(read_status(found[key]))
     )
+    return Transaction(expects, puts)
 
 
 def _log_stored(job_id: str, status: JobStatus, phase: str) -> None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/committer.py
@@ -12,7 +12,7 @@
 
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
-from .keys import cancel_key, job_key, run_key, status_key
+from .keys import cancel_key, job_key, run_key, shown_status_key
 
 # The store accepts 32 in one transaction; one is for the claim and one for the record
 # of a job.
@@ -120,7 +120,7 @@
             revision = self.revisions.get(write.job_id, 0)
             expects.append(Expect(key, revision))
             if write.status is not None:
-                shown_key = status_key(write.job_id, write.status.shared_by)
+                shown_key = shown_status_key(write.job_id, write.status)
                 puts.append(Put(shown_key, encode_json(write.status)))
             if write.status is not None and write.status.phase.final:
                 values[key] = None
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_view.py
@@ -9,8 +9,9 @@
 
 from ..transport.store import Entry, PolledStore
 from .fleet_records import PoolReport
-from .job_registry import find_status
+from .job_location import JobLocation, find_status, locate
 from .keys import CLAIM_PREFIX, REPORT_PREFIX, run_key
+from .ports import OperatorRecords
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,11 +120,15 @@
 
     Args:
         store: The platform's store.
+        records: The operators' records.
         wall_s: Returns seconds since the epoch.
     """
 
-    def __init__(self, store: PolledStore, wall_s: Callable[[], float]):
+    def __init__(
+        self, store: PolledStore, records: OperatorRecords, wall_s: Callable[[], float]
+    ):
         self.store = store
+        self.records = records
         self.wall_s = wall_s
 
     def roles(self) -> tuple[RoleRow, ...]:
@@ -153,11 +158,15 @@
     def job(self, queue: str, job_id: str) -> JobDetails:
         """Return a job and its runs.
 
+        Args:
+            queue: Name of the job's queue now, or when it was accepted.
+            job_id: Identifier of the job.
+
         Raises:
             HeatherhatchError: ``NO_SUCH_JOB`` if the job is not known.
             StoreError: If the store does not answer.
         """
-        found = find_status(queue, job_id, self.store.get)
+        found = find_status(self._locate(queue, job_id), self.store.get)
         if found is None or found.status.withdrawn:
             raise HeatherhatchError(
                 ErrorKind.NO_SUCH_JOB, f'no job "{job_id}" of queue "{queue}"'
@@ -179,6 +188,14 @@
         )
         return JobDetails(_summary(job_id, found.status, progress, len(runs)), runs)
 
+    def _locate(self, queue: str, job_id: str) -> JobLocation:
+        entry = self.store.get(self.records.config_key)
+        config = self.records.read_config(entry.value) if entry else None
+        found = config.queue_named(queue) if config is not None else None
+        if found is None:
+            return JobLocation(job_id, "", queue)
+        return locate(config, found, job_id)
+
     def _pool(self, entry: Entry) -> PoolRow:
         name = entry.key.removeprefix(REPORT_PREFIX)
         try:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -14,7 +14,8 @@
 from .cancellation import Cancellations
 from .clock import now_s, wall_s
 from .fleet_records import PoolReport
-from .job_registry import FoundStatus, JobRegistry, Registration, find_status
+from .job_location import FoundStatus, find_status, locate
+from .job_registry import JobRegistry, Registration
 from .keys import report_key
 from .operators import MAX_SERVING_AGE_S, Operators
 from .retries import RETRY_AFTER_S, ReturnTimes, call_with_retries, retry_after_s
@@ -132,9 +133,11 @@
                 schedule,
                 wall_s(),
                 caller.terms(),
+                address=caller.queue.address,
             )
             if self.gates.arrival_rejection:
-                self.arrivals.check(job)
+                location = locate(self.operators.config, caller.queue, job.job_id)
+                self.arrivals.check(job, location)
             sent_s = now_s()
             result = self.registry.register(job)
             if result is not Registration.CONFIG_CHANGED:
@@ -194,8 +197,9 @@
         job_id = path.removeprefix(caller.queue.prefix)
         if not JOB_ID.fullmatch(job_id):
             raise _no_such_job(job_id)
+        location = locate(self.operators.config, caller.queue, job_id)
         self.cancellations.cancel(
-            caller, job_id, lambda: self._find(caller, job_id, limit_s)
+            caller, location, lambda: self._find(caller, job_id, limit_s)
         )
 
     def waiting(
@@ -221,9 +225,8 @@
         """Return the status of a job, or of its withdrawal; None if there is none."""
         if not JOB_ID.fullmatch(job_id):
             return None
-        found = find_status(
-            caller.queue.name, job_id, lambda key: self._get(key, limit_s)
-        )
+        location = locate(self.operators.config, caller.queue, job_id)
+        found = find_status(location, lambda key: self._get(key, limit_s))
         if found is None or found.status.is_owned_by(caller.team):
             return found
         if found.status.withdrawn:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_registry.py
@@ -1,19 +1,19 @@
 """Registers accepted jobs in the store and finds their status."""
 
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import Enum
 
 import msgspec
 
-from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.codec import encode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError, StoreError
 from heatherhatch_core.state.work import Job, JobStatus, Phase
 
 from ..transport.request_trace import InStage, Stage
 from ..transport.store import Entry, Expect, Outcome, PolledStore, Put, Transaction
 from .clock import sleep
-from .keys import job_key, status_key
+from .job_location import JobLocation, read_status
+from .keys import job_key, shown_status_key
 from .operators import Operators
 from .retries import RETRY_AFTER_S, STORE_ATTEMPTS
 
@@ -32,28 +32,13 @@
     CONFIG_CHANGED = "config changed"
 
 
-@dataclass(frozen=True, slots=True)
-class FoundStatus:
-    """The status of a job and where the store keeps it.
-
-    Attributes:
-        status: The status.
-        key: Key of the record.
-        revision: Revision of the record.
-    """
-
-    status: JobStatus
-    key: str
-    revision: int
-
-
 class JobRegistry:
-    """Keeps jobs under their queue and identifier.
+    """Keeps jobs under the address of their queue and their identifier.
 
-    The first job with an identifier is stored under the identifier alone, as earlier
-    versions did; a job of another queue that uses it later is stored under both. The
-    open jobs of one pool have distinct identifiers, because workers get no queue in
-    the names of tasks.
+    The status of the first job with an identifier is stored under the identifier alone,
+    as earlier versions did; that of a job at another address that uses it later is
+    stored under both. The open jobs of one pool have distinct identifiers, because
+    workers get no queue in the names of tasks.
 
     Args:
         store: The platform's store.
@@ -69,56 +54,53 @@
 
         Raises:
             HeatherhatchError: ``FORBIDDEN`` if another team has submitted it,
-                ``CONFLICT`` if an open job of another queue on the same pool has the
+                ``CONFLICT`` if an open job at another address on the same pool has the
                 identifier, ``STORE_UNAVAILABLE`` if it certainly was not stored,
                 ``CHANGE_UNKNOWN`` if it may be stored, now or later.
         """
         # The job was checked against this version, so that no other may be expected.
         config = self.operators.expect()
-        first_key = status_key(job.job_id)
-        first_revision = 0
-        withdrawn_revision = 0
+        queues = self.operators.config.queue_names()
+        location = JobLocation(job.job_id, job.address, job.queue, queues)
+        others: dict[str, Entry] = {}
         while True:
-            outcome = self._transact(
-                self._transaction(job, first_revision, withdrawn_revision, config)
-            )
+            outcome = self._transact(_transaction(job, location, others, config))
             if outcome.succeeded:
                 return Registration.STORED
-            found = {entry.key: entry for entry in outcome.entries}
-            own = found.get(status_key(job.job_id, job.queue))
-            first = found.get(first_key)
-            if own is None and first is not None:
-                own = first if read_status(first).queue == job.queue else None
-            if own is not None:
-                status = read_status(own)
-                if not status.withdrawn:
-                    _check_owner(status, job)
-                    return Registration.KNOWN
-                if status.is_owned_by(job.team):
-                    return self._store_cancelled(own, config)
-                if own.revision != withdrawn_revision:
-                    # Another team cannot cancel the job.
-                    withdrawn_revision = own.revision
-                    continue
-            if job_key(job.pool, job.job_id) in found:
+            entries = {entry.key: entry for entry in outcome.entries}
+            found = [entries[key] for key in location.keys if key in entries]
+            own = [entry for entry in found if location.owns(read_status(entry))]
+            stored = [entry for entry in own if not read_status(entry).withdrawn]
+            if stored:
+                _check_owner(read_status(stored[0]), job)
+                return Registration.KNOWN
+            if any(read_status(entry).is_owned_by(job.team) for entry in own):
+                return self._store_cancelled(own, config)
+            if job_key(job.pool, job.job_id) in entries:
                 raise HeatherhatchError(
                     ErrorKind.CONFLICT,
                     f'an open job "{job.job_id}" of another queue is in pool '
                     f'"{job.pool}"',
                     RETRY_AFTER_S,
                 )
-            revision = first.revision if first is not None else 0
-            if revision == first_revision:
+            # What is left belongs to jobs at other addresses, or is a withdrawal by
+            # another team, which cannot cancel the job.
+            found_others = {entry.key: entry for entry in found}
+            if found_others == others:
                 return self._note_config_changed(outcome)
-            first_revision = revision
-            job = replace(job, shares_id=bool(revision))
+            others = found_others
+            job = replace(job, shares_id=location.first_key in others)
 
-    def _store_cancelled(self, withdrawal: Entry, config: Expect) -> Registration:
+    def _store_cancelled(
+        self, withdrawals: list[Entry], config: Expect
+    ) -> Registration:
         """Store a job that its owner has cancelled before; it never runs."""
-        status = msgspec.structs.replace(read_status(withdrawal), withdrawn=False)
-        expects = (Expect(withdrawal.key, withdrawal.revision), config)
-        put = Put(withdrawal.key, encode_json(status))
-        outcome = self._transact(Transaction(expects, (put,)))
+        expects = [Expect(entry.key, entry.revision) for entry in withdrawals]
+        puts = []
+        for entry in withdrawals:
+            status = msgspec.structs.replace(read_status(entry), withdrawn=False)
+            puts.append(Put(entry.key, encode_json(status)))
+        outcome = self._transact(Transaction((*expects, config), tuple(puts)))
         if outcome.succeeded:
             return Registration.KNOWN
         return self._note_config_changed(outcome)
@@ -128,28 +110,6 @@
             self.operators.refresh()
         return Registration.CONFIG_CHANGED
 
-    def _transaction(
-        self, job: Job, first_revision: int, withdrawn_revision: int, config: Expect
-    ) -> Transaction:
-        status = JobStatus(
-            Phase.QUEUED, job.pool, job.queue, job.team, shares_id=job.shares_id
-        )
-        own_key = status_key(job.job_id, job.shared_by)
-        stored_key = job_key(job.pool, job.job_id)
-        # Where a cancellation that came before the job is recorded.
-        queue_key = status_key(job.job_id, job.queue)
-        is_replaced = withdrawn_revision and own_key != queue_key
-        return Transaction(
-            (
-                Expect(status_key(job.job_id), first_revision),
-                Expect(queue_key, withdrawn_revision),
-                Expect(stored_key, 0),
-                config,
-            ),
-            (Put(own_key, encode_json(status)), Put(stored_key, encode_json(job))),
-            (queue_key,) if is_replaced else (),
-        )
-
     def _transact(self, transaction: Transaction) -> Outcome:
         last_error: StoreError | None = None
         for _attempt in range(STORE_ATTEMPTS):
@@ -169,41 +129,48 @@
         ) from last_error
 
 
-def find_status(
-    queue: str, job_id: str, get: Callable[[str], Entry | None]
-) -> FoundStatus | None:
-    """Return the status of a job, or of its withdrawal; None if there is none.
-
-    Args:
-        queue: Name of the job's queue.
-        job_id: Identifier of the job.
-        get: Reads one entry of the store.
-    """
-    entry = get(status_key(job_id))
-    if entry is None or read_status(entry).queue != queue:
-        entry = get(status_key(job_id, queue))
-    if entry is None:
-        return None
-    return FoundStatus(read_status(entry), entry.key, entry.revision)
-
-
-def read_status(entry: Entry) -> JobStatus:
-    """Decode the status of a job.
-
-    Raises:
-        HeatherhatchError: ``INTERNAL`` if it is unreadable.
-    """
-    try:
-        return decode_json(entry.value, JobStatus)
-    except HeatherhatchError as error:
-        raise HeatherhatchError(
-            ErrorKind.INTERNAL, f'record "{entry.key}" is unreadable: {error.detail}'
-        ) from error
-
-
 def _check_owner(status: JobStatus, job: Job) -> None:
     if not status.is_owned_by(job.team):
         raise HeatherhatchError(
             ErrorKind.FORBIDDEN,
             f'job "{job.job_id}" of queue "{job.queue}" belongs to another team',
         )
+
+
+def _transaction(
+    job: Job, location: JobLocation, others: dict[str, Entry], config: Expect
+) -> Transaction:
+    """Return the transaction that stores a job.
+
+    Args:
+        job: The job.
+        location: Where its status may be stored.
+        others: Entries under these keys that do not make the job known.
+        config: Condition that the configuration is the newest.
+    """
+    status = JobStatus(
+        Phase.QUEUED,
+        job.pool,
+        job.queue,
+        job.team,
+        shares_id=job.shares_id,
+        address=job.address,
+    )
+    shown_key = shown_status_key(job.job_id, job)
+    stored_key = job_key(job.pool, job.job_id)
+    expects = [
+        Expect(key, others[key].revision if key in others else 0)
+        for key in location.keys
+    ]
+    replaced = tuple(
+        key
+        for key in location.withdrawal_keys
+        if key in others
+        and key != shown_key
+        and location.owns(read_status(others[key]))
+    )
+    return Transaction(
+        (*expects, Expect(stored_key, 0), config),
+        (Put(shown_key, encode_json(status)), Put(stored_key, encode_json(job))),
+        replaced,
+    )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/keys.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/keys.py
@@ -1,7 +1,10 @@
 """Keys of the records that pools keep in the store."""
 
+from hashlib import blake2b
 from urllib.parse import quote
 
+from heatherhatch_core.state.work import Job, JobStatus
+
 CLAIM_PREFIX = "claims/"
 PLAN_KEY = "fleet/plan"
 REPORT_PREFIX = "fleet/report/"
@@ -12,6 +15,7 @@
 LEARNED_PREFIX = "learned/"
 CANCEL_SUFFIX = "/cancel"
 COORDINATOR = "coordinator"
+ADDRESS_DIGEST_BYTES = 16
 
 
 def claim_key(role: str) -> str:
@@ -49,17 +53,34 @@
     return runs_prefix(pool) + job_id
 
 
-def status_key(job_id: str, shared_by: str = "") -> str:
-    """Return the key of the job status that callers read.
+def status_key(job_id: str) -> str:
+    """Return the key of the status of the first job with an identifier."""
+    return STATUS_PREFIX + job_id
+
+
+def address_status_key(job_id: str, address: str) -> str:
+    """Return the key of the status of a later job with an identifier.
 
     Args:
         job_id: Identifier of the job.
-        shared_by: Queue of the job if another queue used the identifier first; empty
-            if no other did.
+        address: Host and path prefix of its queue, of any length.
     """
-    if not shared_by:
-        return STATUS_PREFIX + job_id
-    return f"{STATUS_PREFIX}{quote(shared_by, safe='')}/{job_id}"
+    digest = blake2b(address.encode(), digest_size=ADDRESS_DIGEST_BYTES).hexdigest()
+    return f"{STATUS_PREFIX}@{digest}/{job_id}"
+
+
+def queue_status_key(job_id: str, queue: str) -> str:
+    """Return the key that earlier versions use for a later job with an identifier."""
+    return f"{STATUS_PREFIX}{quote(queue, safe='')}/{job_id}"
+
+
+def shown_status_key(job_id: str, job: Job | JobStatus) -> str:
+    """Return the key of the status of a job that is stored."""
+    if not job.shares_id:
+        return status_key(job_id)
+    if not job.address:
+        return queue_status_key(job_id, job.queue)
+    return address_status_key(job_id, job.address)
 
 
 def report_key(pool: str) -> str:
--- a/tests/test_cancel_machine.py
+++ b/tests/test_cancel_machine.py
@@ -13,12 +13,13 @@
 from hypothesis import strategies as st
 
 from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.coordination.scheduler.live import LiveJob
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.fleet_configuration import Team
-from heatherhatch_core.state.work import Job, JobStatus, Phase, Schedule, Step
+from heatherhatch_core.state.work import Job, Phase, Schedule, Step
 from heatherhatch_daemon.pools import job_registry, retries
 from heatherhatch_daemon.pools.cancellation import Cancellations
-from heatherhatch_daemon.pools.keys import cancel_key, job_key, status_key
+from heatherhatch_daemon.pools.keys import cancel_key, job_key, shown_status_key
 from heatherhatch_daemon.transport.store import Put, Transaction
 from test_pool_intake import CONFIGS, QUEUE, IntakeHarness
 
@@ -65,8 +66,9 @@
     @machines.rule(job_id=st.sampled_from(JOBS))
     def end(self, job_id):
         for key, job in self.stored(job_id):
-            status = JobStatus(Phase.COMPLETED, job.pool, job.queue, job.team)
-            put = Put(status_key(job_id, job.shared_by), encode_json(status))
+            live = LiveJob(job)
+            live.phase = Phase.COMPLETED
+            put = Put(shown_status_key(job_id, job), encode_json(live.status(0.0)))
             deleted = (key, cancel_key(job.pool, job_id))
             self.store.transact(Transaction((), (put,), deleted))
 
--- a/tests/test_job_identity.py
+++ b/tests/test_job_identity.py
@@ -5,12 +5,14 @@
 """
 
 import time
+from dataclasses import replace
 
 import msgspec
 import pytest
 
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.coordination.scheduler import JobWrite
+from heatherhatch_core.coordination.scheduler.live import LiveJob
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_core.state.fleet_configuration import (
     FleetConfiguration,
@@ -18,7 +20,7 @@
     Queue,
     Team,
 )
-from heatherhatch_core.state.work import Job, JobStatus, Phase, Progress, Schedule, Step
+from heatherhatch_core.state.work import Job, Phase, Progress, Schedule, Step
 from heatherhatch_daemon.pools.committer import Committer
 from heatherhatch_daemon.pools.intake import Intake
 from heatherhatch_daemon.pools.keys import cancel_key, claim_key, job_key, status_key
@@ -58,10 +60,18 @@
 
     def __init__(self):
         self.store = MemoryStore(time.monotonic)
-        self.put("op/config", b"1")
-        operators = Operators(self.store, RECORDS, lambda _config: None)
-        operators.refresh()
-        self.intake = Intake(self.store, operators)
+        self.config = CONFIG
+        records = replace(RECORDS, read_config=lambda _data: self.config)
+        self.operators = Operators(self.store, records, lambda _config: None)
+        self.intake = Intake(self.store, self.operators)
+        self.configure(*CONFIG.queues)
+
+    def configure(self, *queues: Queue) -> None:
+        """Store a new version of the configuration with these queues."""
+        version = self.config.version + 1
+        self.config = replace(self.config, version=version, queues=queues)
+        self.put("op/config", b"%d" % version)
+        self.operators.refresh()
 
     def put(self, key: str, value: bytes) -> None:
         self.store.transact(Transaction((), (Put(key, value),)))
@@ -79,9 +89,9 @@
     def finish(self, pool: str, job_id: str) -> None:
         """Store the end of a job as the pool's holder does."""
         job = self.stored_job(pool, job_id)
-        status = JobStatus(
-            Phase.COMPLETED, pool, job.queue, job.team, 1.0, job.shares_id
-        )
+        live = LiveJob(job)
+        live.phase = Phase.COMPLETED
+        status = live.status(1.0)
         stored = []
         self.put(claim_key(pool), b"{}")
         revision = self.store.get(claim_key(pool)).revision
