Count waiting jobs for the address of their queue

Callers saw: after a new name of a queue, numWaiting was 0 while its jobs waited, and a queue that got a name was told the jobs of the one that had it before.

The report of a pool counts by the name under which a job was accepted, and the intake looks up the name of now. Found by reading the users of the name; shown by the test.

Change: reports count by address too; jobs of the version before count for the queue that has their name. Instances of that version still find the count by name. A caller is identified once more by the confirmed configuration, as its path may lead to another queue by then.

Evidence: test_waiting_jobs_are_counted_at_their_address fails before (0 instead of 2) and passes now.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -1,6 +1,7 @@
 """Interface of the scheduler of one pool."""
 
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterator, Mapping
 
 from ...state.fleet_configuration import FleetConfiguration
 from ...state.job_bounds import bounded
@@ -26,6 +27,7 @@
 )
 from .pacing import pace_fillers
 from .placement import place_tasks
+from .queue_rules import queue_rules
 from .reports import (
     begin_incarnation,
     handle_report,
@@ -62,6 +64,7 @@
 
     def configure(self, config: FleetConfiguration) -> None:
         """Apply a version of the configuration."""
+        self.state.queue_rules = queue_rules(config)
         self.state.permit_rules = {
             item.name: item.permit_rules for item in config.queues if item.permit_rules
         }
@@ -229,12 +232,20 @@
         return notes
 
     def waiting(self) -> dict[str, int]:
-        """Count the unstarted jobs of each queue; jobs with a schedule do not count."""
-        counts: dict[str, int] = {}
+        """Count the unstarted jobs by the name of the queue that accepted them.
+
+        Jobs with a schedule do not count.
+        """
+        return dict(Counter(job.queue for job in self._unstarted()))
+
+    def waiting_at(self) -> dict[str, int]:
+        """Count the unstarted jobs by the address of their queue; see `waiting`."""
+        return dict(Counter(map(self.state.queue_rules.address_of, self._unstarted())))
+
+    def _unstarted(self) -> Iterator[Job]:
         for live in self.state.jobs.values():
             if not live.began and not live.phase.final and not live.job.schedule.count:
-                counts[live.job.queue] = counts.get(live.job.queue, 0) + 1
-        return counts
+                yield live.job
 
     def demand(self, now_s: float, wall_s: float) -> PoolDemand:
         """Return the CPU demand of the pool."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -16,6 +16,7 @@
 from .messages import Ending, Order, StartOrder, StopOrder, TaskName
 from .outcomes import apply_run_end
 from .permits import Permits, step_name
+from .queue_rules import QueueRules
 from .rules import Rules
 from .run import Run, RunState, run_of
 from .task import Task
@@ -33,6 +34,7 @@
         rules: Time limits of the scheduler.
         claimed_s: When this holder took over the pool, monotonic seconds.
         permit_rules: Rules of the policy service, by queue, of queues that have any.
+        queue_rules: What the configuration says of the queues.
         jobs: Jobs that are not final, or whose end is not stored yet, by
             identifier.
         workers: Workers by identifier.
@@ -64,6 +66,7 @@
     rules: Rules
     claimed_s: float
     permit_rules: dict[str, PermitRules] = field(default_factory=dict)
+    queue_rules: QueueRules = field(default_factory=QueueRules)
     jobs: dict[str, LiveJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     team_used: dict[str, Resources] = field(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from heatherhatch_core.coordination.competition.rejection import PoolBacklog
+from heatherhatch_core.state.fleet_configuration import Queue
 from heatherhatch_core.state.maintenance import Machine
 
 ORDER_RETENTION_S = 30.0  # orders and maintenance take seconds; clocks may differ
@@ -32,7 +33,8 @@
         pool: Name of the pool.
         token: Fencing token of the holder that wrote the report.
         at_s: When the report was written, seconds since the epoch.
-        waiting: Number of jobs of each queue that have not started.
+        waiting: Number of jobs that have not started, by the name of the queue that
+            accepted them.
         needed_cpu_m: Thousandths of a core that the pool's work would use.
         loads: Load of each machine.
         cleared: Drained machines that are empty, each with the number of the drain
@@ -45,6 +47,8 @@
             time; -1 from earlier versions, which do not report it.
         backlog: What the pool has to do; empty from holders of an earlier version.
         disabled_gates: Optional mechanisms that are disabled on the holder.
+        waiting_at: The same number by the address of the queue; None from earlier
+            versions.
     """
 
     pool: str
@@ -59,6 +63,13 @@
     on_time_cpu_m: int = -1
     backlog: PoolBacklog = PoolBacklog()
     disabled_gates: tuple[str, ...] = ()
+    waiting_at: dict[str, int] | None = None
+
+    def waiting_in(self, queue: Queue) -> int:
+        """Return the number of jobs of a queue that have not started."""
+        if self.waiting_at is None:
+            return self.waiting.get(queue.name, 0)
+        return self.waiting_at.get(queue.address, 0)
 
 
 class MachineOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -206,10 +206,9 @@
         self, host: str, path: str, key: str, limit_s: float = float("inf")
     ) -> int:
         """Return how many jobs of a queue have not started; see `status`."""
-        caller = self.identify(host, path, key)
+        self.identify(host, path, key)
         # A queue that was just removed must not be reported any more.
-        if self.operators.confirm().queue_named(caller.queue.name) is None:
-            raise HeatherhatchError(ErrorKind.NOT_FOUND, f'no queue at "{path}"')
+        caller = identify(self.operators.confirm(), host, path, key)
         entry = self._get(report_key(caller.queue.pool), limit_s)
         report = decode_json(entry.value, PoolReport) if entry else None
         if report is None or wall_s() - report.at_s > MAX_REPORT_AGE_S:
@@ -219,7 +218,7 @@
                 RETRY_AFTER_S,
             )
         self.arrivals.note_report(report)
-        return report.waiting.get(caller.queue.name, 0)
+        return report.waiting_in(caller.queue)
 
     def _find(self, caller: Caller, job_id: str, limit_s: float) -> FoundStatus | None:
         """Return the status of a job, or of its withdrawal; None if there is none."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
@@ -73,7 +73,7 @@
 
     def _has_changed(self, report: PoolReport) -> bool:
         last = self.last_report
-        if last is None or last.waiting != report.waiting:
+        if last is None or last.waiting_at != report.waiting_at:
             return True
         if last.cleared != report.cleared:
             return True
@@ -105,6 +105,7 @@
             staying=state.evacuated.staying,
             backlog=self._backlog(),
             disabled_gates=state.rules.gates.disabled(),
+            waiting_at=self.scheduler.waiting_at(),
         )
 
     def _backlog(self) -> PoolBacklog:
--- a/tests/test_job_address.py
+++ b/tests/test_job_address.py
@@ -9,10 +9,12 @@
 import pytest
 
 from heatherhatch_core.codec import encode_json
+from heatherhatch_core.coordination.scheduler import Rules, Scheduler
 from heatherhatch_core.exceptions import ErrorKind
 from heatherhatch_core.state.fleet_configuration import Queue
 from heatherhatch_core.state.work import Job, Phase
 from heatherhatch_daemon.pools.keys import cancel_key, job_key
+from heatherhatch_daemon.pools.pool_reporter import PoolReporter
 from heatherhatch_daemon.transport.store import Expect, Put, Transaction
 from test_job_identity import STEPS, EarlierStatus, Entrance, error_kind
 
@@ -148,3 +150,33 @@
     entrance.submit("/till/j1")
     assert entrance.phase("/till/j1") is Phase.CANCELLED
     assert entrance.stored_job("till", "j1") is None
+
+
+def held_pool(entrance: Entrance, *jobs: Job) -> Scheduler:
+    """Return the scheduler of the pool "till" with some jobs."""
+    scheduler = Scheduler("till", Rules(), 0.0)
+    scheduler.configure(entrance.config)
+    for job in jobs:
+        scheduler.add_job(job, None, 0.0)
+    return scheduler
+
+
+def report(entrance: Entrance, scheduler: Scheduler) -> None:
+    claim = Expect("claims/pool/till", 0)
+    PoolReporter(entrance.store, scheduler, lambda: claim, 1).step()
+
+
+# Guards against a length of 0 that callers are told after a new name of their queue.
+def test_waiting_jobs_are_counted_at_their_address(entrance):
+    for job_id in ("j1", "j2"):
+        entrance.submit(f"/till/{job_id}")
+    jobs = [entrance.stored_job("till", job_id) for job_id in ("j1", "j2")]
+    entrance.configure(RENAMED, replace(WALL, pool="till", name="q-till"))
+    report(entrance, held_pool(entrance, *jobs))
+    assert entrance.intake.waiting("h", "/till/", "k-red") == 2
+    assert entrance.intake.waiting("h", "/wall/", "k-red") == 0
+
+
+def test_waiting_jobs_of_the_version_before_are_counted(entrance):
+    report(entrance, held_pool(entrance, Job("j1", "q-till", "till", "red", "", STEPS)))
+    assert entrance.intake.waiting("h", "/till/", "k-red") == 1
