Find the permit rules of open jobs by the address of their queue

Found by reading the users of the name; shown by the test in the scheduler.

The operators' command line finds a job by the present and by the former name.

Evidence: test_permits_follow_the_address_of_a_renamed_queue fails before (a run starts without a permit) and passes now.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -98,7 +98,7 @@
 ) -> int:
     """Place the waiting tasks of a step; return how many still wait."""
     need = (step.need, step.label, step.fills)
-    needs_permits = job.job.queue in placement.state.permit_rules
+    needs_permits = placement.state.queue_rules.permit_rules(job.job) is not None
     suspected = any(task.is_suspect for task in waiting)
     if need in placement.unplaceable and not step.lasting and not suspected:
         return len(waiting)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preempting.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preempting.py
@@ -202,7 +202,7 @@
         step = task.step
         if task.is_suspect or step.spread or worker.worker_id in task.avoid:
             return False
-        if task.job.job.queue in self.state.permit_rules:
+        if self.state.queue_rules.permit_rules(task.job.job) is not None:
             permits = self.state.permits
             name = step_name(task.name)
             if not permits.allows(name, worker.worker_id, self.now_s):
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -65,9 +65,6 @@
     def configure(self, config: FleetConfiguration) -> None:
         """Apply a version of the configuration."""
         self.state.queue_rules = queue_rules(config)
-        self.state.permit_rules = {
-            item.name: item.permit_rules for item in config.queues if item.permit_rules
-        }
         self.state.competition.configure(config, self.state.pool)
         self.state.limited = frozenset(
             team.name for team in config.teams if team.limit != NO_RESOURCES
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ...state.fleet_configuration import PermitRules
 from ...state.resources import Resources
 from ...state.work import RunRecord
 from ..competition import PoolCompetition
@@ -33,7 +32,6 @@
         pool: Name of the pool.
         rules: Time limits of the scheduler.
         claimed_s: When this holder took over the pool, monotonic seconds.
-        permit_rules: Rules of the policy service, by queue, of queues that have any.
         queue_rules: What the configuration says of the queues.
         jobs: Jobs that are not final, or whose end is not stored yet, by
             identifier.
@@ -65,7 +63,6 @@
     pool: str
     rules: Rules
     claimed_s: float
-    permit_rules: dict[str, PermitRules] = field(default_factory=dict)
     queue_rules: QueueRules = field(default_factory=QueueRules)
     jobs: dict[str, LiveJob] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
@@ -142,7 +142,7 @@
         return ISOLATION
     if step.spread and count + count_siblings(task, worker) >= step.spread:
         return SPREAD
-    if task.job.job.queue in placement.state.permit_rules:
+    if placement.state.queue_rules.permit_rules(task.job.job) is not None:
         name = step_name(task.name)
         if not placement.state.permits.allows(name, worker.worker_id, placement.now_s):
             placement.state.permits.want(name, placement.now_s)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_requester.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/permit_requester.py
@@ -160,7 +160,7 @@
         job = self.scheduler.state.jobs.get(step.job_id)
         if job is None or job.phase.final:
             return None
-        return self.scheduler.state.permit_rules.get(job.job.queue)
+        return self.scheduler.state.queue_rules.permit_rules(job.job)
 
     def _priority(self, step: StepName) -> int:
         job = self.scheduler.state.jobs.get(step.job_id)
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -5,6 +5,7 @@
 
 import pytest
 from click.testing import CliRunner
+from msgspec.structs import replace
 
 from heatherhatch_core.codec import encode_json
 from heatherhatch_core.coordination.run_times import RunTimes
@@ -116,6 +117,16 @@
     assert 'no job "j1" of queue "q-wall"' in result.stderr
 
 
+def test_a_job_is_found_by_the_former_and_the_present_name_of_its_queue(store):
+    store.put(status_key("j1"), encode_json(replace(STATUS, address="h/till/")))
+    route = {"name": "q-new", "host": "h", "prefix": "/till/", "service": "till"}
+    config = {"version": 1, "routes": [route], "services": [], "tenants": []}
+    store.put("op/config", encode_json({**config, "limits": {}}))
+    for queue in ("q-till", "q-new"):
+        shown = json.loads(run(store, "job", "show", queue, "j1").stdout)
+        assert shown["summary"]["queue"] == "q-till"
+
+
 def test_a_store_that_does_not_answer_is_named(store):
     store.mode = StoreMode.BUSY
     result = run(store, "role", "list")
--- a/tests/test_scheduler_permits.py
+++ b/tests/test_scheduler_permits.py
@@ -58,3 +58,18 @@
     add_restricted(model, "a")
     assert [worker for worker, _task, _run in model.alive_runs()] == ["w1"]
     assert not permits.wanted
+
+
+# Guards against starts without permits, which workers reject, after a new name of the
+# queue, and against permits for the queue that got its former name.
+def test_permits_follow_the_address_of_a_renamed_queue(model):
+    renamed = dataclasses.replace(RESTRICTED, name="renamed")
+    other = dataclasses.replace(QUEUE, name=RESTRICTED.name)
+    job = make_job(make_step(), job_id="a", at_s=model.now_s)
+    job = dataclasses.replace(job, queue=RESTRICTED.name, address=RESTRICTED.address)
+    config = dataclasses.replace(CONFIG, queues=(other, renamed))
+    model.scheduler.configure(config)
+    model.add(job)
+    model.add(dataclasses.replace(job, job_id="b", address=QUEUE.address))
+    assert [task.job_id for _worker, task, _run in model.alive_runs()] == ["b"]
+    assert model.scheduler.state.permits.wanted.keys() == {StepName("a", 0, 0)}
