Greet a connection to a worker before a start goes out on it

Cause: a start carries a deadline by the clock of the incarnation that the holder knows. On a connection opened after an unnoticed restart it reached the next one, which has the same name in the header and a clock near 0, and shortened the deadline to maxHoldMs. The holder counted the usual lease.

The first request on a connection for starts is a renewal that asks for no lease; its answer names the incarnation, for as long as the connection is open. A greeting without an answer means that the start was not sent.

Fixtures: callers of HttpWorker.start name the incarnation; one list of paths has the greeting in front.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
@@ -47,6 +47,20 @@
     wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Deadline:
+    """The end of a lease by the clock of one incarnation of a worker.
+
+    Attributes:
+        clock_ms: Reading of its clock, milliseconds.
+        born_ms: When this incarnation started, milliseconds since the epoch; 0 if it
+            does not say.
+    """
+
+    clock_ms: int
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Permission:
     """The permission to send orders as the holder of a role.
@@ -74,9 +88,9 @@
         """Renew the lease; return the runs that are active or have ended."""
 
     def start(
-        self, order: StartOrder, deadline_ms: int, permission: Permission
+        self, order: StartOrder, deadline: Deadline, permission: Permission
     ) -> StartResult:
-        """Start a run."""
+        """Start a run, on the incarnation whose clock the deadline is read from."""
 
     def stop(self, order: StopOrder, permission: Permission) -> None:
         """Stop a run, or let the worker refuse it if its start arrives later."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -20,7 +20,7 @@
 from ..events import Event, log
 from ..transport.http import ExchangeError
 from .clock import now_s
-from .ports import DirectoryEntry, Permission, Renewal
+from .ports import Deadline, DirectoryEntry, Permission, Renewal
 from .supervision import spawn_supervised
 
 if TYPE_CHECKING:
@@ -69,7 +69,16 @@
             self._carry_out(order)
         except FencedError as error:
             self.holder.on_fenced(str(error))
-        except WrongIncarnationError:
+        except WrongIncarnationError as error:
+            log(
+                Event.DECIDED,
+                what="order withheld from another incarnation",
+                worker=self.worker_id,
+                order=type(order).__name__,
+                task=order.task,
+                run=order.number,
+                error=str(error),
+            )
             self._report_start(order, StartResult.REFUSED)
         except ExchangeError as error:
             log(
@@ -99,8 +108,9 @@
         worker = self.holder.scheduler.state.workers[self.worker_id]
         deadline_ms = self.holder.starts.deadline_ms(worker)
         worker.note_deadline(deadline_ms)
+        deadline = Deadline(deadline_ms, worker.info.born_ms)
         permission = Permission(self.ordering.token, lambda: self._may_start(order))
-        result = self.control.start(order, deadline_ms, permission)
+        result = self.control.start(order, deadline, permission)
         self._report_start(order, result)
 
     @_carry_out.register
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/connections.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/connections.py
@@ -2,6 +2,7 @@
 
 import select
 import time
+from weakref import WeakKeyDictionary
 
 from gevent import socket
 from geventhttpclient.connectionpool import ConnectionPool
@@ -17,6 +18,7 @@
     Attributes:
         idle_since_s: When each idle connection was returned, monotonic seconds.
         opened: Number of connections that were opened.
+        incarnations: Incarnation of the peer that answered on each greeted connection.
     """
 
     def __init__(self, address: Address, size: int, connect_timeout_s: float):
@@ -31,6 +33,7 @@
         )
         self.idle_since_s: dict[socket.socket, float] = {}
         self.opened = 0
+        self.incarnations: WeakKeyDictionary[socket.socket, int] = WeakKeyDictionary()
 
     def after_connect(self, sock: socket.socket) -> None:
         """Disable Nagle's algorithm, so that small writes are sent immediately."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/http.py
@@ -5,12 +5,18 @@
 from dataclasses import dataclass
 
 import gevent
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from gevent import socket
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPSocketPoolResponse,
+    HTTPSocketResponse,
+)
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
 from ..settings import Address
 from .connections import Connections
+from .greeting import Greeting, GreetingResponse, get_greeted_socket
 from .pending_call import PendingCall, RecordedResponse
 from .response_body import read_body
 
@@ -133,6 +139,7 @@
         by_progress: bool = False,
         may_send: Callable[[], bool] = lambda: True,
         is_urgent: bool = False,
+        greeting: Greeting | None = None,
     ) -> HttpAnswer:
         """Send a request once and return the complete response.
 
@@ -145,10 +152,13 @@
             may_send: Called when the connection is ready. The wait for it may outlast
                 a permission, above all if the process is suspended meanwhile.
             is_urgent: True to use a reserved connection if the client has any.
+            greeting: What the connection must show of the peer; None for nothing.
 
         Raises:
             ExchangeError: If there was no complete response; ``sent`` states whether
                 the request may have been executed.
+            WrongIncarnationError: If the greeting reached another incarnation; the
+                request was not sent.
         """
         sent = False
         sock = None
@@ -157,14 +167,16 @@
         call = PendingCall(request.path, timeout_s, by_progress)
         self.pending_calls.add(call)
         try:
-            sock = pool.get_socket()
-            data = request.encode(str(self.address))
-            if not may_send():
-                raise ExchangeError(
-                    ErrorKind.NO_STANDING,
-                    f"the permission to send {request.path[:40]} has run out",
-                    sent,
+            if greeting is None:
+                sock = pool.get_socket()
+            else:
+                sock = get_greeted_socket(
+                    pool,
+                    greeting,
+                    lambda new: self._greet(new, greeting, call, may_send),
                 )
+            data = request.encode(str(self.address))
+            _check_permission(may_send, request)
             sent = True
             call.send(sock, data)
             # From here on the response object owns the socket. It returns it to the
@@ -194,6 +206,24 @@
             if answer is not None:
                 answer.release()
 
+    def _greet(
+        self,
+        sock: socket.socket,
+        greeting: Greeting,
+        call: PendingCall,
+        may_send: Callable[[], bool],
+    ) -> int:
+        request = greeting.request
+        _check_permission(may_send, request)
+        call.send(sock, request.encode(str(self.address)))
+        answer = GreetingResponse(sock, call, request.method)
+        body = read_body(answer)
+        found = HttpAnswer(answer.status_code, _headers_of(answer), body)
+        try:
+            return greeting.read(found)
+        except ExchangeError as error:
+            raise ExchangeError(error.kind, error.detail, sent=False) from error
+
     def stream_lines(self, request: HttpRequest) -> Iterator[bytes]:
         """Send a request and yield the lines of a streamed response.
 
@@ -226,7 +256,16 @@
         self.urgent_pool.close()
 
 
-def _headers_of(answer: HTTPSocketPoolResponse) -> tuple[tuple[str, str], ...]:
+def _check_permission(may_send: Callable[[], bool], request: HttpRequest) -> None:
+    if not may_send():
+        raise ExchangeError(
+            ErrorKind.NO_STANDING,
+            f"the permission to send {request.path[:40]} has run out",
+            sent=False,
+        )
+
+
+def _headers_of(answer: HTTPSocketResponse) -> tuple[tuple[str, str], ...]:
     """Return the headers in order; a repeated header appears each time."""
     return tuple(answer.items())
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/response_body.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/response_body.py
@@ -1,13 +1,13 @@
 """Reads the body of a response that must be complete."""
 
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 READ_BLOCK_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16_777_216
 NO_BODY_STATUSES = (204, 304)
 
 
-def read_body(answer: HTTPSocketPoolResponse) -> bytes:
+def read_body(answer: HTTPSocketResponse) -> bytes:
     """Return the body of a response, which must have a detectable end.
 
     Raises:
--- a/tests/test_expired_permission.py
+++ b/tests/test_expired_permission.py
@@ -19,7 +19,12 @@
     WorkerInfo,
 )
 from heatherhatch_daemon.pools.machine_orders import MachineOrders, Maintain, Move
-from heatherhatch_daemon.pools.ports import DirectoryEntry, Permission, Renewal
+from heatherhatch_daemon.pools.ports import (
+    Deadline,
+    DirectoryEntry,
+    Permission,
+    Renewal,
+)
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.http import ExchangeError
 from heatherhatch_platform import machines, workers
@@ -87,7 +92,7 @@
 def worker_orders(permission):
     return {
         "start": lambda worker: worker.start(
-            StartOrder("w1", TASK, 1, "run"), 10, permission
+            StartOrder("w1", TASK, 1, "run"), Deadline(10, 1), permission
         ),
         "stop": lambda worker: worker.stop(StopOrder("w1", TASK, 1), permission),
         "pace": lambda worker: worker.pace(PaceOrder("w1", TASK, 1, 50), permission),
@@ -143,4 +148,5 @@
     peer.gate.set()
     for send in worker_orders(permission).values():
         send(worker)
-    assert peer.paths == ["/run-start", "/run-stop", "/pace", "/hold"]
+    greeting = "/hold"  # on the connection for orders, which had no answer yet
+    assert peer.paths == [greeting, "/run-start", "/run-stop", "/pace", "/hold"]
