Send no start until the clock of a new incarnation is known

Callers could see two runs at once: an entry of the directory announces the next incarnation of a worker, and a start that was placed before takes its deadline from the clock of the former one, which begins at 0 again.

Change: a start that finds its worker without a report of the present incarnation is not sent, and is placed again.

Evidence: test_a_start_waits_for_the_clock_of_a_new_incarnation fails before (the worker runs the task) and passes now.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -106,6 +106,10 @@
     @_carry_out.register
     def _start(self, order: StartOrder) -> None:
         worker = self.holder.scheduler.state.workers[self.worker_id]
+        if not worker.fenced:
+            # The clock of its present incarnation is not known yet.
+            self._report_start(order, StartResult.REFUSED)
+            return
         deadline_ms = self.holder.starts.deadline_ms(worker)
         worker.note_deadline(deadline_ms)
         deadline = Deadline(deadline_ms, worker.info.born_ms)
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -220,3 +220,14 @@
     link.send(order)
     assert model.workers["w0"].runs == {}
     assert model.scheduler.state.jobs["j1"].tasks[0, 0, 0].runs == {}
+
+
+# Guards against a lease by the clock of an incarnation that the directory has replaced.
+def test_a_start_waits_for_the_clock_of_a_new_incarnation(model, link):
+    link.greenlet.kill()
+    order = place(model)
+    info = dataclasses.replace(model.workers["w0"].info, born_ms=2)
+    model.scheduler.update_worker(info, model.now_s)
+    link.send(order)
+    assert model.workers["w0"].runs == {}
+    assert model.scheduler.state.jobs["j1"].tasks[0, 0, 0].runs == {}
