Ignore all but the results in a report of a former incarnation

Callers could see two runs at once: a report that was awaited while the directory named the worker's next incarnation set the worker back to the former one, with its clock, so that starts took deadlines from it.

Change: a report with another start time than the present incarnation's, asked for before that one was known, counts for its results alone. A report that was asked for later shows who answers now, also if the wall clock was set back.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -37,6 +37,10 @@
         now_s: When the answer was received, monotonic seconds.
     """
     if report.born_ms and report.born_ms != worker.info.born_ms:
+        if sent_s < worker.claimed_s:
+            # The directory has named a newer incarnation while the report was awaited.
+            _handle_former_report(state, worker, report, now_s)
+            return
         begin_incarnation(state, worker, report.born_ms, now_s)
     worker.note_clock(report.clock_ms, now_s)
     if not worker.fenced:
@@ -77,9 +81,35 @@
     state.permits.forget_worker(worker.worker_id)
 
 
+def _handle_former_report(
+    state: PoolState, worker: Worker, report: Report, now_s: float
+) -> None:
+    """Process the results in the report of an incarnation that is over.
+
+    Its clock, its runs and the numbers of its ends say nothing of the present one.
+    """
+    state.note(
+        "report of a former incarnation",
+        worker=worker.worker_id,
+        born_ms=report.born_ms,
+        present_ms=worker.info.born_ms,
+    )
+    for end in report.ends:
+        if end.ending is Ending.DONE:
+            _apply_end(state, worker, end, now_s)
+
+
 def _handle_end(state: PoolState, worker: Worker, end: ListedEnd, now_s: float) -> None:
     worker.last_end_sequence = end.sequence
     worker.unknown_runs.discard((end.task.job_id, end.number))
+    _apply_end(state, worker, end, now_s)
+    job = state.jobs.get(end.task.job_id)
+    if job is not None and job.stored < job.version:
+        worker.unacked_ends[end.sequence] = (end.task.job_id, job.version)
+        state.unstored_ends.setdefault(end.task.job_id, {})[worker.worker_id] = None
+
+
+def _apply_end(state: PoolState, worker: Worker, end: ListedEnd, now_s: float) -> None:
     run = worker.runs.get((end.task, end.number))
     if run is None:
         task = find_task(state, end.task)
@@ -98,10 +128,6 @@
             sequence=end.sequence,
         )
         state.end_run(run, end.ending, end.checkpoint, now_s)
-    job = state.jobs.get(end.task.job_id)
-    if job is not None and job.stored < job.version:
-        worker.unacked_ends[end.sequence] = (end.task.job_id, job.version)
-        state.unstored_ends.setdefault(end.task.job_id, {})[worker.worker_id] = None
 
 
 def _handle_listed_runs(
