Stop starts without an answer at the next incarnation of a worker

Callers could see two runs at once: a start gets no answer, the worker is told to refuse it, and starts again; the start is carried out late by the next incarnation, which knows nothing of the refusal, while the task runs elsewhere.

Change: what a former incarnation acknowledged of a run whose start is in doubt does not end it. Starts given up within 12 s are stopped again.

Evidence: test_a_late_start_is_refused_by_the_next_incarnation fails before in both forms (the worker takes the late start) and passes now.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -68,7 +68,9 @@
 
     An order that was sent before the restart was known may have reached the new
     incarnation, which has the same name. So the runs are kept until the first
-    report of the new incarnation shows which of them are alive.
+    report of the new incarnation shows which of them are alive. A start without an
+    answer may take effect there too: it is stopped again, as the former incarnation's
+    refusal of it is forgotten.
     """
     state.note(
         "worker reborn",
@@ -79,6 +81,8 @@
     )
     worker.begin_incarnation(born_ms, now_s)
     state.permits.forget_worker(worker.worker_id)
+    for task, number in worker.starts_in_doubt(now_s):
+        state.orders.append(StopOrder(worker.worker_id, task, number))
 
 
 def _handle_former_report(
@@ -235,6 +239,7 @@
         worker.refusals = 0
         return
     if result is StartResult.UNKNOWN:
+        worker.unanswered_starts[order.task, order.number] = now_s
         if run.state is RunState.ORDERED:
             run.state = RunState.DOUBTFUL
             run.task.avoid.add(worker.worker_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -11,6 +11,7 @@
 
 UNHEALTHY_BACKOFF_INITIAL_S = 0.5  # first pause after a worker reports a problem
 UNHEALTHY_BACKOFF_MAX_S = 2.0  # longest pause; a refused start costs only a call
+MAX_ORDER_DELAY_S = 12.0  # an order without an answer may be carried out this late
 MAX_REFUSALS = 6  # in a row; a worker that sheds half of its starts rarely gets there
 
 
@@ -46,6 +47,8 @@
             seconds.
         backoff_s: Duration of the last such pause, seconds.
         refusals: Number of starts that the worker refused since it last took one.
+        unanswered_starts: When the last starts without an answer were given up, by task
+            and run number, monotonic seconds.
         quarantine: Quarantine because of failed runs.
         leaves_at_s: Earliest time at which the worker leaves, monotonic seconds; inf
             unless it drains.
@@ -71,6 +74,7 @@
     backoff_until_s: float = float("-inf")
     backoff_s: float = 0.0
     refusals: int = 0
+    unanswered_starts: dict[tuple[TaskName, int], float] = field(default_factory=dict)
     quarantine: WorkerQuarantine = field(default_factory=WorkerQuarantine)
     leaves_at_s: float = float("inf")
 
@@ -114,6 +118,16 @@
         self.claimed_s = now_s
         self.refusals = 0
         self.leaves_at_s = float("inf")
+        for run in self.runs.values():
+            if run.state in (RunState.ORDERED, RunState.DOUBTFUL):
+                run.expected_from_s = run.stop_acked_s = float("inf")
+
+    def starts_in_doubt(self, now_s: float) -> tuple[tuple[TaskName, int], ...]:
+        """Return the starts without an answer that may still take effect."""
+        for key, at_s in list(self.unanswered_starts.items()):
+            if now_s - at_s > MAX_ORDER_DELAY_S:
+                del self.unanswered_starts[key]
+        return tuple(self.unanswered_starts)
 
     def note_info(self, info: WorkerInfo, now_s: float) -> None:
         """Replace the directory entry."""
--- a/tests/test_scheduler_lives.py
+++ b/tests/test_scheduler_lives.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from heatherhatch_core.coordination.scheduler import Ending, Report
+from heatherhatch_core.coordination.scheduler import Ending, Report, StartResult
+from heatherhatch_core.coordination.scheduler.worker import MAX_ORDER_DELAY_S
 from heatherhatch_core.state.work import Phase
 from pool_model import PoolModel, make_job, make_step
 
@@ -60,3 +61,41 @@
     report = dataclasses.replace(model.workers["w1"].report(0), born_ms=5)
     model.scheduler.handle_report("w1", report, model.now_s - 0.1, model.now_s)
     assert model.scheduler.state.workers["w1"].info.born_ms == 5
+
+
+def start_in_doubt(model: PoolModel):
+    """Order a start that gets no answer and is then stopped; return the order."""
+    model.scheduler.add_job(make_job(make_step()), None, model.now_s)
+    model.scheduler.decide(model.now_s, model.now_s)
+    for write in model.scheduler.take_writes(model.now_s):
+        model.scheduler.stored(write.job_id, write.version, model.now_s)
+    (order,) = model.scheduler.take_orders()
+    model.scheduler.handle_start_result(order, StartResult.UNKNOWN, model.now_s)
+    model.receive_report("w0")
+    model.flush()
+    assert model.workers["w0"].start(order) is StartResult.REFUSED
+    model.now_s += 0.01
+    return order
+
+
+# Guards against two runs at once: a start that the former incarnation would have
+# refused takes effect late, on the next one, when the task runs elsewhere.
+@pytest.mark.parametrize("is_given_up", [False, True], ids=["stopped", "given up"])
+def test_a_late_start_is_refused_by_the_next_incarnation(model, is_given_up):
+    order = start_in_doubt(model)
+    if is_given_up:
+        model.receive_report("w0")
+        assert not model.scheduler.state.workers["w0"].runs
+    register_next(model)
+    model.receive_report("w0")
+    model.round()
+    assert model.workers["w0"].start(order) is StartResult.REFUSED
+
+
+def test_starts_are_not_in_doubt_for_ever(model):
+    start_in_doubt(model)
+    model.receive_report("w0")
+    model.now_s += 2 * MAX_ORDER_DELAY_S
+    register_next(model)
+    assert not model.scheduler.state.workers["w0"].unanswered_starts
+    assert model.scheduler.take_orders() == []
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -39,12 +39,16 @@
 
 @pytest.fixture
 def client(worker):
-    info = WorkerInfo("i-1", "m-1", "till", "z1", worker.born_ms)
-    opened = HttpWorker(DirectoryEntry(info, Address.parse(worker.proxy.address)))
+    opened = open_client(worker, worker.server.address)
     yield opened
     opened.close()
 
 
+def open_client(worker, address: str) -> HttpWorker:
+    info = WorkerInfo("i-1", "m-1", "till", "z1", worker.born_ms)
+    return HttpWorker(DirectoryEntry(info, Address.parse(address)))
+
+
 def run_task(client, worker, job_id: str) -> None:
     """Start a task and wait until the worker has ended it."""
     order = StartOrder("i-1", TaskName(job_id, 0, 0, 0), 1, "done 0")
@@ -96,7 +100,8 @@
     assert not worker.runs
 
 
-def test_the_renewal_under_way_ends_once_another_incarnation_answers(worker, client):
+def test_the_renewal_under_way_ends_once_another_incarnation_answers(worker):
+    client = open_client(worker, worker.proxy.address)
     client.renew(Renewal(LEASE_MS, 0, 0.0), PERMISSION)
     waiting = gevent.spawn(client.renew, Renewal(LEASE_MS, 0, 2.0), PERMISSION)
     gevent.sleep(0.1)
