--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -138,6 +138,11 @@
         if len(self.occurrences_done) == self.occurrences:
             self.phase = Phase.COMPLETED
 
+    @property
+    def is_waiting(self) -> bool:
+        """True until the job begins; a job with a schedule does not wait."""
+        return not (self.began or self.phase.final or self.job.schedule.count)
+
     def fail(self, reason: str) -> None:
         """Set the phase of a job that failed; its runs are not stopped yet."""
         self.phase = Phase.FAILED
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -25,15 +25,11 @@
     StopOrder,
     WorkerInfo,
 )
+from .order_answers import handle_start_result, handle_stop_result
 from .pacing import pace_fillers
 from .placement import place_tasks
 from .queue_rules import queue_rules
-from .reports import (
-    begin_incarnation,
-    handle_report,
-    handle_start_result,
-    handle_stop_result,
-)
+from .reports import begin_incarnation, handle_report
 from .rules import Rules
 from .state import PoolState
 from .watchdog import watch_runs
@@ -233,16 +229,15 @@
 
         Jobs with a schedule do not count.
         """
-        return dict(Counter(job.queue for job in self._unstarted()))
+        return dict(Counter(live.job.queue for live in self._waiting()))
 
     def waiting_at(self) -> dict[str, int]:
         """Count the unstarted jobs by the address of their queue; see `waiting`."""
-        return dict(Counter(map(self.state.queue_rules.address_of, self._unstarted())))
+        rules = self.state.queue_rules
+        return dict(Counter(rules.address_of(live.job) for live in self._waiting()))
 
-    def _unstarted(self) -> Iterator[Job]:
-        for live in self.state.jobs.values():
-            if not live.began and not live.phase.final and not live.job.schedule.count:
-                yield live.job
+    def _waiting(self) -> Iterator[LiveJob]:
+        return (live for live in self.state.jobs.values() if live.is_waiting)
 
     def demand(self, now_s: float, wall_s: float) -> PoolDemand:
         """Return the CPU demand of the pool."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/intake.py
@@ -14,7 +14,7 @@
 from .cancellation import Cancellations
 from .clock import now_s, wall_s
 from .fleet_records import PoolReport
-from .job_location import FoundStatus, find_status, locate
+from .job_location import FoundStatus, JobLocation, find_status, locate
 from .job_registry import JobRegistry, Registration
 from .keys import report_key
 from .operators import MAX_SERVING_AGE_S, Operators
@@ -136,8 +136,7 @@
                 address=caller.queue.address,
             )
             if self.gates.arrival_rejection:
-                location = locate(self.operators.config, caller.queue, job.job_id)
-                self.arrivals.check(job, location)
+                self.arrivals.check(job, self._locate(caller, path))
             sent_s = now_s()
             result = self.registry.register(job)
             if result is not Registration.CONFIG_CHANGED:
@@ -173,10 +172,10 @@
             HeatherhatchError: ``NO_SUCH_JOB`` if the job is not known.
         """
         caller = self.identify(host, path, key)
-        job_id = path.removeprefix(caller.queue.prefix)
-        found = self._find(caller, job_id, limit_s)
+        location = self._locate(caller, path)
+        found = self._find(caller, location, limit_s)
         if found is None or found.status.withdrawn:
-            raise _no_such_job(job_id)
+            raise _no_such_job(location.job_id)
         return found.status
 
     def cancel(
@@ -194,12 +193,9 @@
             HeatherhatchError: See `Cancellations.cancel`.
         """
         caller = self.identify(host, path, key)
-        job_id = path.removeprefix(caller.queue.prefix)
-        if not JOB_ID.fullmatch(job_id):
-            raise _no_such_job(job_id)
-        location = locate(self.operators.config, caller.queue, job_id)
+        location = self._locate(caller, path)
         self.cancellations.cancel(
-            caller, location, lambda: self._find(caller, job_id, limit_s)
+            caller, location, lambda: self._find(caller, location, limit_s)
         )
 
     def waiting(
@@ -220,18 +216,23 @@
         self.arrivals.note_report(report)
         return report.waiting_in(caller.queue)
 
-    def _find(self, caller: Caller, job_id: str, limit_s: float) -> FoundStatus | None:
+    def _locate(self, caller: Caller, path: str) -> JobLocation:
+        job_id = path.removeprefix(caller.queue.prefix)
+        if JOB_ID.fullmatch(job_id):
+            return locate(self.operators.config, caller.queue, job_id)
+        raise _no_such_job(job_id)
+
+    def _find(
+        self, caller: Caller, location: JobLocation, limit_s: float
+    ) -> FoundStatus | None:
         """Return the status of a job, or of its withdrawal; None if there is none."""
-        if not JOB_ID.fullmatch(job_id):
-            return None
-        location = locate(self.operators.config, caller.queue, job_id)
         found = find_status(location, lambda key: self._get(key, limit_s))
         if found is None or found.status.is_owned_by(caller.team):
             return found
         if found.status.withdrawn:
             return None
         raise HeatherhatchError(
-            ErrorKind.FORBIDDEN, f'job "{job_id}" belongs to another team'
+            ErrorKind.FORBIDDEN, f'job "{location.job_id}" belongs to another team'
         )
 
     def _get(self, key: str, limit_s: float) -> Entry | None:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/greeting.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/greeting.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from gevent import socket
 
-    from .http import HttpAnswer, HttpRequest
+    from .http_messages import HttpAnswer, HttpRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -19,7 +19,7 @@
 from heatherhatch_core.coordination.scheduler import (
     Ending,
     StartResult,
-    reports,
+    order_answers,
     scheduler,
 )
 from heatherhatch_core.coordination.scheduler.worker import Worker
@@ -149,7 +149,7 @@
 
 def treat_unknown_starts_as_refused(monkeypatch):
     """Treat a start without an answer as one that was refused."""
-    original_handle = reports.handle_start_result
+    original_handle = order_answers.handle_start_result
 
     def take(state, order, result, now_s):
         lost = result is StartResult.UNKNOWN
