--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -12,11 +12,9 @@
 from heatherhatch_core.state.work import JobStatus, Phase
 from heatherhatch_daemon.pools.keys import job_key, status_key
 from heatherhatch_platform.kv_store import CALL_TIMEOUT_S
-from heatherhatch_platform_standin.deployment import (
-    UNUSED_ROUTE_BYTES,
-    Deployment,
-)
+from heatherhatch_platform_standin.deployment import Deployment
 from heatherhatch_platform_standin.load import Callers
+from heatherhatch_platform_standin.routes import UNUSED_ROUTE_BYTES
 from heatherhatch_platform_standin.store import MAX_PAGE_BYTES
 from pool_model import POOL, make_job, make_step
 
