Bound the memory of starts without an answer

Each start without an answer stayed known to its worker until that one started again: a holder of workers that lose answers grew for as long as it held its pool.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/order_answers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/order_answers.py
@@ -33,7 +33,7 @@
         worker.refusals = 0
         return
     if result is StartResult.UNKNOWN:
-        worker.unanswered_starts[order.task, order.number] = now_s
+        worker.note_unanswered(order.task, order.number, now_s)
         if run.state is RunState.ORDERED:
             run.state = RunState.DOUBTFUL
             run.task.avoid.add(worker.worker_id)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -122,12 +122,22 @@
             if run.state in (RunState.ORDERED, RunState.DOUBTFUL):
                 run.expected_from_s = run.stop_acked_s = float("inf")
 
+    def note_unanswered(self, task: TaskName, number: int, now_s: float) -> None:
+        """Record a start without an answer, and forget those of long ago."""
+        self.unanswered_starts = {
+            key: at_s
+            for key, at_s in self.unanswered_starts.items()
+            if now_s - at_s <= MAX_ORDER_DELAY_S
+        }
+        self.unanswered_starts[task, number] = now_s
+
     def starts_in_doubt(self, now_s: float) -> tuple[tuple[TaskName, int], ...]:
         """Return the starts without an answer that may still take effect."""
-        for key, at_s in list(self.unanswered_starts.items()):
-            if now_s - at_s > MAX_ORDER_DELAY_S:
-                del self.unanswered_starts[key]
-        return tuple(self.unanswered_starts)
+        return tuple(
+            key
+            for key, at_s in self.unanswered_starts.items()
+            if now_s - at_s <= MAX_ORDER_DELAY_S
+        )
 
     def note_info(self, info: WorkerInfo, now_s: float) -> None:
         """Replace the directory entry."""
