Keep the permit rules of a job after its queue was removed

The newest rules count while its address is configured, those of the acceptance after that.

The new test fails without the lookup in the terms (a run starts without a permit) and passes now.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/queue_rules.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/queue_rules.py
@@ -17,11 +17,11 @@
 
     Attributes:
         addresses: Address of each queue, by its name.
-        permits: Rules of the policy service, by address, of queues that have any.
+        permits: Rules of the policy service, by address; None for queues without any.
     """
 
     addresses: Mapping[str, str] = field(default_factory=dict)
-    permits: Mapping[str, PermitRules] = field(default_factory=dict)
+    permits: Mapping[str, PermitRules | None] = field(default_factory=dict)
 
     def address_of(self, job: Job) -> str:
         """Return the address of a job's queue; empty if it is not known.
@@ -31,17 +31,19 @@
         return job.address or self.addresses.get(job.queue, "")
 
     def permit_rules(self, job: Job) -> PermitRules | None:
-        """Return the rules of the policy service; None if any worker may be used."""
-        return self.permits.get(self.address_of(job))
+        """Return the rules of the policy service; None if any worker may be used.
+
+        The service answers for the open jobs of a queue that was removed, too.
+        """
+        address = self.address_of(job)
+        if address in self.permits:
+            return self.permits[address]
+        return job.terms.permit_rules
 
 
 def queue_rules(config: FleetConfiguration) -> QueueRules:
     """Return the rules of the queues of a configuration."""
     return QueueRules(
         {queue.name: queue.address for queue in config.queues},
-        {
-            queue.address: queue.permit_rules
-            for queue in config.queues
-            if queue.permit_rules is not None
-        },
+        {queue.address: queue.permit_rules for queue in config.queues},
     )
--- a/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/state/work.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .fleet_configuration import PermitRules
 from .resources import NO_RESOURCES, Resources
 
 
@@ -102,12 +103,15 @@
         stretch: Factor of the time objective, as a multiple of the expected length
             of the longest chain of steps.
         target_s: Time that the objective adds to that multiple, seconds.
+        permit_rules: Rules of the policy service, which apply once the queue is
+            removed; None if it had none, or from earlier versions.
     """
 
     attempts: int = 1
     priority: int = 0
     stretch: float = 1.0
     target_s: float = 0.0
+    permit_rules: PermitRules | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/callers.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/callers.py
@@ -26,7 +26,13 @@
     def terms(self) -> Terms:
         """Return the terms under which the queue accepts a job."""
         queue = self.queue
-        return Terms(queue.attempts, queue.priority, queue.stretch, queue.target_s)
+        return Terms(
+            queue.attempts,
+            queue.priority,
+            queue.stretch,
+            queue.target_s,
+            queue.permit_rules,
+        )
 
 
 def identify(config: FleetConfiguration, host: str, path: str, key: str) -> Caller:
--- a/tests/test_scheduler_permits.py
+++ b/tests/test_scheduler_permits.py
@@ -73,3 +73,20 @@
     model.add(dataclasses.replace(job, job_id="b", address=QUEUE.address))
     assert [task.job_id for _worker, task, _run in model.alive_runs()] == ["b"]
     assert model.scheduler.state.permits.wanted.keys() == {StepName("a", 0, 0)}
+
+
+# Guards against starts without permits, which workers reject, and the job never runs.
+def test_an_open_job_needs_permits_after_its_queue_was_removed(model):
+    job = make_job(make_step(), job_id="a", at_s=model.now_s)
+    terms = dataclasses.replace(job.terms, permit_rules=RESTRICTED.permit_rules)
+    model.scheduler.configure(dataclasses.replace(CONFIG, queues=(QUEUE,)))
+    model.add(dataclasses.replace(job, address=RESTRICTED.address, terms=terms))
+    assert model.alive_runs() == []
+    assert model.scheduler.state.permits.wanted.keys() == {StepName("a", 0, 0)}
+
+
+def test_the_newest_rules_of_a_queue_count(model):
+    job = make_job(make_step(), job_id="a", at_s=model.now_s)
+    terms = dataclasses.replace(job.terms, permit_rules=RESTRICTED.permit_rules)
+    model.add(dataclasses.replace(job, address=QUEUE.address, terms=terms))
+    assert len(model.alive_runs()) == 1
