Find a withdrawn job that the version before accepted

Callers saw, during an upgrade: a cancellation answered 410, a submission of the same ID answered 200 by an instance of the version before, and then 410 from all instances of this version.

Cause: a withdrawal has two keys since jobs are found by address. The version before knows one of them, and replaces the record under that one alone.

The new test fails before (no-such-job) and passes now.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_location.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/job_location.py
@@ -89,12 +89,18 @@
         location: Where the status may be stored.
         get: Reads one entry of the store.
     """
+    withdrawal = None
     for key in location.keys:
         entry = get(key)
         status = read_status(entry) if entry is not None else None
-        if status is not None and location.owns(status):
-            return FoundStatus(status, entry.key, entry.revision)
-    return None
+        if status is None or not location.owns(status):
+            continue
+        found = FoundStatus(status, entry.key, entry.revision)
+        if not status.withdrawn:
+            return found
+        # An earlier version accepts a withdrawn job under the last key alone.
+        withdrawal = withdrawal or found
+    return withdrawal
 
 
 def read_status(entry: Entry) -> JobStatus:
--- a/tests/test_job_address.py
+++ b/tests/test_job_address.py
@@ -152,6 +152,20 @@
     assert entrance.stored_job("till", "j1") is None
 
 
+# Guards against a job that is answered as accepted by an instance of the version before
+# and as not known by others, during an upgrade.
+def test_a_withdrawn_job_that_the_version_before_accepted_is_known(entrance):
+    assert error_kind(entrance.intake.cancel, "h", "/till/j1", "k-red") is (
+        ErrorKind.NO_SUCH_JOB
+    )
+    status = {"phase": "cancelled", "pool": "till", "queue": "q-till", "team": "red"}
+    entrance.put("status-of-jobs/q-till/j1", encode_json({**status, "shares_id": True}))
+    assert entrance.phase("/till/j1") is Phase.CANCELLED
+    entrance.submit("/till/j1")
+    assert entrance.phase("/till/j1") is Phase.CANCELLED
+    entrance.intake.cancel("h", "/till/j1", "k-red")
+
+
 def held_pool(entrance: Entrance, *jobs: Job) -> Scheduler:
     """Return the scheduler of the pool "till" with some jobs."""
     scheduler = Scheduler("till", Rules(), 0.0)
