Log the incarnation of a run and the lease that its holder counted

Two runs at once could not be traced in the holder's log: it named the worker, not its incarnation, and neither the clock nor the deadline from which the end of the lease was computed. "run lost", "start answered" and "run ended" have the incarnation now, the first two also the reading of the clock, the deadline and the time since. They tell a lease by another clock from one that a former holder gave. The test for the fields of "run lost" failed before (no such key).

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/order_answers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/order_answers.py
@@ -19,7 +19,9 @@
         task=order.task,
         run=order.number,
         worker=order.worker_id,
+        born_ms=run.born_ms,
         result=result.value,
+        **worker.lease_details(now_s),
         first=result is StartResult.STARTED and run.is_first,
     )
     if result is StartResult.STARTED:
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -125,6 +125,7 @@
             task=end.task,
             run=end.number,
             worker=worker.worker_id,
+            born_ms=run.born_ms,
             ending=end.ending.value,
             sequence=end.sequence,
         )
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -155,12 +155,15 @@
 
     def lose_run(self, run: Run, reason: str, now_s: float) -> None:
         """End a run that no report will list as ended any more."""
+        worker = self.workers.get(run.worker_id)
         self.note(
             "run lost",
             task=run.name,
             run=run.number,
             worker=run.worker_id,
+            born_ms=run.born_ms,
             reason=reason,
+            **(worker.lease_details(now_s) if worker else {}),
         )
         self.end_run(run, Ending.LOST, "", now_s)
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -169,6 +169,17 @@
         left_s = max(0.0, self.deadline_ms - self.clock_ms) / 1000.0
         return self.clock_at_s + left_s / (1 - CLOCK_DRIFT) + self.rules.lease_margin_s
 
+    def lease_details(self, now_s: float) -> dict[str, object]:
+        """Return what the expiry of the lease is computed from, to log it."""
+        last_s = self.clock_at_s if self.fenced else self.claimed_s
+        return {
+            "worker_born_ms": self.info.born_ms,
+            "fenced": self.fenced,
+            "since_s": round(now_s - last_s, 2),
+            "clock_ms": int(self.clock_ms),
+            "deadline_ms": int(self.deadline_ms),
+        }
+
     def back_off(self, now_s: float) -> None:
         """Give the worker no runs for a while, with exponential backoff."""
         next_pause_s = max(UNHEALTHY_BACKOFF_INITIAL_S, 2 * self.backoff_s)
--- a/tests/test_scheduler_lives.py
+++ b/tests/test_scheduler_lives.py
@@ -112,3 +112,17 @@
         worker.note_unanswered(TaskName("j1", 0, 0, 0), number, model.now_s)
         model.now_s += MAX_ORDER_DELAY_S / 2
     assert [number for _task, number in worker.unanswered_starts] == [17, 18, 19]
+
+
+# Guards against two runs at once whose log does not tell which lease was counted.
+def test_a_lost_run_is_logged_with_the_lease_that_was_counted(model):
+    model.add(make_job(make_step()))
+    worker = model.scheduler.state.workers["w0"]
+    worker.note_deadline(5000)
+    model.scheduler.handle_no_response("w0", model.now_s)
+    model.round(10.0)
+    notes = model.scheduler.take_notes()
+    (lost,) = [details for what, details in notes if what == "run lost"]
+    assert (lost["born_ms"], lost["worker_born_ms"], lost["fenced"]) == (1, 1, True)
+    assert (lost["clock_ms"], lost["deadline_ms"]) == (1000, 5000)
+    assert lost["since_s"] == pytest.approx(10.0, abs=0.1)
