Notice a start between an end as done and its acknowledgement

The ledger of the stand-ins knew a start after an acknowledged end, not one after an end that is acknowledged later. The users saw such starts.

The new test lets a run end behind a cut, under a lease that the holder does not know, and ends the cut before that lease is over.

--- a/tests/test_soak_standins.py
+++ b/tests/test_soak_standins.py
@@ -14,6 +14,7 @@
 from heatherhatch_platform_standin.ledger import Ledger
 from heatherhatch_platform_standin.policy import StandinPolicy, is_valid_ticket
 from heatherhatch_platform_standin.proxy import Link, Proxy
+from heatherhatch_platform_standin.run_ends import RunEnds
 
 HANG_S = 30  # limits a test that hangs; normally nothing takes this long
 JOB = "5c0e7a21d94b36f8"
@@ -109,6 +110,25 @@
     assert len(ledger.violations) == 1
 
 
+# Guards against an end that counts although its task was started again before it was
+# acknowledged; only the expiry of the worker's lease in between allows that.
+def test_a_start_between_an_end_and_its_acknowledgement_is_noticed():
+    ledger = Ledger()
+    ends = RunEnds(ledger)
+    for has_expired in (True, False):
+        ledger.start(TASK, "w1")
+        ledger.end(TASK, "w1")
+        ends.add(TASK, 1, "done")
+        ledger.start(TASK, "w2")
+        ledger.end(TASK, "w2")
+        if has_expired:
+            ends.note_lease_expired()
+        assert ledger.violations == []
+        ends.acknowledge(ends.count)
+        ledger.acknowledged.clear()
+    assert len(ledger.violations) == 1
+
+
 def test_jobs_wait_until_a_task_of_theirs_is_started():
     ledger = Ledger()
     for job_id in (JOB, "other", "cancelled"):
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -109,18 +109,44 @@
             gevent.sleep(0.01)
 
 
-@pytest.mark.parametrize("is_holder_lost", [False, True], ids=["cut", "holder lost"])
-def test_a_task_does_not_run_elsewhere_under_the_lease_of_a_new_incarnation(
-    fleet, is_holder_lost
-):
+HOLDERS = pytest.mark.parametrize(
+    "is_holder_lost", [False, True], ids=["cut", "holder lost"]
+)
+
+
+def cut_off_under_a_new_incarnation(fleet, run_s, is_holder_lost):
+    """Let a worker start again and take a task, and cut it off; return the worker."""
     first = fleet.add_worker("w1")
     wait_for(lambda: first.deadline_ms)
     first.restart_silently(entry_after_s=HANG_S)
-    fleet.submit("j1", 5.0)
+    fleet.submit("j1", run_s)
     wait_for(lambda: first.runs)
     first.proxy.link = Link.DOWN
     if is_holder_lost:
         fleet.replace_node()
+    return first
+
+
+@HOLDERS
+def test_a_task_does_not_run_elsewhere_under_the_lease_of_a_new_incarnation(
+    fleet, is_holder_lost
+):
+    cut_off_under_a_new_incarnation(fleet, 5.0, is_holder_lost)
+    second = fleet.add_worker("w2")
+    wait_for(lambda: second.runs)
+    assert fleet.ledger.violations == []
+
+
+# Guards against a start after an end as done that is acknowledged later: behind the cut
+# the run ended under a lease that its holder did not know.
+@HOLDERS
+def test_a_task_is_not_started_after_an_end_that_is_acknowledged_after_a_cut(
+    fleet, is_holder_lost
+):
+    first = cut_off_under_a_new_incarnation(fleet, 1.5, is_holder_lost)
+    wait_for(lambda: not first.runs)
     second = fleet.add_worker("w2")
     wait_for(lambda: second.runs)
+    first.proxy.link = Link.UP
+    wait_for(lambda: not first.ends.rows)
     assert fleet.ledger.violations == []
