Send a start only to the incarnation that the last report named

A greeting that named no incarnation admitted a start, though the worker had named the one whose clock the deadline is read from. Expected was the newest incarnation that a report or the directory had named, which need not be the one of the clock.

Now the clock and the incarnation come from the same report, and the greeting must name that one. A worker whose reports name none gets its starts as before, also if its entry names one.

Two of the new cases failed before: a start went to an incarnation that did not name itself, and the start for a worker that never names its own expected one. In the model the fault "entry clock" takes the expected incarnation from the directory, as the code did: with the expected one from the report it no longer breaks the rule.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/reports.py
@@ -40,6 +40,7 @@
             return
         begin_incarnation(state, worker, report.born_ms, now_s)
     worker.note_clock(report.clock_ms, now_s)
+    worker.reported_born_ms = report.born_ms
     if not worker.fenced:
         worker.fenced = True
         worker.fenced_since_s = now_s
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker.py
@@ -32,6 +32,7 @@
             answers.
         answered_s: When it last answered a renewal or started a run, monotonic
             seconds.
+        reported_born_ms: The incarnation that its last answer named; 0 if none.
         clock_ms: Reading of the worker's clock in its last answer.
         clock_at_s: When that answer was received, monotonic seconds.
         deadline_ms: Latest lease expiry sent to the worker, by its clock.
@@ -62,6 +63,7 @@
     fenced_since_s: float = float("inf")
     silent_since_s: float = float("inf")
     answered_s: float = float("-inf")
+    reported_born_ms: int = 0
     clock_ms: float = 0.0
     clock_at_s: float = float("-inf")
     deadline_ms: float = 0.0
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/ports.py
@@ -53,8 +53,8 @@
 
     Attributes:
         clock_ms: Reading of its clock, milliseconds.
-        born_ms: When this incarnation started, milliseconds since the epoch; 0 if it
-            does not say.
+        born_ms: When this incarnation started, milliseconds since the epoch; 0 if its
+            reports do not say.
     """
 
     clock_ms: int
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/worker_link.py
@@ -112,7 +112,7 @@
             return
         deadline_ms = self.holder.starts.deadline_ms(worker)
         worker.note_deadline(deadline_ms)
-        deadline = Deadline(deadline_ms, worker.info.born_ms)
+        deadline = Deadline(deadline_ms, worker.reported_born_ms)
         permission = Permission(self.ordering.token, lambda: self._may_start(order))
         result = self.control.start(order, deadline, permission)
         self._report_start(order, result)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/greeting.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/greeting.py
@@ -39,7 +39,7 @@
 
     def admits(self, incarnation: int) -> bool:
         """Return whether the request may be sent to an incarnation."""
-        return not self.expected or incarnation in (0, self.expected)
+        return not self.expected or incarnation == self.expected
 
 
 class GreetingResponse(HTTPSocketResponse):
--- a/tests/incarnation_holder.py
+++ b/tests/incarnation_holder.py
@@ -174,23 +174,9 @@
         deadline_ms = worker.next_deadline_ms(self.world.now_s)
         worker.note_deadline(deadline_ms)
         link = self.links[order.worker_id]
-        greeting = Greeting(None, None, worker.info.born_ms)
-        is_greeted = "no greeting" not in self.world.conditions.faults
-        there = link.orders if self.world.conditions.keeps_connections else None
-        if (
-            there is None
-            or there.is_closed
-            or (is_greeted and not greeting.admits(there.born_ms))
-        ):
-            there = link.orders = self.world.connect(order.worker_id)
-            if there is None:
-                return StartResult.UNWELL
-            if is_greeted and not there.take_token(self.token):
-                self.is_up = False
-                return StartResult.REFUSED
-            if is_greeted and not greeting.admits(there.born_ms):
-                self.renewal_lost(order.worker_id, link.calls)
-                return StartResult.REFUSED
+        there = self.connect(link, worker)
+        if isinstance(there, StartResult):
+            return there
         fate_s = next(self.world.fates_s)
         if fate_s is not None:  # without an answer
             link.orders = None
@@ -202,6 +188,29 @@
             return StartResult.UNKNOWN
         return there.start(order, deadline_ms, self.token)
 
+    def connect(self, link: Link, worker) -> Incarnation | StartResult:
+        """Return where a start may be sent, or why it was not sent."""
+        conditions = self.world.conditions
+        expected = worker.reported_born_ms
+        if "entry clock" in conditions.faults:
+            expected = worker.info.born_ms
+        greeting = Greeting(None, None, expected)
+        is_greeted = "no greeting" not in conditions.faults
+        there = link.orders if conditions.keeps_connections else None
+        is_open = there is not None and not there.is_closed
+        if is_open and (not is_greeted or greeting.admits(there.born_ms)):
+            return there
+        there = link.orders = self.world.connect(worker.worker_id)
+        if there is None:
+            return StartResult.UNWELL
+        if is_greeted and not there.take_token(self.token):
+            self.is_up = False
+            return StartResult.REFUSED
+        if is_greeted and not greeting.admits(there.born_ms):
+            self.renewal_lost(worker.worker_id, link.calls)
+            return StartResult.REFUSED
+        return there
+
     def stop(self, order) -> None:
         there = self.world.connect(order.worker_id)
         if self.may_order and there is not None:
--- a/tests/test_worker_link.py
+++ b/tests/test_worker_link.py
@@ -39,7 +39,8 @@
             raise ExchangeError(ErrorKind.BACKEND_TIMEOUT, "no answer", True)
         return self.worker.report(renewal.acked)
 
-    def start(self, order, _deadline_ms, permission):
+    def start(self, order, deadline, permission):
+        self.deadline = deadline
         self.before_send()
         if not permission.is_valid():
             return StartResult.REFUSED
@@ -231,3 +232,17 @@
     link.send(order)
     assert model.workers["w0"].runs == {}
     assert model.scheduler.state.jobs["j1"].tasks[0, 0, 0].runs == {}
+
+
+# Guards against a worker whose entry names its incarnation and whose reports do not: no
+# start would ever be admitted.
+@pytest.mark.parametrize("born_ms", [0, 1])
+def test_a_start_is_meant_for_the_incarnation_of_the_last_report(model, link, born_ms):
+    link.greenlet.kill()
+    order = place(model)
+    report = model.workers["w0"].report(0)
+    report = dataclasses.replace(report, born_ms=born_ms)
+    model.scheduler.handle_report("w0", report, model.now_s, model.now_s)
+    link.send(order)
+    assert model.scheduler.state.workers["w0"].info.born_ms == 1
+    assert link.control.deadline.born_ms == born_ms
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -100,6 +100,26 @@
     assert not worker.runs
 
 
+# Guards against a start at an incarnation that does not name itself, though its worker
+# has named the one whose clock the deadline is read from.
+@pytest.mark.parametrize("has_named", [True, False])
+def test_a_greeting_without_an_incarnation_admits_starts_if_no_report_names_one(
+    worker, client, monkeypatch, has_named
+):
+    renew = worker._renew_lease
+    monkeypatch.setattr(
+        worker, "_renew_lease", lambda body: (200, {**renew(body)[1], "born": 0})
+    )
+    deadline = Deadline(DEADLINE_MS, worker.born_ms if has_named else 0)
+    order = StartOrder("i-1", TaskName("j1", 0, 0, 0), 1, "done 9")
+    if has_named:
+        with pytest.raises(WrongIncarnationError):
+            client.start(order, deadline, PERMISSION)
+    else:
+        assert client.start(order, deadline, PERMISSION) is StartResult.STARTED
+    assert bool(worker.runs) is not has_named
+
+
 def test_the_renewal_under_way_ends_once_another_incarnation_answers(worker):
     client = open_client(worker, worker.proxy.address)
     client.renew(Renewal(LEASE_MS, 0, 0.0), PERMISSION)
