--- a/tests/incarnation_holder.py
+++ b/tests/incarnation_holder.py
@@ -38,14 +38,14 @@
         renewals: Where the connection for renewals leads; None if it is closed.
         reported: Where the last report came from.
         orders: Where an open connection for orders leads; None if there is none.
-        calls: Number of renewals sent or broken off.
+        call: Number of the renewal that is sent, or next if it was broken off.
     """
 
     renewals: Incarnation | None = None
     reported: Incarnation | None = None
     orders: Incarnation | None = None
     is_silent: bool = False
-    calls: int = 0
+    call: int = 0
 
 
 class Holder:
@@ -70,6 +70,8 @@
     def round(self) -> None:
         if not self.may_order:
             return
+        for name in self.scheduler.state.workers.keys() - self.world.entries.keys():
+            self.scheduler.remove_worker(name)
         for name, info in self.world.entries.items():
             self.scheduler.update_worker(info, self.world.now_s)
             if name not in self.links:
@@ -97,10 +99,12 @@
 
     def renew(self, name: str) -> None:
         worker = self.scheduler.state.workers.get(name)
+        if worker is None:
+            del self.links[name]
         if not self.is_up or self.world.now_s >= self.renews_until_s or worker is None:
             return
         link, sent_s = self.links[name], self.world.now_s
-        link.calls += 1
+        link.call = next(self.world.order)
         deadline_ms = 0.0
         if worker.fenced and not link.is_silent:
             deadline_ms = worker.next_deadline_ms(sent_s)
@@ -110,10 +114,10 @@
         there = link.renewals
         is_known = there is link.reported
         if there is None:
-            self.world.after(0.0, self.renewal_lost, name, link.calls)
+            self.world.after(0.0, self.renewal_lost, name, link.call)
             return
         timeout_s = CALL_TIMEOUT_S + (LONG_POLL_S if is_known else 0.0)
-        self.world.after(timeout_s, self.renewal_lost, name, link.calls)
+        self.world.after(timeout_s, self.renewal_lost, name, link.call)
         if not there.is_reached:
             return
         if not there.take_token(self.token):
@@ -123,11 +127,11 @@
             there.extend(deadline_ms)
             there.acknowledge(worker.acked)
         answer_s = sent_s + (LONG_POLL_S if is_known else 0.0)
-        self.answer_renewal(name, link.calls, there, sent_s, answer_s)
+        self.answer_renewal(name, link.call, there, sent_s, answer_s)
 
     def answer_renewal(self, name, call, there, sent_s, answer_s) -> None:
-        link = self.links[name]
-        if not self.is_up or call != link.calls:
+        link = self.links.get(name)
+        if not self.is_up or link is None or call != link.call:
             return
         if there.is_closed:
             self.renewal_lost(name, call)
@@ -144,10 +148,10 @@
         self.world.after(RENEWAL_GAP_S, self.renew, name)
 
     def renewal_lost(self, name: str, call: int) -> None:
-        link = self.links[name]
-        if not self.is_up or call != link.calls:
+        link = self.links.get(name)
+        if not self.is_up or link is None or call != link.call:
             return
-        link.calls += 1
+        link.call = next(self.world.order)
         link.renewals, link.is_silent = None, True
         self.scheduler.handle_no_response(name, self.world.now_s)
         self.world.after(RETRY_S, self.renew, name)
@@ -207,7 +211,7 @@
             self.is_up = False
             return StartResult.REFUSED
         if is_greeted and not greeting.admits(there.born_ms):
-            self.renewal_lost(worker.worker_id, link.calls)
+            self.renewal_lost(worker.worker_id, link.call)
             return StartResult.REFUSED
         return there
 
--- a/tests/incarnation_model.py
+++ b/tests/incarnation_model.py
@@ -28,6 +28,7 @@
     Attributes:
         entry_after_s: From a restart of a worker to its entry in the directory.
         cut_s: How long a cut lasts.
+        entry_kept_s: How long the entry of a worker is kept that is cut off.
         write_s: Time that a write to the store takes.
         keeps_connections: True if an order goes out on an open connection.
         closes_connections: True if those of an incarnation that is over are closed.
@@ -42,6 +43,7 @@
     entry_after_s: float = 0.5
     write_s: float = 0.01
     cut_s: float = 9.0
+    entry_kept_s: float = float("inf")
     keeps_connections: bool = False
     closes_connections: bool = False
     fates_s: tuple[float | None, ...] = (None,)
@@ -128,7 +130,13 @@
 
     def cut_off(self, name: str) -> None:
         self.cut.add(name)
-        self.after(self.conditions.cut_s, self.cut.discard, name)
+        self.after(self.conditions.cut_s, self.end_cut, name)
+        if self.conditions.entry_kept_s < self.conditions.cut_s:
+            self.after(self.conditions.entry_kept_s, self.entries.pop, name, None)
+
+    def end_cut(self, name: str) -> None:
+        self.cut.discard(name)
+        self.after(self.conditions.entry_after_s, self.register, name)
 
     def lose_holder(self) -> None:
         """Kill the holder, or cut it off from the store but not from the workers."""
--- a/tests/test_cut_kill_restart.py
+++ b/tests/test_cut_kill_restart.py
@@ -30,6 +30,7 @@
         entry_after_s=random.choice((0.0, 0.5, 2.5, 20.0)),
         write_s=random.choice((0.01, 0.3)),
         cut_s=random.choice((3.0, 5.5, 9.0)),
+        entry_kept_s=random.choice((1.5, float("inf"))),
         keeps_connections=random.random() < 0.3,
         closes_connections=random.random() < 0.3,
         is_isolated=random.random() < 0.3,
