Remember a start without an answer whose run has been stopped

A stop may overtake a start. If it was acknowledged and a report did not list the run, the run was dropped, and the start that got no answer later was not remembered: the next incarnation of the worker was not told to refuse it, as it is for other starts without an answer, and would run the task beside its next run.

Such a start is remembered now, and stopped again at once, as the incarnation may have changed meanwhile. The test failed before: the next incarnation took the start.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/order_answers.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/order_answers.py
@@ -13,6 +13,10 @@
     worker = state.workers.get(order.worker_id)
     run = worker.runs.get((order.task, order.number)) if worker else None
     if run is None:
+        if worker is not None and result is StartResult.UNKNOWN:
+            # A stop has ended the run, perhaps on an earlier incarnation.
+            worker.note_unanswered(order.task, order.number, now_s)
+            state.orders.append(StopOrder(worker.worker_id, order.task, order.number))
         return
     state.note(
         "start answered",
--- a/tests/test_scheduler_lives.py
+++ b/tests/test_scheduler_lives.py
@@ -68,13 +68,19 @@
     assert model.scheduler.state.workers["w1"].info.born_ms == 5
 
 
-def start_in_doubt(model: PoolModel):
-    """Order a start that gets no answer and is then stopped; return the order."""
+def place(model: PoolModel):
+    """Place a task; return the order to start it."""
     model.scheduler.add_job(make_job(make_step()), None, model.now_s)
     model.scheduler.decide(model.now_s, model.now_s)
     for write in model.scheduler.take_writes(model.now_s):
         model.scheduler.stored(write.job_id, write.version, model.now_s)
     (order,) = model.scheduler.take_orders()
+    return order
+
+
+def start_in_doubt(model: PoolModel):
+    """Order a start that gets no answer and is then stopped; return the order."""
+    order = place(model)
     model.scheduler.handle_start_result(order, StartResult.UNKNOWN, model.now_s)
     model.receive_report("w0")
     model.flush()
@@ -97,6 +103,25 @@
     assert model.workers["w0"].start(order) is StartResult.REFUSED
 
 
+# Guards against the same where the run had ended, by a stop that overtook its start,
+# before the start was given up.
+def test_a_start_that_is_given_up_after_its_run_is_refused_by_the_next_incarnation(
+    model,
+):
+    order = place(model)
+    (run,) = model.scheduler.state.workers["w0"].runs.values()
+    model.scheduler.state.stop_run(run, model.now_s)
+    model.flush()
+    model.now_s += 0.01
+    model.receive_report("w0")
+    assert not model.scheduler.state.workers["w0"].runs
+    model.scheduler.handle_start_result(order, StartResult.UNKNOWN, model.now_s)
+    register_next(model)
+    model.receive_report("w0")
+    model.flush()
+    assert model.workers["w0"].start(order) is StartResult.REFUSED
+
+
 def test_starts_are_not_in_doubt_for_ever(model):
     start_in_doubt(model)
     model.receive_report("w0")
