Keep a worker that is gone while it may carry out a start late

A worker that the directory has dropped was forgotten once its lease was over, with the starts that got no answer. If it started again under its name within 12 s, its next incarnation was not told to refuse them, as others are.

It is kept until these starts are no longer in doubt. The test failed before: the next incarnation took the start.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/watchdog.py
@@ -41,7 +41,7 @@
     note_lapsed(state, worker, tuple(runs), now_s)
     for run in runs:
         state.lose_run(run, "lease over", now_s)
-    if not worker.present and not worker.runs:
+    if not (worker.present or worker.runs or worker.starts_in_doubt(now_s)):
         del state.workers[worker.worker_id]
 
 
--- a/tests/test_scheduler_lives.py
+++ b/tests/test_scheduler_lives.py
@@ -122,6 +122,19 @@
     assert model.workers["w0"].start(order) is StartResult.REFUSED
 
 
+# Guards against the same where the directory had dropped the worker in between.
+def test_a_late_start_is_refused_by_the_next_incarnation_of_a_worker_that_was_gone(
+    model,
+):
+    order = start_in_doubt(model)
+    model.scheduler.remove_worker("w0")
+    model.round(5.0)
+    register_next(model)
+    model.receive_report("w0")
+    model.flush()
+    assert model.workers["w0"].start(order) is StartResult.REFUSED
+
+
 def test_starts_are_not_in_doubt_for_ever(model):
     start_in_doubt(model)
     model.receive_report("w0")
