--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/ruff check $(SOURCES)
 
 unit: setup  ## run the tests
-	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile -m "not proof"
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile -m "not proof and not alone"
+	$(BIN)/python -m pytest -m alone
 
 proof: setup  ## run the long proofs: pairs of faults, larger bounds
 	$(BIN)/python -m pytest -m proof
