Read the bodies of requests in pieces

Callers that hold 180 kB in chunks of two bytes took 4.8 MB each: the library keeps an object for every chunk until the read is complete, and the entry asked for the whole body in one read. 20 of them had an instance at 133 MiB resident (limit of the test 96).

A read now returns at most what is left of one chunk, 4 KiB at a time, into one buffer. The entry and heatherhatchd had a copy each of that code and share it now. The test of the entry passes the library's body instead of a double of it.

Ruled out: refusing small chunks, as nothing in the documented limits forbids them.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/protocol/bodies.py
@@ -9,6 +9,8 @@
 from heatherhatch_core.codec import MEDIA, decode_json, encode_json
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
+from ..transport import request_body
+
 Message = TypeVar("Message")
 TIMEOUT_HEADER = "X-Request-Timeout"
 BODY_TIMEOUT_S = 10.0
@@ -23,28 +25,11 @@
             ``BAD_REQUEST`` if it is shorter than its Content-Length or is not
             received in time.
     """
-    length = request.content_length
-    if length is not None and length > limit_bytes:
-        raise HeatherhatchError(
-            ErrorKind.TOO_LARGE, f"the body exceeds {limit_bytes} bytes"
-        )
-    # The bounded stream relies on Content-Length; only the raw stream of the server
-    # detects the end of a chunked body.
-    stream = request.bounded_stream if length is not None else request.stream
     try:
-        with gevent.Timeout(BODY_TIMEOUT_S, OSError("not received in time")):
-            body = stream.read(limit_bytes + 1)
-    except OSError as error:
+        with gevent.Timeout(BODY_TIMEOUT_S, TimeoutError("not received in time")):
+            return request_body.read_body(request.env, limit_bytes)
+    except TimeoutError as error:
         raise HeatherhatchError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
-    if len(body) > limit_bytes:
-        raise HeatherhatchError(
-            ErrorKind.TOO_LARGE, f"the body exceeds {limit_bytes} bytes"
-        )
-    if length is not None and len(body) != length:
-        raise HeatherhatchError(
-            ErrorKind.BAD_REQUEST, "the body is shorter than its Content-Length"
-        )
-    return body
 
 
 def read_message(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -1,7 +1,6 @@
 """HTTP listeners that limit the resources a client can use."""
 
 import contextlib
-import select
 import socket as blocking
 import time
 from collections.abc import Callable
@@ -11,114 +10,15 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
-from ..events import Event, log
 from ..settings import Address, LimitSettings
-from .request_head import HeadCutOffError, HeadReader, check_framing
+from .bounded_handler import BoundedHandler
 from .request_watch import NO_BOUNDS, AnswerBounds, RequestWatch
 from .syn_filter import drop_new_connections
-from .traced_handler import TracedHandler
 
 POLL_INTERVAL_S = 0.01
 CLOSE_TIMEOUT_S = 0.1
 HANDSHAKE_WAIT_S = 0.1
 FIRST_REQUEST_WAIT_S = 1.0
-BAD_HEAD_RESPONSE = (
-    b"HTTP/1.1 400 Bad Request\r\n"
-    b"Connection: close\r\n"
-    b"Content-Type: text/plain\r\n"
-    b"Content-Length: 34\r\n\r\n"
-    b"not run: malformed or long header\n"
-)
-
-
-class BoundedHandler(TracedHandler):
-    """Serves one connection within the limits of its listener.
-
-    Attributes:
-        is_new: True until the request line of the first request was read.
-    """
-
-    is_new = True
-
-    def MessageClass(self, stream, seekable):  # noqa: N802
-        """Return the headers; fail if the head is too large or its framing unclear."""
-        limit = self.server.listener.limits.header_bytes
-        headers = super().MessageClass(HeadReader(stream, limit), seekable)
-        check_framing(
-            headers.get_all("content-length", []),
-            headers.get_all("transfer-encoding", []),
-        )
-        return headers
-
-    def read_requestline(self):
-        """Return the request line, an empty string if none arrives in time."""
-        listener = self.server.listener
-        handlers = listener.new_handlers if self.is_new else listener.idle_handlers
-        handlers.add(self)
-        try:
-            return super().read_requestline()
-        finally:
-            self.is_new = False
-            handlers.discard(self)
-
-    def close_if_idle(self) -> None:
-        """Close a waiting connection, unless a request is in its receive buffer.
-
-        Only the receiving side is shut down, and below the library, which would cancel
-        the pending read: that read finds the end, or a request that came late.
-        """
-        poll = select.poll()
-        poll.register(self.socket.fileno(), select.POLLIN)
-        if not poll.poll(0):
-            with contextlib.suppress(OSError):
-                self.socket._sock.shutdown(socket.SHUT_RD)
-
-    def read_request(self, raw_requestline):
-        """Read the request head with one timeout for all of it.
-
-        Otherwise each byte of a slowly sent head restarts the socket's timeout.
-        """
-        with gevent.Timeout(self.server.listener.limits.idle_s, ValueError("timeout")):
-            return super().read_request(raw_requestline)
-
-    def handle_one_response(self):
-        """Serve one request; it is open until its last response byte is written."""
-        listener = self.server.listener
-        listener.open_requests += 1
-        try:
-            super().handle_one_response()
-        finally:
-            listener.open_requests -= 1
-
-    def finalize_headers(self):
-        """Add ``Connection: close`` if the connection or the listener is closing."""
-        if self.server.listener.ending and not self.close_connection:
-            self.close_connection = True
-        if self.close_connection:
-            self.response_headers.append((b"Connection", b"close"))
-        super().finalize_headers()
-
-    def _handle_client_error(self, error):
-        # A caller whose connection ended early may send the same request again; 400
-        # would tell it not to.
-        if isinstance(error, HeadCutOffError):
-            self.trace.failure = error
-            return None
-        self.server.listener.watch.refuse(self.trace, error)
-        return ("400", BAD_HEAD_RESPONSE)
-
-    def handle_error(self, kind, value, traceback):
-        """Close the connection; log the error unless the client disconnected.
-
-        The end of a request without a complete answer is logged in any case.
-        """
-        if self.response_length or (kind is not None and issubclass(kind, OSError)):
-            self.trace.failure = value
-        if kind is not None and issubclass(kind, OSError):
-            self.close_connection = True
-            return
-        log(Event.REQUEST_FAILED, error=repr(value), where=repr(self.requestline))
-        super().handle_error(kind, value, traceback)
 
 
 class BoundedServer(WSGIServer):
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import gc
+import io
 import json
 
 import gevent
@@ -15,6 +16,7 @@
 from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport.request_body import RequestBody
 from heatherhatch_platform.entry import EntryApp, ReadyApp
 from heatherhatch_platform.kv_store import KvStore
 
@@ -54,7 +56,7 @@
         "PATH_INFO": path,
         "HTTP_HOST": "h:80",
         "CONTENT_LENGTH": str(len(body)),
-        "wsgi.input": Body(body),
+        "wsgi.input": RequestBody(io.BytesIO(body), len(body)),
         **headers,
     }
     data = b"".join(
@@ -67,16 +69,6 @@
     return int(status.split()[0]), dict(response_headers), json.loads(data)
 
 
-class Body:
-    """A request body that a WSGI application can read."""
-
-    def __init__(self, data):
-        self.data = data
-
-    def read(self, size):
-        return self.data[:size]
-
-
 def test_states_and_counts_are_returned(intake):
     assert call(intake)[2] == {"state": "running"}
     assert call(intake, path="/q/")[2] == {"numWaiting": 3}
