Bound the memory that the bodies of all requests take together

A process with 96 MB was at 345 MiB resident while 300 callers held bodies of 1 MiB, and at 120 MiB with bodies within the operators' limit: each request had a limit, their sum had none, and 2,000 connections are accepted. heatherhatchd with its own limit of 1 MiB: 353 MiB.

BodyMemory is shared by the listeners of a process. A request takes from it what it reads beyond 8 KiB, before it reads, and returns it with the answer; what a caller only announces takes nothing. When it is used up, the request is refused at once with 503, another instance may take it. The first 8 KiB need none of it, so that large bodies don't keep out ordinary ones. Gauge body_bytes and counter bodies_refused tell a sum that grows from a single large body.

--- a/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
@@ -59,6 +59,7 @@
     NO_BACKEND = "no-backend"
     SHUTTING_DOWN = "shutting-down"
     OUTCOMES_FULL = "outcomes-full"
+    MEMORY_LIMIT = "memory-limit"
     KEY_REQUIRED = "idempotency-key-required"
     KEY_EXPIRED = "idempotency-key-expired"
     ISSUER_GONE = "ticket-issuer-gone"
@@ -122,6 +123,9 @@
     ErrorKind.OUTCOMES_FULL: ErrorResponse(
         206, 503, _NOT_RUN, Retry.LATER, "This node's memory for outcomes is full.", 7
     ),
+    ErrorKind.MEMORY_LIMIT: ErrorResponse(
+        207, 503, _NOT_RUN, Retry.LATER, "This node's memory for bodies is full.", 7
+    ),
     ErrorKind.KEY_REQUIRED: ErrorResponse(
         300, 400, _NOT_RUN, Retry.AFTER_FIX, "An Idempotency-Key is required.", 2
     ),
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -35,6 +35,7 @@
 from .tasks.registrar import Registrar
 from .tasks.reporter import Reporter
 from .tasks.request_forwarding import RequestForwarder
+from .transport.body_memory import BodyMemory
 from .transport.etcd_store import EtcdStore
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
@@ -197,14 +198,13 @@
         return completed
 
     def _open_at_most_once(self, store: Store, entry: NodeEntry) -> AtMostOnce:
-        secret = self.settings.security.peer_secret
         outcome_s = self.settings.timing.outcome_s
         return AtMostOnce(
             entry,
             OutcomeTable(self.settings.limits.outcome_bytes),
             ClaimWriter(store, outcome_s, time.monotonic),
             RequestForwarder(self.process_signer, time.monotonic),
-            secret,
+            self.settings.security.peer_secret,
             outcome_s,
             time.monotonic,
             time.time,
@@ -224,8 +224,7 @@
         }
 
     def _all_demand(self) -> dict[str, tuple[Demand, ...]]:
-        own = self.settings.node.name
-        return {**self._peer_demand(), own: self.admission.demand()}
+        return {**self._peer_demand(), self.settings.node.name: self.admission.demand()}
 
     def _listeners(self) -> tuple[Listener, Listener, Listener]:
         listen = self.settings.listen
@@ -242,8 +241,10 @@
         signers = PeerSigners(self.signer, self.process_signer)
         peers = peer_app(self.heartbeats, self.gateway, signers, limits.body_bytes)
         callers = caller_app(self.gateway, self.job_service, limits.body_bytes)
+        operators = operator_app(services)
+        memory = BodyMemory(limits.body_memory_bytes)
         return (
-            Listener(listen.callers, callers, limits),
-            Listener(listen.operators, operator_app(services), limits),
-            Listener(listen.peers, peers, limits),
+            Listener(listen.callers, callers, limits, body_memory=memory),
+            Listener(listen.operators, operators, limits, body_memory=memory),
+            Listener(listen.peers, peers, limits, body_memory=memory),
         )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -21,6 +21,8 @@
     SLOW_CALLS = "requests answered late, by the stage that took longest, count"
     OPEN_CALLS = "requests that waited for long, by stage at that time, count"
     UNANSWERED_CALLS = "requests without a complete answer, by cause, count"
+    BODY_BYTES = "memory of large request bodies in use, bytes, gauge"
+    BODIES_REFUSED = "request bodies refused, by reason: size or memory, count"
     STORE_ANSWERS = "calls to the pools' store, by call and status, count"
     HEDGES = "calls to the pools' store sent again, by call and outcome, count"
     STORE_MS = "duration of a call to the pools' store, polls excluded, milliseconds"
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -158,6 +158,8 @@
 
     Attributes:
         body_bytes: Size of the largest accepted request body, in bytes.
+        body_memory_bytes: Memory in bytes for what request bodies have beyond 8 KiB
+            each, over all listeners.
         header_bytes: Size of the largest accepted request head, in bytes.
         idle_s: Seconds after which the connection of an inactive client is closed.
         connections: Highest number of open connections for each listener.
@@ -166,6 +168,7 @@
     """
 
     body_bytes: int = 1_048_576
+    body_memory_bytes: int = 33_554_432
     header_bytes: int = 16_384
     idle_s: float = 10.0
     connections: int = 2_000
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
@@ -7,7 +7,7 @@
 from gevent import socket
 
 from ..events import Event, log
-from .request_body import RequestBody
+from .request_body import CHARGE_VARIABLE, RequestBody
 from .request_head import HeadCutOffError, HeadReader, check_framing
 from .traced_handler import TracedHandler
 
@@ -80,6 +80,7 @@
             self.wsgi_input.chunked_input,
         )
         self.wsgi_input = environ["wsgi.input"] = body
+        environ[CHARGE_VARIABLE] = self.server.listener.body_memory.charge()
         return environ
 
     def handle_one_response(self):
@@ -90,6 +91,7 @@
             super().handle_one_response()
         finally:
             listener.open_requests -= 1
+            self.environ[CHARGE_VARIABLE].release()
 
     def finalize_headers(self):
         """Add ``Connection: close`` if the connection or the listener is closing."""
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -11,6 +11,7 @@
 from gevent.pywsgi import WSGIServer
 
 from ..settings import Address, LimitSettings
+from .body_memory import BodyMemory
 from .bounded_handler import BoundedHandler
 from .request_watch import NO_BOUNDS, AnswerBounds, RequestWatch
 from .syn_filter import drop_new_connections
@@ -60,6 +61,7 @@
         app: WSGI application.
         limits: Limits of the connections.
         bounds: Times after which a request is logged.
+        body_memory: Memory for large bodies if it is shared with other listeners.
     """
 
     def __init__(
@@ -68,9 +70,11 @@
         app: Callable,
         limits: LimitSettings,
         bounds: AnswerBounds = NO_BOUNDS,
+        body_memory: BodyMemory | None = None,
     ):
         self.app = app
         self.limits = limits
+        self.body_memory = body_memory or BodyMemory(limits.body_memory_bytes)
         self.open_requests = 0
         self.ending = False
         self.idle_handlers: set[BoundedHandler] = set()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
@@ -4,6 +4,10 @@
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
+from ..metrics import METER, Metric
+from .body_memory import BodyCharge
+
+CHARGE_VARIABLE = "heatherhatch.body_charge"  # in the environment of a request
 PIECE_BYTES = 4_096
 
 
@@ -12,8 +16,8 @@
 
     __slots__ = ()
 
-    def read_piece(self, most_bytes: int) -> bytes:
-        """Return at least one byte of the body; nothing at its end.
+    def next_bytes(self, most_bytes: int) -> int:
+        """Return how much to read next; 0 at the end of a body with a known length.
 
         The library keeps an object for each chunk until a read is complete, so a read
         never goes beyond one chunk.
@@ -21,9 +25,10 @@
         Args:
             most_bytes: The most that may be returned.
         """
+        left_bytes = (self.content_length or 0) - self.position
         if self.chunked_input:
-            most_bytes = min(most_bytes, max(1, self.chunk_length - self.position))
-        return self.read(most_bytes)
+            left_bytes = max(1, self.chunk_length - self.position)
+        return min(most_bytes, left_bytes)
 
 
 def read_body(environ: dict, limit_bytes: int) -> bytes:
@@ -34,8 +39,9 @@
         limit_bytes: Size of the largest body.
 
     Raises:
-        HeatherhatchError: ``TOO_LARGE`` if the body is larger, ``BAD_REQUEST`` if it
-            ends early or its framing is malformed.
+        HeatherhatchError: ``TOO_LARGE`` if the body is larger, ``MEMORY_LIMIT`` if
+            other bodies have the memory that it needs, ``BAD_REQUEST`` if it ends early
+            or its framing is malformed.
         TimeoutError: If the rest does not arrive.
     """
     body = environ["wsgi.input"]
@@ -44,7 +50,7 @@
     if not length.isdecimal() or int(length) > limit_bytes:
         raise _too_large_error(f"{length} bytes")
     try:
-        data = _read_pieces(body, limit_bytes)
+        data = _read_pieces(body, environ[CHARGE_VARIABLE], limit_bytes)
     except TimeoutError:
         raise
     except OSError as error:
@@ -59,9 +65,13 @@
     return data
 
 
-def _read_pieces(body: RequestBody, limit_bytes: int) -> bytes:
+def _read_pieces(body: RequestBody, charge: BodyCharge, limit_bytes: int) -> bytes:
     data = bytearray()
-    while piece := body.read_piece(PIECE_BYTES):
+    while count := body.next_bytes(PIECE_BYTES):
+        charge.take(len(data) + count)
+        piece = body.read(count)
+        if not piece:
+            break
         data += piece
         if len(data) > limit_bytes:
             raise _too_large_error(f"more than {limit_bytes} bytes")
@@ -69,4 +79,5 @@
 
 
 def _too_large_error(what: str) -> HeatherhatchError:
+    METER.sink.count(Metric.BODIES_REFUSED, label="size")
     return HeatherhatchError(ErrorKind.TOO_LARGE, f"the body has {what}")
--- /dev/null
+++ b/tests/test_body_memory.py
@@ -0,0 +1,119 @@
+"""The bodies of all requests together take a bounded share of the memory."""
+
+import json
+
+import gevent
+import pytest
+from gevent import socket
+
+from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_daemon.pools.serving import StoreView
+from heatherhatch_daemon.settings import Address, LimitSettings
+from heatherhatch_daemon.transport.body_memory import FREE_BYTES, BodyMemory
+from heatherhatch_daemon.transport.listener import Listener
+from heatherhatch_platform.entry import EntryApp
+
+TIMEOUT_S = 5.0
+LARGE_BYTES = 65_536
+VIEW = StoreView(0.1, 0.2, 0.3, 0.0, 0.0, 7)
+
+
+class AcceptingIntake:
+    """An intake that accepts every job."""
+
+    def submit(self, *_args):
+        pass
+
+
+@pytest.fixture
+def memory():
+    return BodyMemory(LARGE_BYTES)
+
+
+@pytest.fixture
+def address(memory):
+    app = EntryApp(AcceptingIntake(), lambda: VIEW)
+    listener = Listener(
+        Address("127.0.0.1", 0), app, LimitSettings(), body_memory=memory
+    )
+    yield listener.start()
+    listener.stop(0.0)
+
+
+@pytest.fixture
+def connect(address):
+    sockets = []
+
+    def open_connection() -> socket.socket:
+        sock = socket.create_connection((address.host, address.port), TIMEOUT_S)
+        sockets.append(sock)
+        return sock
+
+    yield open_connection
+    for sock in sockets:
+        sock.close()
+
+
+def job(size: int) -> bytes:
+    """Return the request of a job whose body has a size."""
+    body = json.dumps({"spec": "run", "steps": [{"count": 2}]}).encode().ljust(size)
+    return b"POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s" % (
+        len(body),
+        body,
+    )
+
+
+def hold(connect, memory, size):
+    """Send a job but for its last byte; return the connection once it was read."""
+    sock = connect()
+    sock.sendall(job(size)[:-1])
+    with gevent.Timeout(TIMEOUT_S):
+        while memory.taken_bytes < size - FREE_BYTES:
+            gevent.sleep(0.01)
+    return sock
+
+
+# Guards against large bodies that keep out callers with ordinary ones.
+def test_an_ordinary_body_needs_none_of_the_memory_for_large_ones(connect, memory):
+    hold(connect, memory, LARGE_BYTES)
+    sock = connect()
+    sock.sendall(job(FREE_BYTES))
+    assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_body_without_memory_is_refused_as_not_run_until_another_one_ends(
+    connect, memory
+):
+    first = hold(connect, memory, LARGE_BYTES)
+    second = connect()
+    second.sendall(job(LARGE_BYTES))
+    answer = second.recv(65_536)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 1\r\n" in answer
+    first.sendall(b" ")
+    assert first.recv(65_536).startswith(b"HTTP/1.1 200 ")
+    third = connect()
+    third.sendall(job(LARGE_BYTES))
+    assert third.recv(65_536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_the_memory_of_a_caller_that_leaves_is_returned(connect, memory):
+    hold(connect, memory, LARGE_BYTES).close()
+    with gevent.Timeout(TIMEOUT_S):
+        while memory.taken_bytes:
+            gevent.sleep(0.01)
+
+
+def test_what_a_request_has_is_taken_once():
+    memory = BodyMemory(100)
+    charge = memory.charge()
+    charge.take(FREE_BYTES)
+    assert memory.taken_bytes == 0
+    charge.take(FREE_BYTES + 60)
+    charge.take(FREE_BYTES + 60)
+    assert memory.taken_bytes == 60
+    with pytest.raises(HeatherhatchError) as raised:
+        memory.charge().take(FREE_BYTES + 41)
+    assert raised.value.kind is ErrorKind.MEMORY_LIMIT
+    charge.release()
+    assert memory.taken_bytes == 0
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -16,7 +16,8 @@
 from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address
-from heatherhatch_daemon.transport.request_body import RequestBody
+from heatherhatch_daemon.transport.body_memory import BodyMemory
+from heatherhatch_daemon.transport.request_body import CHARGE_VARIABLE, RequestBody
 from heatherhatch_platform.entry import EntryApp, ReadyApp
 from heatherhatch_platform.kv_store import KvStore
 
@@ -57,6 +58,7 @@
         "HTTP_HOST": "h:80",
         "CONTENT_LENGTH": str(len(body)),
         "wsgi.input": RequestBody(io.BytesIO(body), len(body)),
+        CHARGE_VARIABLE: BodyMemory(len(body)).charge(),
         **headers,
     }
     data = b"".join(
