--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -11,6 +11,7 @@
 from gevent.server import StreamServer
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_core.state.fleet_configuration import RequestLimits
 from heatherhatch_core.state.work import JobStatus, Phase
 from heatherhatch_daemon.events import LOG
 from heatherhatch_daemon.pools.keys import status_key
@@ -50,7 +51,7 @@
     return FakeIntake()
 
 
-def call(intake, method="GET", path="/q/1", body=b"", **headers):
+def call(intake, method="GET", path="/q/1", body=b"", limits=RequestLimits, **headers):
     answer = []
     environ = {
         "REQUEST_METHOD": method,
@@ -62,7 +63,7 @@
         **headers,
     }
     data = b"".join(
-        EntryApp(intake, lambda: VIEW)(
+        EntryApp(intake, lambda: VIEW, limits)(
             environ,
             lambda status, response_headers: answer.append((status, response_headers)),
         )
@@ -161,6 +162,16 @@
     assert call(intake, "POST", body=body)[0] == 400
 
 
+# Guards against a limit of the operators that is read and never applied.
+@pytest.mark.parametrize(("body_bytes", "status"), [(60, 200), (59, 413)])
+def test_the_operators_limit_of_a_body_is_in_force(intake, body_bytes, status):
+    limits = [RequestLimits()]
+    body = json.dumps({"spec": "run", "steps": [{"count": 2}]}).encode().ljust(60)
+    assert call(intake, "POST", body=body, limits=lambda: limits[0])[0] == 200
+    limits[0] = RequestLimits(body_bytes=body_bytes)
+    assert call(intake, "POST", body=body, limits=lambda: limits[0])[0] == status
+
+
 def test_an_internal_error_is_answered_with_status_500(intake):
     intake.action = lambda: 1 / 0
     assert call(intake)[0] == 500
