Read no body to its end after the answer

With 200 callers that sent a body without an end, 1 of 2 ordinary submissions was answered within 5 s, with chunks none. After the refusal the library reads what is left of the body so that the connection can be used again, and a socket that always has data lets neither another greenlet nor a timeout run. Chunks may also end in trailers without an end.

A body of which more than 16 KiB is left closes its connection with the answer. Up to 1 MiB of it is dropped for a second after the own direction was ended: a close with unread bytes resets the connection, and the caller may lose its refusal. RequestStream lets others run after each 64 KiB of a connection and bounds what a chunked body takes with its framing. All methods and listeners share this; a body that is sent with a GET costs its caller only the connection.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
@@ -1,6 +1,7 @@
 """Serves the requests of one connection within the limits of its listener."""
 
 import contextlib
+import math
 import select
 
 import gevent
@@ -9,8 +10,11 @@
 from ..events import Event, log
 from .request_body import CHARGE_VARIABLE, RequestBody
 from .request_head import HeadCutOffError, HeadReader, check_framing
+from .request_stream import drop_received, open_stream
 from .traced_handler import TracedHandler
 
+DROPPED_BYTES = 1_048_576  # most that is read after an answer, so that it arrives
+DROP_LIMIT_S = 1.0
 BAD_HEAD_RESPONSE = (
     b"HTTP/1.1 400 Bad Request\r\n"
     b"Connection: close\r\n"
@@ -29,6 +33,10 @@
 
     is_new = True
 
+    def __init__(self, sock, address, server):
+        super().__init__(sock, address, server)
+        self.rfile = open_stream(sock)
+
     def MessageClass(self, stream, seekable):  # noqa: N802
         """Return the headers; fail if the head is too large or its framing unclear."""
         limit = self.server.listener.limits.header_bytes
@@ -83,6 +91,15 @@
         environ[CHARGE_VARIABLE] = self.server.listener.body_memory.charge()
         return environ
 
+    def handle_one_request(self):
+        """Serve one request; drop the rest of a body that was not read."""
+        self.wsgi_input = None
+        result = super().handle_one_request()
+        if self.wsgi_input is not None and not self.wsgi_input.rest_is_short:
+            drop_received(self.socket, DROPPED_BYTES, DROP_LIMIT_S)
+        self.rfile.raw.left_bytes = math.inf
+        return result
+
     def handle_one_response(self):
         """Serve one request; it is open until its last response byte is written."""
         listener = self.server.listener
@@ -95,7 +112,7 @@
 
     def finalize_headers(self):
         """Add ``Connection: close`` if the connection or the listener is closing."""
-        if self.server.listener.ending and not self.close_connection:
+        if self.server.listener.ending or not self.wsgi_input.rest_is_short:
             self.close_connection = True
         if self.close_connection:
             self.response_headers.append((b"Connection", b"close"))
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
@@ -6,16 +6,34 @@
 
 from ..metrics import METER, Metric
 from .body_memory import BodyCharge
+from .request_stream import BUFFER_BYTES, ReceivedTooMuchError
 
 CHARGE_VARIABLE = "heatherhatch.body_charge"  # in the environment of a request
 PIECE_BYTES = 4_096
+DISCARD_BYTES = 16_384  # of a body that nobody reads; beyond, the connection is closed
+# A chunk of one byte takes six bytes; what is beyond is extensions and trailers.
+MAX_CHUNK_OVERHEAD = 8
 
 
 class RequestBody(Input):
-    """The body of a request, which is read in pieces."""
+    """The body of a request, which is read in pieces.
+
+    A long rest is not read after the answer: it may have no end.
+    """
 
     __slots__ = ()
 
+    @property
+    def rest_is_short(self) -> bool:
+        """True if what has not been read may be dropped to reuse the connection."""
+        if self.chunked_input:
+            return self.chunk_length == 0
+        return (self.content_length or 0) - self.position <= DISCARD_BYTES
+
+    def limit_received(self, most_bytes: float) -> None:
+        """Set how much the connection may receive for this request, bytes."""
+        self.rfile.raw.left_bytes = most_bytes
+
     def next_bytes(self, most_bytes: int) -> int:
         """Return how much to read next; 0 at the end of a body with a known length.
 
@@ -30,6 +48,10 @@
             left_bytes = max(1, self.chunk_length - self.position)
         return min(most_bytes, left_bytes)
 
+    def _discard(self):
+        if self.rest_is_short:
+            super()._discard()
+
 
 def read_body(environ: dict, limit_bytes: int) -> bytes:
     """Return the body of a request.
@@ -49,8 +71,12 @@
     length = environ.get("CONTENT_LENGTH") or "0"
     if not length.isdecimal() or int(length) > limit_bytes:
         raise _too_large_error(f"{length} bytes")
+    if is_chunked:
+        body.limit_received(MAX_CHUNK_OVERHEAD * limit_bytes + BUFFER_BYTES)
     try:
         data = _read_pieces(body, environ[CHARGE_VARIABLE], limit_bytes)
+    except ReceivedTooMuchError as error:
+        raise _too_large_error("chunks without an end") from error
     except TimeoutError:
         raise
     except OSError as error:
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -6,12 +6,14 @@
 
 import json
 
+import gevent
 import pytest
 from gevent import socket
 
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address, LimitSettings
 from heatherhatch_daemon.transport.listener import Listener
+from heatherhatch_daemon.transport.request_stream import YIELD_BYTES, RequestStream
 from heatherhatch_platform import entry
 
 TIMEOUT_S = 5.0
@@ -101,3 +103,32 @@
     head = CHUNKED + b"Connection: close\r\n"
     assert exchange(address, head, in_chunks(BODY))[0] == 413
     assert intake.jobs == []
+
+
+# Guards against a connection that is reset before the caller has read its refusal.
+@pytest.mark.parametrize(
+    "head", [b"Content-Length: 600000\r\n", CHUNKED], ids=["announced", "chunks"]
+)
+def test_a_refusal_arrives_although_the_body_is_sent_on(address, intake, head):
+    body = b"%x\r\n%s" % (600_000, b"x" * 600_000)
+    status, data = exchange(address, head, body)
+    assert status == 413
+    assert b"\r\nConnection: close\r\n" in data
+    assert intake.jobs == []
+
+
+# Guards against a sender that keeps all other greenlets from running.
+def test_others_run_while_a_connection_always_has_data():
+    steps = []
+
+    class Sender:
+        def recv_into(self, buffer):
+            steps.append("read")
+            return len(buffer)
+
+    stream = RequestStream(Sender())
+    other = gevent.spawn(steps.append, "other")
+    for _ in range(2 * YIELD_BYTES // 8_192):
+        stream.readinto(bytearray(8_192))
+    assert "other" in steps
+    other.join()
