Bound what a connection receives without being read

Bytes that were received and not yet read count as memory of the machine. A caller that sends on while its request is served left 128,152 bytes in the kernel; 2,000 connections would hold 256 MB. The listeners now have receive buffers of 16 KiB, which accepted connections inherit. test_a_connection_takes_little_that_is_not_read failed before (128,152 bytes of 32,768).

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/listener.py
@@ -20,6 +20,8 @@
 CLOSE_TIMEOUT_S = 0.1
 HANDSHAKE_WAIT_S = 0.1
 FIRST_REQUEST_WAIT_S = 1.0
+# Of each connection; bytes that were received and not read count as memory too.
+RECEIVE_BUFFER_BYTES = 16_384
 
 
 class BoundedServer(WSGIServer):
@@ -44,6 +46,13 @@
             environ={"SERVER_NAME": address.host},
         )
 
+    def init_socket(self):
+        """Listen; accepted connections have the receive buffer of the listener."""
+        super().init_socket()
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+
     def handle(self, sock, address):
         """Serve one connection."""
         # The library writes head and body separately. Without this option the body
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -1,17 +1,20 @@
 """The bodies of all requests together take a bounded share of the memory."""
 
+import contextlib
 import json
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event as Signal
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address, LimitSettings
 from heatherhatch_daemon.transport.body_memory import FREE_BYTES, BodyMemory
-from heatherhatch_daemon.transport.listener import Listener
+from heatherhatch_daemon.transport.listener import RECEIVE_BUFFER_BYTES, Listener
 from heatherhatch_platform.entry import EntryApp
+from hostile_crowd import unread_bytes
 
 TIMEOUT_S = 5.0
 LARGE_BYTES = 65_536
@@ -104,6 +107,20 @@
             gevent.sleep(0.01)
 
 
+# Guards against unread bytes, sent on while a request is served, that fill the memory.
+def test_a_connection_takes_little_that_is_not_read(address, connect, monkeypatch):
+    is_served = Signal()
+    monkeypatch.setattr(AcceptingIntake, "submit", lambda *_args: is_served.wait())
+    sock = connect()
+    sock.sendall(job(100))
+    sock.settimeout(0.2)
+    with contextlib.suppress(TimeoutError):
+        sock.sendall(b"x" * 1_000_000)
+    unread = unread_bytes(address.port)
+    is_served.set()
+    assert 0 < unread <= 2 * RECEIVE_BUFFER_BYTES  # the kernel doubles it
+
+
 def test_what_a_request_has_is_taken_once():
     memory = BodyMemory(100)
     charge = memory.charge()
