Count the steps of a job in the memory for bodies

A step of two bytes in a body takes 280 to 390 bytes once it is decoded, and is kept while its job is stored: a body of 134 kB with 9,000 steps takes 2.5 MB, as often as there are connections.

--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -60,6 +60,7 @@
     path="/q/1",
     body=b"",
     limits=RequestLimits,
+    memory=ENOUGH,
     **headers,
 ):
     answer = []
@@ -69,7 +70,7 @@
         "HTTP_HOST": "h:80",
         "CONTENT_LENGTH": str(len(body)),
         "wsgi.input": RequestBody(io.BytesIO(body), len(body)),
-        CHARGE_VARIABLE: ENOUGH.charge(),
+        CHARGE_VARIABLE: memory.charge(),
         **headers,
     }
     data = b"".join(
@@ -182,6 +183,14 @@
     assert call(intake, "POST", body=body, limits=lambda: limits[0])[0] == status
 
 
+# Guards against jobs of many small steps that fill the memory while they are stored.
+def test_the_steps_of_a_job_take_memory_for_bodies(intake):
+    body = json.dumps({"spec": "run", "steps": [{}] * 2_000}).encode()
+    assert call(intake, "POST", body=body, memory=BodyMemory(800_000))[0] == 200
+    status, headers, _body = call(intake, "POST", body=body, memory=BodyMemory(700_000))
+    assert (status, headers["Retry-After"]) == (503, "1")
+
+
 # Guards against a body of 260 kB that takes the process a second to refuse.
 def test_a_job_of_too_many_steps_is_refused_before_they_are_read(monkeypatch):
     monkeypatch.setattr(jobs, "_step", None)
