Answer a chunk without a size with 400

An empty line in place of a chunk's size made the library raise a ValueError, which was answered with 500 and logged as an error of the instance, once for each such request. test_malformed_chunks_are_refused[empty] failed before.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
@@ -79,7 +79,7 @@
         raise _too_large_error("chunks without an end") from error
     except TimeoutError:
         raise
-    except OSError as error:
+    except (OSError, ValueError) as error:
         what = "the chunks of the body" if is_chunked else "the body"
         raise HeatherhatchError(
             ErrorKind.BAD_REQUEST, f"{what} cannot be read: {error}"
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -90,9 +90,11 @@
     assert intake.jobs == []
 
 
-def test_malformed_chunks_are_refused(address, intake):
+# Guards against a chunk without a size that is logged as an error of the instance.
+@pytest.mark.parametrize("size", [b"zz", b""], ids=["not a number", "empty"])
+def test_malformed_chunks_are_refused(address, intake, size):
     head = CHUNKED + b"Connection: close\r\n"
-    status, data = exchange(address, head, b"zz\r\n" + BODY + b"\r\n0\r\n\r\n")
+    status, data = exchange(address, head, size + b"\r\n" + BODY + b"\r\n0\r\n\r\n")
     assert status == 400
     assert "chunks" in json.loads(data.split(b"\r\n\r\n")[1])["error"]
     assert intake.jobs == []
