--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -34,13 +34,19 @@
 
 
 @pytest.fixture
-def address(memory):
+def listener(memory):
     app = EntryApp(AcceptingIntake(), lambda: VIEW)
-    listener = Listener(
+    running = Listener(
         Address("127.0.0.1", 0), app, LimitSettings(), body_memory=memory
     )
-    yield listener.start()
-    listener.stop(0.0)
+    running.start()
+    yield running
+    running.stop(0.0)
+
+
+@pytest.fixture
+def address(listener):
+    return Address(*listener.server.address)
 
 
 @pytest.fixture
@@ -107,6 +113,13 @@
             gevent.sleep(0.01)
 
 
+# Guards against an error of the instance for each caller whose connection stalls.
+def test_a_body_that_stalls_is_answered_as_unknown(listener, connect, memory):
+    listener.limits = LimitSettings(idle_s=0.1)
+    sock = hold(connect, memory, LARGE_BYTES)
+    assert sock.recv(65_536).startswith(b"HTTP/1.1 504 ")
+
+
 # Guards against unread bytes, sent on while a request is served, that fill the memory.
 def test_a_connection_takes_little_that_is_not_read(address, connect, monkeypatch):
     is_served = Signal()
