--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -19,7 +19,7 @@
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport.body_memory import BodyMemory
 from heatherhatch_daemon.transport.request_body import CHARGE_VARIABLE, RequestBody
-from heatherhatch_platform import jobs
+from heatherhatch_platform import entry, jobs
 from heatherhatch_platform.bodies import BodyError
 from heatherhatch_platform.entry import EntryApp, ReadyApp
 from heatherhatch_platform.kv_store import KvStore
@@ -242,6 +242,17 @@
     assert lines[0]["config_version"] == 7
 
 
+# Guards against a body that arrives byte by byte for as long as its caller likes.
+@pytest.mark.parametrize("deadline_ms", ["70000", "9" * 400, "9" * 5_000])
+def test_no_call_takes_longer_than_the_longest_deadline(
+    intake, deadline_ms, monkeypatch
+):
+    monkeypatch.setattr(entry, "MAX_DEADLINE_S", 0.2)
+    intake.action = lambda: gevent.sleep(10)
+    with gevent.Timeout(5):
+        assert call(intake, "DELETE", HTTP_DEADLINE_MS=deadline_ms)[0] == 504
+
+
 # Guards against a Retry-After that ends after the caller's deadline.
 @pytest.mark.parametrize(
     ("deadline_ms", "retry_after"),
