--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -17,6 +17,7 @@
 from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport import request_watch
 from heatherhatch_daemon.transport.body_memory import BodyMemory
 from heatherhatch_daemon.transport.request_body import CHARGE_VARIABLE, RequestBody
 from heatherhatch_platform import entry, jobs
@@ -54,6 +55,17 @@
     return FakeIntake()
 
 
+def environ_of(method, path, body, memory=ENOUGH):
+    return {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "HTTP_HOST": "h:80",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": RequestBody(io.BytesIO(body), len(body)),
+        CHARGE_VARIABLE: memory.charge(),
+    }
+
+
 def call(
     intake,
     method="GET",
@@ -64,15 +76,7 @@
     **headers,
 ):
     answer = []
-    environ = {
-        "REQUEST_METHOD": method,
-        "PATH_INFO": path,
-        "HTTP_HOST": "h:80",
-        "CONTENT_LENGTH": str(len(body)),
-        "wsgi.input": RequestBody(io.BytesIO(body), len(body)),
-        CHARGE_VARIABLE: memory.charge(),
-        **headers,
-    }
+    environ = environ_of(method, path, body, memory) | headers
     data = b"".join(
         EntryApp(intake, lambda: VIEW, limits)(
             environ,
@@ -253,6 +257,20 @@
         assert call(intake, "DELETE", HTTP_DEADLINE_MS=deadline_ms)[0] == 504
 
 
+# Guards against a line of the log for each request of a caller that does not behave.
+@pytest.mark.parametrize("body_bytes", [1_000_000, 10], ids=["malformed", "too large"])
+def test_refused_bodies_write_a_bounded_number_of_lines(
+    intake, monkeypatch, body_bytes
+):
+    lines = []
+    monkeypatch.setattr(LOG, "sink", lambda _event, details: lines.append(details))
+    monkeypatch.setattr(request_watch.time, "monotonic", lambda: 1.0)
+    app = EntryApp(intake, lambda: VIEW, lambda: RequestLimits(body_bytes=body_bytes))
+    for _ in range(2 * request_watch.MAX_LINES_PER_S):
+        app(environ_of("POST", "/q/1", b"{" * 20), lambda *_answer: None)
+    assert len(lines) == request_watch.MAX_LINES_PER_S
+
+
 # Guards against a Retry-After that ends after the caller's deadline.
 @pytest.mark.parametrize(
     ("deadline_ms", "retry_after"),
