--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -20,7 +20,7 @@
 from heatherhatch_daemon.transport import request_watch
 from heatherhatch_daemon.transport.body_memory import BodyMemory
 from heatherhatch_daemon.transport.request_body import CHARGE_VARIABLE, RequestBody
-from heatherhatch_platform import entry, jobs
+from heatherhatch_platform import call_time, jobs
 from heatherhatch_platform.bodies import BodyError
 from heatherhatch_platform.entry import EntryApp, ReadyApp
 from heatherhatch_platform.kv_store import KvStore
@@ -251,7 +251,7 @@
 def test_no_call_takes_longer_than_the_longest_deadline(
     intake, deadline_ms, monkeypatch
 ):
-    monkeypatch.setattr(entry, "MAX_DEADLINE_S", 0.2)
+    monkeypatch.setattr(call_time, "MAX_DEADLINE_S", 0.2)
     intake.action = lambda: gevent.sleep(10)
     with gevent.Timeout(5):
         assert call(intake, "DELETE", HTTP_DEADLINE_MS=deadline_ms)[0] == 504
