--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import gc
+import io
 import json
 
 import gevent
@@ -10,15 +11,22 @@
 from gevent.server import StreamServer
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
+from heatherhatch_core.state.fleet_configuration import RequestLimits
 from heatherhatch_core.state.work import JobStatus, Phase
 from heatherhatch_daemon.events import LOG
 from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address
+from heatherhatch_daemon.transport import request_watch
+from heatherhatch_daemon.transport.body_memory import BodyMemory
+from heatherhatch_daemon.transport.request_body import CHARGE_VARIABLE, RequestBody
+from heatherhatch_platform import call_time, jobs
+from heatherhatch_platform.bodies import BodyError
 from heatherhatch_platform.entry import EntryApp, ReadyApp
 from heatherhatch_platform.kv_store import KvStore
 
 SLOW_READ_S = 0.24  # of a store that is slow for all instances
+ENOUGH = BodyMemory(1_000_000)
 VIEW = StoreView(0.1, 0.2, 0.3, 0.0, 0.0, 7)
 
 
@@ -47,18 +55,30 @@
     return FakeIntake()
 
 
-def call(intake, method="GET", path="/q/1", body=b"", **headers):
-    answer = []
-    environ = {
+def environ_of(method, path, body, memory=ENOUGH):
+    return {
         "REQUEST_METHOD": method,
         "PATH_INFO": path,
         "HTTP_HOST": "h:80",
         "CONTENT_LENGTH": str(len(body)),
-        "wsgi.input": Body(body),
-        **headers,
+        "wsgi.input": RequestBody(io.BytesIO(body), len(body)),
+        CHARGE_VARIABLE: memory.charge(),
     }
+
+
+def call(
+    intake,
+    method="GET",
+    path="/q/1",
+    body=b"",
+    limits=RequestLimits,
+    memory=ENOUGH,
+    **headers,
+):
+    answer = []
+    environ = environ_of(method, path, body, memory) | headers
     data = b"".join(
-        EntryApp(intake, lambda: VIEW)(
+        EntryApp(intake, lambda: VIEW, limits)(
             environ,
             lambda status, response_headers: answer.append((status, response_headers)),
         )
@@ -67,16 +87,6 @@
     return int(status.split()[0]), dict(response_headers), json.loads(data)
 
 
-class Body:
-    """A request body that a WSGI application can read."""
-
-    def __init__(self, data):
-        self.data = data
-
-    def read(self, size):
-        return self.data[:size]
-
-
 def test_states_and_counts_are_returned(intake):
     assert call(intake)[2] == {"state": "running"}
     assert call(intake, path="/q/")[2] == {"numWaiting": 3}
@@ -167,6 +177,32 @@
     assert call(intake, "POST", body=body)[0] == 400
 
 
+# Guards against a limit of the operators that is read and never applied.
+@pytest.mark.parametrize(("body_bytes", "status"), [(60, 200), (59, 413)])
+def test_the_operators_limit_of_a_body_is_in_force(intake, body_bytes, status):
+    limits = [RequestLimits()]
+    body = json.dumps({"spec": "run", "steps": [{"count": 2}]}).encode().ljust(60)
+    assert call(intake, "POST", body=body, limits=lambda: limits[0])[0] == 200
+    limits[0] = RequestLimits(body_bytes=body_bytes)
+    assert call(intake, "POST", body=body, limits=lambda: limits[0])[0] == status
+
+
+# Guards against jobs of many small steps that fill the memory while they are stored.
+def test_the_steps_of_a_job_take_memory_for_bodies(intake):
+    body = json.dumps({"spec": "run", "steps": [{}] * 2_000}).encode()
+    assert call(intake, "POST", body=body, memory=BodyMemory(800_000))[0] == 200
+    status, headers, _body = call(intake, "POST", body=body, memory=BodyMemory(700_000))
+    assert (status, headers["Retry-After"]) == (503, "1")
+
+
+# Guards against a body of 260 kB that takes the process a second to refuse.
+def test_a_job_of_too_many_steps_is_refused_before_they_are_read(monkeypatch):
+    monkeypatch.setattr(jobs, "_step", None)
+    body = json.dumps({"steps": [{}] * (jobs.MAX_TASKS + 1)}).encode()
+    with pytest.raises(BodyError, match="more than 10000 tasks"):
+        jobs.read_job(body)
+
+
 def test_an_internal_error_is_answered_with_status_500(intake):
     intake.action = lambda: 1 / 0
     assert call(intake)[0] == 500
@@ -210,6 +246,31 @@
     assert lines[0]["config_version"] == 7
 
 
+# Guards against a body that arrives byte by byte for as long as its caller likes.
+@pytest.mark.parametrize("deadline_ms", ["70000", "9" * 400, "9" * 5_000])
+def test_no_call_takes_longer_than_the_longest_deadline(
+    intake, deadline_ms, monkeypatch
+):
+    monkeypatch.setattr(call_time, "MAX_DEADLINE_S", 0.2)
+    intake.action = lambda: gevent.sleep(10)
+    with gevent.Timeout(5):
+        assert call(intake, "DELETE", HTTP_DEADLINE_MS=deadline_ms)[0] == 504
+
+
+# Guards against a line of the log for each request of a caller that does not behave.
+@pytest.mark.parametrize("body_bytes", [1_000_000, 10], ids=["malformed", "too large"])
+def test_refused_bodies_write_a_bounded_number_of_lines(
+    intake, monkeypatch, body_bytes
+):
+    lines = []
+    monkeypatch.setattr(LOG, "sink", lambda _event, details: lines.append(details))
+    monkeypatch.setattr(request_watch.time, "monotonic", lambda: 1.0)
+    app = EntryApp(intake, lambda: VIEW, lambda: RequestLimits(body_bytes=body_bytes))
+    for _ in range(2 * request_watch.MAX_LINES_PER_S):
+        app(environ_of("POST", "/q/1", b"{" * 20), lambda *_answer: None)
+    assert len(lines) == request_watch.MAX_LINES_PER_S
+
+
 # Guards against a Retry-After that ends after the caller's deadline.
 @pytest.mark.parametrize(
     ("deadline_ms", "retry_after"),
