Return the memory of a body as soon as its request is answered

It was returned after the rest of the body had been dropped, which a caller can draw out: 250,000 of 262,144 bytes, an answer after a second, then one byte a second kept 245,760 bytes for as long as it went on; some forty such callers fill the memory for bodies. Found by a review. test_the_memory_of_a_body_is_returned_with_the_answer failed before.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
@@ -105,6 +105,13 @@
         stream.left_bytes = math.inf
         return result
 
+    def run_application(self):
+        """Answer the request, and return the memory of its body."""
+        try:
+            super().run_application()
+        finally:
+            self.environ[CHARGE_VARIABLE].release()
+
     def handle_one_response(self):
         """Serve one request; it is open until its last response byte is written."""
         listener = self.server.listener
@@ -113,7 +120,6 @@
             super().handle_one_response()
         finally:
             listener.open_requests -= 1
-            self.environ[CHARGE_VARIABLE].release()
 
     def finalize_headers(self):
         """Add ``Connection: close`` if the connection or the listener is closing."""
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -76,6 +76,7 @@
     """Send a job but for its last byte; return the connection once it was read."""
     sock = connect()
     sock.sendall(job(size)[:-1])
+    sock.settimeout(TIMEOUT_S)
     with gevent.Timeout(TIMEOUT_S):
         while memory.taken_bytes < size - FREE_BYTES:
             gevent.sleep(0.01)
@@ -120,6 +121,14 @@
     assert sock.recv(65_536).startswith(b"HTTP/1.1 504 ")
 
 
+# Guards against the memory of a body that is kept while its rest is dropped.
+def test_the_memory_of_a_body_is_returned_with_the_answer(listener, connect, memory):
+    listener.limits = LimitSettings(idle_s=0.1)
+    sock = hold(connect, memory, LARGE_BYTES)
+    sock.recv(65_536)
+    assert memory.taken_bytes == 0
+
+
 # Guards against unread bytes, sent on while a request is served, that fill the memory.
 def test_a_connection_takes_little_that_is_not_read(address, connect, monkeypatch):
     is_served = Signal()
