Close the connection of a body whose read ended with an error

The read loses what it had received by then, so the rest of the body seemed longer than it was, and the next request on the connection was taken for it: no answer, not submitted. What is dropped to reuse a connection now also has a time limit of a second. Found by a review. test_the_connection_of_a_body_that_stalled_is_closed failed before.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
@@ -102,6 +102,7 @@
             gevent.sleep(YIELD_S)
         if self.wsgi_input is not None and not self.wsgi_input.rest_is_short:
             drop_received(self.socket, DROPPED_BYTES, DROP_LIMIT_S)
+            return None
         stream.left_bytes = math.inf
         return result
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
@@ -1,5 +1,8 @@
 """Reads the bodies of requests piece by piece, up to a limit."""
 
+import contextlib
+
+import gevent
 from gevent.pywsgi import Input
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
@@ -10,6 +13,7 @@
 
 CHARGE_VARIABLE = "heatherhatch.body_charge"  # in the environment of a request
 PIECE_BYTES = 4_096
+DISCARD_LIMIT_S = 1.0
 DISCARD_BYTES = 16_384  # of a body that nobody reads; beyond, the connection is closed
 # A chunk of one byte takes six bytes; what is beyond is extensions and trailers.
 MAX_CHUNK_OVERHEAD = 8
@@ -19,13 +23,22 @@
     """The body of a request, which is read in pieces.
 
     A long rest is not read after the answer: it may have no end.
+
+    Attributes:
+        is_broken: True if it is not known how much of it was read.
     """
 
-    __slots__ = ()
+    __slots__ = ("is_broken",)
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.is_broken = False
 
     @property
     def rest_is_short(self) -> bool:
         """True if what has not been read may be dropped to reuse the connection."""
+        if self.is_broken:
+            return False
         if self.chunked_input:
             return self.chunk_length == 0
         return (self.content_length or 0) - self.position <= DISCARD_BYTES
@@ -48,8 +61,23 @@
             left_bytes = max(1, self.chunk_length - self.position)
         return min(most_bytes, left_bytes)
 
+    def read(self, length=None):
+        """Return the next bytes; an error may lose some that were received."""
+        try:
+            return super().read(length)
+        except BaseException:
+            self.is_broken = True
+            raise
+
     def _discard(self):
-        if self.rest_is_short:
+        if not self.rest_is_short:
+            return
+        with (
+            contextlib.suppress(TimeoutError),
+            gevent.Timeout(
+                DISCARD_LIMIT_S, TimeoutError("the rest of the body did not arrive")
+            ),
+        ):
             super()._discard()
 
 
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -129,6 +129,17 @@
     assert memory.taken_bytes == 0
 
 
+# Guards against the rest of a body that is taken for the next request, or the reverse:
+# a read that ends with an error loses what it had received.
+def test_the_connection_of_a_body_that_stalled_is_closed(listener, connect, memory):
+    listener.limits = LimitSettings(idle_s=0.1)
+    sock = hold(connect, memory, FREE_BYTES)
+    answer = b""
+    while piece := sock.recv(65_536):
+        answer += piece
+    assert b"\r\nConnection: close\r\n" in answer
+
+
 # Guards against unread bytes, sent on while a request is served, that fill the memory.
 def test_a_connection_takes_little_that_is_not_read(address, connect, monkeypatch):
     is_served = Signal()
