--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -14,8 +14,10 @@
 from heatherhatch_core.state.fleet_configuration import RequestLimits
 from heatherhatch_core.state.work import JobStatus, Phase
 from heatherhatch_daemon.events import LOG
+from heatherhatch_daemon.metrics import METER
 from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.serving import StoreView
+from heatherhatch_daemon.scraped_metrics import ScrapedMetrics
 from heatherhatch_daemon.settings import Address
 from heatherhatch_daemon.transport import request_watch
 from heatherhatch_daemon.transport.body_memory import BodyMemory
@@ -271,6 +273,15 @@
     assert len(lines) == request_watch.MAX_LINES_PER_S
 
 
+# Guards against metrics that keep a label for each method that anyone makes up.
+def test_methods_that_are_not_served_share_a_label(intake, monkeypatch):
+    monkeypatch.setattr(METER, "sink", ScrapedMetrics())
+    for number in range(50):
+        assert call(intake, f"BREW{number}")[0] == 400
+    assert METER.sink.text().count(b'"other_400"') <= 2
+    assert b"BREW" not in METER.sink.text()
+
+
 # Guards against a Retry-After that ends after the caller's deadline.
 @pytest.mark.parametrize(
     ("deadline_ms", "retry_after"),
