Leave workers that are gone and empty out of the report of a pool

Since workers that are gone are kept while a start without an answer may still be carried out, their machine had a row without runs for up to 12 s, also beside the row of the worker that runs there now. A row without runs counts as idle, and an idle machine may be moved to another pool, which ends its runs.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_reporter.py
@@ -90,6 +90,8 @@
                 if run.task is not None and run.task.step.lasting
             )
             runs = len(worker.runs) + len(worker.unknown_runs)
+            if not (worker.present or runs):
+                continue  # its machine may have another worker, and must not seem idle
             loads.append(MachineLoad(worker.info.machine, runs, lasting))
         demand = self.scheduler.demand(now_s(), wall_s())
         return PoolReport(
