--- a/tests/test_pool_reporter.py
+++ b/tests/test_pool_reporter.py
@@ -91,8 +91,8 @@
     assert report_key(POOL) in harness.store.entries
 
 
-# Guards against a machine that seems idle, and may be taken away, while its present worker
-# runs tasks: its earlier worker is kept for starts that may still be carried out.
+# Guards against a machine that seems idle, and may be taken away, while its present
+# worker runs tasks: its earlier one is kept for starts that may still be carried out.
 def test_a_worker_that_is_gone_does_not_make_its_machine_seem_idle(harness):
     harness.model.scheduler.remove_worker("w0")
     assert harness.writes_after(MAX_AGE_S, 10_000)
