Give each listener of heatherhatchd memory for bodies of its own

Callers that held large bodies took the memory that the three listeners shared, and a body of 20 kB from a peer was refused with 503. Found by a review. test_bodies_of_callers_do_not_keep_out_peers failed before (503 instead of 401).

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/control.py
@@ -35,7 +35,6 @@
 from .tasks.registrar import Registrar
 from .tasks.reporter import Reporter
 from .tasks.request_forwarding import RequestForwarder
-from .transport.body_memory import BodyMemory
 from .transport.etcd_store import EtcdStore
 from .transport.listener import Listener
 from .transport.member_list import open_member_list
@@ -241,10 +240,9 @@
         signers = PeerSigners(self.signer, self.process_signer)
         peers = peer_app(self.heartbeats, self.gateway, signers, limits.body_bytes)
         callers = caller_app(self.gateway, self.job_service, limits.body_bytes)
-        operators = operator_app(services)
-        memory = BodyMemory(limits.body_memory_bytes)
+        # Each has memory of its own: callers must not keep out peers and operators.
         return (
-            Listener(listen.callers, callers, limits, body_memory=memory),
-            Listener(listen.operators, operators, limits, body_memory=memory),
-            Listener(listen.peers, peers, limits, body_memory=memory),
+            Listener(listen.callers, callers, limits),
+            Listener(listen.operators, operator_app(services), limits),
+            Listener(listen.peers, peers, limits),
         )
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/settings.py
@@ -158,8 +158,8 @@
 
     Attributes:
         body_bytes: Size of the largest accepted request body, in bytes.
-        body_memory_bytes: Memory in bytes for what request bodies have beyond 8 KiB
-            each, over all listeners.
+        body_memory_bytes: Memory in bytes for what the request bodies of a listener
+            have beyond 8 KiB each.
         header_bytes: Size of the largest accepted request head, in bytes.
         idle_s: Seconds after which the connection of an inactive client is closed.
         connections: Highest number of open connections for each listener.
--- a/tests/test_hostile_daemon_bodies.py
+++ b/tests/test_hostile_daemon_bodies.py
@@ -71,3 +71,23 @@
         assert_serves(deployment, SENDERS)
     finally:
         crowd.close()
+
+
+# Guards against callers with large bodies that keep out the peers of a daemon.
+def test_bodies_of_callers_do_not_keep_out_peers(deployment):
+    callers_port, _, peers_port = deployment.ports[deployment.node_names[0]]
+    small = "Content-Length: 28000\r\n"
+    crowds = []
+    try:
+        for framing, size in ((HELD, HOLDERS), (small, 2 * HOLDERS)):
+            pieces = (
+                [*[PIECE] * 15, PIECE[:-1]] if framing is HELD else [PIECE[:27_999]]
+            )
+            sent = request("POST", PATHS[0], framing, pieces)
+            crowds.append(Crowd(f"127.0.0.1:{callers_port}", size, sent))
+            crowds[-1].wait_until_read()
+        reply = call(f"127.0.0.1:{peers_port}", "POST", PATHS[2], "", b"x" * 20_000)
+        assert reply.status == 401  # its signature is missing
+    finally:
+        for crowd in crowds:
+            crowd.close()
