--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -197,6 +197,14 @@
     assert (status, headers["Retry-After"]) == (503, "1")
 
 
+# Guards against steps whose lists of earlier steps take many times their size.
+def test_what_a_step_waits_for_takes_memory_and_counts_once():
+    rows = [{}] * 1_000 + [{"after": [*range(900)] * 2}]
+    _payload, steps, _schedule = jobs.read_job(json.dumps({"steps": rows}).encode())
+    assert steps[-1].after == tuple(range(900))
+    assert jobs.steps_bytes(steps) == 1_001 * 400 + 900 * 40
+
+
 # Guards against a body of 260 kB that takes the process a second to refuse.
 def test_a_job_of_too_many_steps_is_refused_before_they_are_read(monkeypatch):
     monkeypatch.setattr(jobs, "_step", None)
