--- a/tests/test_hostile_bodies.py
+++ b/tests/test_hostile_bodies.py
@@ -43,6 +43,9 @@
     ),
 }
 SMALL_CHUNKS = request("POST", JOB, CHUNKED, [chunk(b"xx") * 1_000] * 90)
+HEADERS = "".join(f"X-{number}: {'a' * 160}\r\n" for number in range(90))
+LONG_HEADS = 1_000
+LONG_HEAD = request("POST", JOB, f"{HEADERS}Content-Length: 20\r\n", [b"x" * 10])
 ENDLESS = {
     "announced": request("POST", JOB, HUGE, without_end(PIECE)),
     "chunks": request("POST", JOB, CHUNKED, without_end(chunk(PIECE))),
@@ -113,6 +116,18 @@
         crowd.close()
 
 
+# Guards against heads whose headers take many times their size while a body is awaited.
+def test_long_heads_whose_bodies_are_held_do_not_fill_the_memory(
+    deployment, instance, callers
+):
+    crowd = Crowd(instance.entry, LONG_HEADS, LONG_HEAD)
+    try:
+        crowd.wait_until_read()
+        assert_serves(deployment, callers, LONG_HEADS)
+    finally:
+        crowd.close()
+
+
 # Guards against a process that reads a refused body to its end, which never comes.
 @pytest.mark.parametrize("sent", ENDLESS.values(), ids=ENDLESS)
 def test_bodies_without_an_end_are_cut_off(deployment, instance, callers, sent):
