Let the peer of a permission's test name its incarnation

The workers of the platform always name theirs. The checks are as before; the case failed without this.

--- a/tests/test_expired_permission.py
+++ b/tests/test_expired_permission.py
@@ -51,7 +51,7 @@
     def handle(self, environ, _body):
         self.paths.append(environ["PATH_INFO"])
         self.gate.wait()
-        return 200, {"clockMs": 1, "numRunning": [], "ended": []}
+        return 200, {"clockMs": 1, "born": 1, "numRunning": [], "ended": []}
 
 
 @dataclass
