Count long heads in the memory for large requests

What a head has beyond 2 KiB now takes five times as much of the memory for large requests, before the body is read, and a request without it is refused as not run. Head and environment are dropped with the answer.

--- a/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/exceptions.py
@@ -124,7 +124,12 @@
         206, 503, _NOT_RUN, Retry.LATER, "This node's memory for outcomes is full.", 7
     ),
     ErrorKind.MEMORY_LIMIT: ErrorResponse(
-        207, 503, _NOT_RUN, Retry.LATER, "This node's memory for bodies is full.", 7
+        207,
+        503,
+        _NOT_RUN,
+        Retry.LATER,
+        "This node has no memory for large requests.",
+        7,
     ),
     ErrorKind.KEY_REQUIRED: ErrorResponse(
         300, 400, _NOT_RUN, Retry.AFTER_FIX, "An Idempotency-Key is required.", 2
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/body_memory.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/body_memory.py
@@ -1,4 +1,4 @@
-"""Bounds the memory that the bodies of all requests take together."""
+"""Bounds the memory that all requests take together while they are open."""
 
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 
@@ -7,6 +7,8 @@
 # Each request may always have this much: the number of connections bounds the sum, and
 # callers with large bodies don't keep out those with ordinary ones.
 FREE_BYTES = 8_192
+FREE_HEAD_BYTES = 2_048
+HEAD_FACTOR = 5  # memory of a head that was decoded, as a multiple of its size
 RETRY_AFTER_S = 1.0
 
 
@@ -24,9 +26,13 @@
         self.limit_bytes = limit_bytes
         self.taken_bytes = 0
 
-    def charge(self) -> "BodyCharge":
-        """Return the account of a new request."""
-        return BodyCharge(self)
+    def charge(self, head_bytes: int = 0) -> "BodyCharge":
+        """Return the account of a new request.
+
+        Args:
+            head_bytes: Size of its head.
+        """
+        return BodyCharge(self, HEAD_FACTOR * max(0, head_bytes - FREE_HEAD_BYTES))
 
 
 class BodyCharge:
@@ -34,25 +40,28 @@
 
     Args:
         memory: The memory.
+        head_bytes: What its head needs beyond its free part, bytes.
 
     Attributes:
-        taken_bytes: What the request has beyond its free part, bytes.
+        taken_bytes: What the request has beyond its free parts, bytes.
     """
 
-    def __init__(self, memory: BodyMemory):
+    def __init__(self, memory: BodyMemory, head_bytes: int):
         self.memory = memory
+        self.head_bytes = head_bytes
         self.taken_bytes = 0
 
-    def take(self, count: int) -> None:
+    def reserve(self, body_bytes: int) -> None:
         """Take memory, unless the request has as much already.
 
         Args:
-            count: How much the request is to have, bytes.
+            body_bytes: How much the request is to have for its body.
 
         Raises:
             HeatherhatchError: ``MEMORY_LIMIT`` if there is not as much left.
         """
-        more = max(0, count - FREE_BYTES) - self.taken_bytes
+        needed_bytes = self.head_bytes + max(0, body_bytes - FREE_BYTES)
+        more = needed_bytes - self.taken_bytes
         if more <= 0:
             return
         if more > self.memory.limit_bytes - self.memory.taken_bytes:
@@ -60,7 +69,7 @@
             raise HeatherhatchError(
                 ErrorKind.MEMORY_LIMIT,
                 f"{self.memory.taken_bytes} of {self.memory.limit_bytes} bytes for"
-                " large bodies are in use",
+                " large requests are in use",
                 RETRY_AFTER_S,
             )
         self.memory.taken_bytes += more
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/bounded_handler.py
@@ -29,9 +29,11 @@
 
     Attributes:
         is_new: True until the request line of the first request was read.
+        head_bytes: Size of the headers of the request.
     """
 
     is_new = True
+    head_bytes = 0
 
     def __init__(self, sock, address, server):
         super().__init__(sock, address, server)
@@ -39,8 +41,10 @@
 
     def MessageClass(self, stream, seekable):  # noqa: N802
         """Return the headers; fail if the head is too large or its framing unclear."""
-        limit = self.server.listener.limits.header_bytes
-        headers = super().MessageClass(HeadReader(stream, limit), seekable)
+        limit_bytes = self.server.listener.limits.header_bytes
+        reader = HeadReader(stream, limit_bytes)
+        headers = super().MessageClass(reader, seekable)
+        self.head_bytes = limit_bytes - reader.left_bytes
         check_framing(
             headers.get_all("content-length", []),
             headers.get_all("transfer-encoding", []),
@@ -88,7 +92,8 @@
             self.wsgi_input.chunked_input,
         )
         self.wsgi_input = environ["wsgi.input"] = body
-        environ[CHARGE_VARIABLE] = self.server.listener.body_memory.charge()
+        memory = self.server.listener.body_memory
+        environ[CHARGE_VARIABLE] = memory.charge(self.head_bytes)
         return environ
 
     def handle_one_request(self):
@@ -97,6 +102,8 @@
         stream = self.rfile.raw
         reads = stream.reads
         result = super().handle_one_request()
+        # They would be kept until the next request.
+        self.headers = self.environ = None
         if stream.reads == reads:
             # It came with the one before, and so may any number of others.
             gevent.sleep(YIELD_S)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/transport/request_body.py
@@ -122,7 +122,7 @@
 def _read_pieces(body: RequestBody, charge: BodyCharge, limit_bytes: int) -> bytes:
     data = bytearray()
     while count := body.next_bytes(PIECE_BYTES):
-        charge.take(len(data) + count)
+        charge.reserve(len(data) + count)
         piece = body.read(count)
         if not piece:
             break
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -11,7 +11,12 @@
 from heatherhatch_core.exceptions import ErrorKind, HeatherhatchError
 from heatherhatch_daemon.pools.serving import StoreView
 from heatherhatch_daemon.settings import Address, LimitSettings
-from heatherhatch_daemon.transport.body_memory import FREE_BYTES, BodyMemory
+from heatherhatch_daemon.transport.body_memory import (
+    FREE_BYTES,
+    FREE_HEAD_BYTES,
+    HEAD_FACTOR,
+    BodyMemory,
+)
 from heatherhatch_daemon.transport.listener import RECEIVE_BUFFER_BYTES, Listener
 from heatherhatch_platform.entry import EntryApp
 from hostile_crowd import unread_bytes
@@ -157,13 +162,24 @@
 def test_what_a_request_has_is_taken_once():
     memory = BodyMemory(100)
     charge = memory.charge()
-    charge.take(FREE_BYTES)
+    charge.reserve(FREE_BYTES)
     assert memory.taken_bytes == 0
-    charge.take(FREE_BYTES + 60)
-    charge.take(FREE_BYTES + 60)
+    charge.reserve(FREE_BYTES + 60)
+    charge.reserve(FREE_BYTES + 60)
     assert memory.taken_bytes == 60
     with pytest.raises(HeatherhatchError) as raised:
-        memory.charge().take(FREE_BYTES + 41)
+        memory.charge().reserve(FREE_BYTES + 41)
     assert raised.value.kind is ErrorKind.MEMORY_LIMIT
     charge.release()
     assert memory.taken_bytes == 0
+
+
+# Guards against long heads that are kept while bodies or answers are awaited.
+def test_a_head_takes_memory_beyond_an_ordinary_size():
+    memory = BodyMemory(1_000)
+    memory.charge(FREE_HEAD_BYTES).reserve(FREE_BYTES)
+    assert memory.taken_bytes == 0
+    memory.charge(FREE_HEAD_BYTES + 100).reserve(0)
+    assert memory.taken_bytes == 100 * HEAD_FACTOR
+    with pytest.raises(HeatherhatchError):
+        memory.charge(FREE_HEAD_BYTES + 101).reserve(0)
