--- a/tests/incarnation_holder.py
+++ b/tests/incarnation_holder.py
@@ -39,6 +39,7 @@
         reported: Where the last report came from.
         orders: Where an open connection for orders leads; None if there is none.
         call: Number of the renewal that is sent, or next if it was broken off.
+        deadline_ms: Deadline of the last renewal that was carried out.
     """
 
     renewals: Incarnation | None = None
@@ -46,6 +47,7 @@
     orders: Incarnation | None = None
     is_silent: bool = False
     call: int = 0
+    deadline_ms: float = 0.0
 
 
 class Holder:
@@ -126,13 +128,24 @@
         if is_known:
             there.extend(deadline_ms)
             there.acknowledge(worker.acked)
+            link.deadline_ms = deadline_ms
         answer_s = sent_s + (LONG_POLL_S if is_known else 0.0)
         self.answer_renewal(name, link.call, there, sent_s, answer_s)
 
+    def renew_late(self, name: str, deadline_ms: float) -> None:
+        """Carry out a renewal that an earlier incarnation has not answered."""
+        there = self.world.present[name]
+        if there.take_token(self.token):
+            there.extend(deadline_ms)
+
     def answer_renewal(self, name, call, there, sent_s, answer_s) -> None:
         link = self.links.get(name)
         if not self.is_up or link is None or call != link.call:
             return
+        late_s = self.world.conditions.renewal_late_s
+        if late_s is not None and link.deadline_ms and not there.is_up:
+            self.world.after(late_s, self.renew_late, name, link.deadline_ms)
+            link.deadline_ms = 0.0
         if there.is_closed:
             self.renewal_lost(name, call)
         if not there.is_reached:
--- a/tests/incarnation_model.py
+++ b/tests/incarnation_model.py
@@ -36,6 +36,8 @@
             an answer, seconds; None if it is answered.
         is_late_anywhere: True if a start without an answer may be carried out by a
             later incarnation than the one that it was sent to.
+        renewal_late_s: After how long a renewal without an answer is carried out by the
+            present incarnation, seconds; None if it is not.
         is_isolated: True if a holder is lost by a cut from the store.
         faults: Rules that the holders do not follow.
     """
@@ -49,6 +51,7 @@
     closes_connections: bool = False
     fates_s: tuple[float | None, ...] = (None,)
     is_late_anywhere: bool = False
+    renewal_late_s: float | None = None
     is_isolated: bool = False
     faults: tuple[str, ...] = ()
 
--- a/tests/test_cut_kill_restart.py
+++ b/tests/test_cut_kill_restart.py
@@ -99,6 +99,13 @@
     assert play(events, conditions).violations == []
 
 
+# Guards against the same by a renewal, which extends the lease of all that runs there.
+def test_no_task_runs_twice_if_a_later_incarnation_carries_out_a_late_renewal():
+    conditions = Conditions(renewal_late_s=3.0)
+    events = (("restart", 5.0), ("restart other", 5.0), ("cut", 9.0))
+    assert play(events, conditions).violations == []
+
+
 # Guards against a model that cannot show a fault: without the greeting, and with a
 # start before the clock of a new incarnation is known.
 @pytest.mark.parametrize(
