--- a/tests/test_status_requests.py
+++ b/tests/test_status_requests.py
@@ -14,7 +14,9 @@
 from heatherhatch_daemon.pools.keys import status_key
 from heatherhatch_daemon.pools.operators import Operators
 from heatherhatch_daemon.pools.watched_store import WatchedStore
+from heatherhatch_daemon.transport.body_memory import BodyMemory
 from heatherhatch_daemon.transport.memory_store import MemoryStore
+from heatherhatch_daemon.transport.request_body import CHARGE_VARIABLE
 from heatherhatch_daemon.transport.store import Put, Transaction
 from heatherhatch_platform import entry
 from heatherhatch_platform.kv_store import CALL_TIMEOUT_S
@@ -100,6 +102,7 @@
         answers = []
         environ = {
             "REQUEST_METHOD": method,
+            CHARGE_VARIABLE: BodyMemory(0).charge(),
             "PATH_INFO": QUEUE.prefix + JOB,
             "HTTP_HOST": QUEUE.host,
             "HTTP_API_KEY": KEY,
