--- a/review/fleet_harness.py
+++ b/review/fleet_harness.py
@@ -424,6 +424,7 @@
         machines: The machines, by name.
         filters: As that of a worker.
         answer_s: How long each answer takes, seconds.
+        lists: Number of times that the list of machines was read.
         upkeeps: Begin and end of each upkeep: machine, wave, monotonic seconds.
     """
 
@@ -436,6 +437,7 @@
         self.orders = []
         self.filters = lambda path, body: None
         self.answer_s = 0.0
+        self.lists = 0
         self.fenced = fleet.parameters.get("requireFence", True)
         self.server = Server(fleet.ip(), self._handle)
 
@@ -460,6 +462,7 @@
         path = environ["PATH_INFO"]
         if path == "/machines":
             rows = [self._row(name) for name in self.machines]
+            self.lists += 1
             gevent.sleep(self.answer_s)
             return 200, {"machines": rows, "nextToken": None}
         token = int(environ["HTTP_FENCING_TOKEN"])
