--- a/review/fleet_harness.py
+++ b/review/fleet_harness.py
@@ -667,6 +667,7 @@
         self.on_start = []
         self.version = 0
         self.instances = [Instance(self, number) for number in range(instances)]
+        gevent.signal_handler(signal.SIGTERM, self._abort)
         self.note(f"TROUBLE={int(self.trouble)}")
 
     def __enter__(self):
@@ -690,6 +691,13 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def _abort(self):
+        """End all processes and exit; the time of the case is over."""
+        self.note("the time of the case is over")
+        for instance in self.instances:
+            instance.signal(signal.SIGKILL)
+        os._exit(NOT_RUN)
+
     def ip(self):
         """Return an unused loopback address."""
         self.last_ip += 1
