Log what work waits for the limit of its team

A job that its team's limit keeps waiting was shown by no log line: the record of the parts had to be read from the store at the right moment, and nothing said since when which work waits. The scheduler now remembers the steps that wait for a limit, with what each needs to start; limit_wait has the oldest of them after a second, with the use and the part of each pool, and the metric limit_wait_s the longest wait.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/live.py
@@ -114,6 +114,10 @@
         step = self.job.steps[number]
         return [self.tasks[occurrence, number, index] for index in range(step.count)]
 
+    def has_runs(self, occurrence: int, number: int) -> bool:
+        """Return True if a task of a step has a run."""
+        return any(task.runs for task in self.step_tasks(occurrence, number))
+
     def ready(self, occurrence: int, number: int) -> bool:
         """Return True if a step is open and all steps that it depends on are done."""
         open_steps = self.open_steps[occurrence]
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -4,7 +4,7 @@
 from ...state.work import Step
 from .live import LiveJob
 from .ordering import sort_jobs
-from .permits import StepName
+from .permits import StepName, step_name
 from .placement_round import PlacementRound
 from .preempting import preempt_for_urgent
 from .state import PoolState
@@ -18,13 +18,16 @@
 def place_tasks(state: PoolState, now_s: float, wall_s: float) -> PlacementRound | None:
     """Place ready tasks on workers; return the round, or None without a worker."""
     state.allowance_shortfall.clear()
+    state.limit_waits.begin_round()
     placement = PlacementRound(state, now_s)
     expand_due_jobs(state, wall_s)
     if not placement.workers and not placement.last_resorts:
+        state.limit_waits.end_round(complete=True)
         return None
     jobs = sort_jobs(state, wall_s, now_s)
     _place_jobs(placement, jobs)
     complete = placement.placed < MAX_PLACEMENTS_PER_ROUND
+    state.limit_waits.end_round(placement.complete)
     if complete and state.rules.gates.preemption:
         preempt_for_urgent(placement, jobs, wall_s)
     if placement.isolator is not None:
@@ -105,6 +108,8 @@
     held = 0
     for done, task in enumerate(waiting):
         if not is_within_allowance(placement.state, task, step.occupies):
+            if step.lasting or not job.has_runs(task.name.occurrence, task.name.step):
+                _note_limited(placement, task, step.occupies)
             return len(waiting) - done + held
         worker = choose_worker(placement, task, {})
         if worker is None:
@@ -122,6 +127,12 @@
     return held
 
 
+def _note_limited(placement: PlacementRound, task: Task, need: Resources) -> None:
+    team = task.job.job.team
+    step = step_name(task.name)
+    placement.state.limit_waits.note(team, step, need, placement.now_s)
+
+
 def _start(placement: PlacementRound, task: Task, worker: Worker, number: int) -> None:
     placement.state.add_run(task, worker, number)
     placement.note_placed(worker)
@@ -139,9 +150,9 @@
 
 def _place_gang(placement: PlacementRound, tasks: list[Task]) -> None:
     step = tasks[0].step
-    if not is_within_allowance(
-        placement.state, tasks[0], step.occupies.times(len(tasks))
-    ):
+    need = step.occupies.times(len(tasks))
+    if not is_within_allowance(placement.state, tasks[0], need):
+        _note_limited(placement, tasks[0], need)
         return
     for rack in _candidate_racks(placement) if step.same_rack else [""]:
         chosen = _choose_gang_workers(placement, tasks, rack)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -11,6 +11,7 @@
 from .crashes import LapsedRuns
 from .evacuated import EvacuatedDataCentres
 from .learning import learn_from_end
+from .limit_waits import LimitWaits
 from .live import LiveJob
 from .messages import Ending, Order, StartOrder, StopOrder, TaskName
 from .outcomes import apply_run_end
@@ -43,6 +44,7 @@
             absent team may use nothing.
         allowance_shortfall: Resources that tasks of each limited team lacked in the
             last round because of the allowance.
+        limit_waits: Steps that wait for the limits of their teams.
         draining: Machines to drain by moving their runs where possible, with the
             number of the request.
         finishing: Machines to drain by letting their runs finish, with the number
@@ -73,6 +75,7 @@
     limited: frozenset[str] = frozenset()
     allowances: dict[str, Resources] = field(default_factory=dict)
     allowance_shortfall: dict[str, Resources] = field(default_factory=dict)
+    limit_waits: LimitWaits = field(default_factory=LimitWaits)
     draining: Mapping[str, int] = field(default_factory=dict)
     finishing: Mapping[str, int] = field(default_factory=dict)
     maintenance_due: frozenset[str] = frozenset()
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -116,6 +116,10 @@
     SWEPT = EventInfo(
         1653, "A sweep of the status records ended; it tells what was read and removed."
     )
+    LIMIT_WAIT = EventInfo(
+        1654,
+        "Work waits for its team's limit; it tells the use and the pools' parts.",
+    )
     MACHINE_ORDERED = EventInfo(1661, "The provider accepted an order for a machine.")
     MACHINE_REFUSED = EventInfo(1662, "An order for a machine was not executed.")
     WAVE_SEEN = EventInfo(1663, "A maintenance wave was announced.")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/metrics.py
@@ -55,6 +55,9 @@
     WORKERS_USABLE = "workers that may get new runs, by pool, gauge"
     PERMITS_WANTED = "steps that wait for the policy service, by pool, gauge"
     PERMIT_WAIT_S = "how long the first such step has waited, by pool, seconds, gauge"
+    LIMIT_WAIT_S = (
+        "how long the oldest step has waited for a limit, by pool, seconds, gauge"
+    )
     PERMIT_CALLS = "calls to the policy service, by result, count"
     PERMIT_CALL_MS = "duration of an answered call to the policy service, milliseconds"
     ROLES_HELD = "1 if this node holds the role, else 0, by role, gauge"
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/node.py
@@ -127,6 +127,8 @@
             permits = holder.permits
             sink.gauge(Metric.PERMITS_WANTED, permits.steps_waiting, holder.pool)
             sink.gauge(Metric.PERMIT_WAIT_S, permits.oldest_wait_s(), holder.pool)
+            limit_wait_s = holder.scheduler.state.limit_waits.oldest_wait_s(now_s())
+            sink.gauge(Metric.LIMIT_WAIT_S, limit_wait_s, holder.pool)
 
     def _on_config(self, config: FleetConfiguration) -> None:
         for holder in self.holders.values():
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -21,6 +21,8 @@
 CONTENDED_RESERVE_DIVISOR = 16  # while another pool is short, a pool reserves 1/16
 RELEASE_AFTER_S = 1.0  # an excess that was unused for this long is released
 CONTENDED_RELEASE_PERIOD_S = 1.0  # minimum time between releases to a short pool
+LOGGED_WAIT_S = 1.0  # work that has waited this long for a limit is logged
+LOG_PERIOD_S = 5.0  # minimum time between two such lines about one team
 EMPTY_PART = (0, 0, 0)
 
 
@@ -74,6 +76,7 @@
         self.released_s: dict[str, float] = {}
         self.unconfirmed: dict[str, UnconfirmedPart] = {}
         self.allowances: dict[str, Resources] = {}
+        self.logged_s: dict[str, float] = {}
 
     def step(self, config: FleetConfiguration) -> None:
         """Adjust the parts to the pool's use and demand, and set the allowances."""
@@ -89,6 +92,7 @@
         for team, limit in limits.items():
             self._adjust(team, limit, active)
             self.set_allowance(team, limit)
+            self._log_wait(team, limit)
         self.scheduler.set_allowances(self.allowances)
 
     def _adjust(self, team: str, limit: Resources, active: frozenset[str]) -> None:
@@ -120,6 +124,28 @@
         self.allowances = {**self.allowances, team: _as_allowance(usable, limit)}
         self.scheduler.set_allowances(self.allowances)
 
+    def _log_wait(self, team: str, limit: Resources) -> None:
+        oldest = self.scheduler.state.limit_waits.oldest(team)
+        if oldest is None or now_s() - oldest.since_s < LOGGED_WAIT_S:
+            return
+        if now_s() - self.logged_s.get(team, -math.inf) < LOG_PERIOD_S:
+            return
+        self.logged_s[team] = now_s()
+        grant = self.plan_watcher.grants.get(team, Grant())
+        log(
+            Event.LIMIT_WAIT,
+            team=team,
+            pool=self.pool,
+            job=oldest.step.job_id,
+            step=oldest.step.step,
+            need=_row(oldest.need),
+            waited_s=round(now_s() - oldest.since_s, 2),
+            limit=_row(limit),
+            used=_row(self.scheduler.state.team_used.get(team, NO_RESOURCES)),
+            parts=grant.parts,
+            short=grant.short,
+        )
+
     def _stored_parts(self, team: str) -> tuple[Grant, Resources, Resources]:
         """Return a team's grant, this pool's part and the sum of the others' parts."""
         grant = self.plan_watcher.grants.get(team, Grant())
@@ -216,10 +242,14 @@
     )
 
 
+def _row(amount: Resources) -> tuple[int, int, int]:
+    return (amount.cpu_m, amount.memory_mb, amount.accelerators)
+
+
 def _with_part(grant: Grant, pool: str, part: Resources, short: set[str]) -> Grant:
     """Return a grant with another part of one pool, unless the part is the same."""
     parts = dict(grant.parts)
-    row = (part.cpu_m, part.memory_mb, part.accelerators)
+    row = _row(part)
     if row != parts.get(pool, EMPTY_PART):
         parts[pool] = row
     return Grant(parts, tuple(sorted(short)))
--- a/tests/test_hedged_store.py
+++ b/tests/test_hedged_store.py
@@ -16,6 +16,7 @@
 
 from heatherhatch_core.coordination import hedging
 from heatherhatch_core.coordination.scheduler import JobWrite
+from heatherhatch_core.coordination.scheduler.limit_waits import LimitWaits
 from heatherhatch_core.exceptions import LeaseExpiredError, StoreError
 from heatherhatch_core.state.fleet_configuration import Team
 from heatherhatch_core.state.resources import Resources
@@ -123,7 +124,9 @@
 
 
 def write_grants(store, memory):
-    state = SimpleNamespace(team_used={}, allowance_shortfall={})
+    state = SimpleNamespace(
+        team_used={}, allowance_shortfall={}, limit_waits=LimitWaits()
+    )
     scheduler = SimpleNamespace(state=state, set_allowances=lambda _allowances: None)
     grants = PoolGrants(store, PlanWatcher(memory), POOL, memory.claim, scheduler)
     for cores in range(1, 4):
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -6,6 +6,7 @@
 import pytest
 
 from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.coordination.scheduler.limit_waits import LimitWaits
 from heatherhatch_core.exceptions import StoreError
 from heatherhatch_core.state.fleet_configuration import Pool, Team
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
@@ -41,7 +42,9 @@
     def __init__(self):
         self.cpu_m = 0
         self.allowed = NO_RESOURCES
-        self.state = SimpleNamespace(team_used={}, allowance_shortfall={})
+        self.state = SimpleNamespace(
+            team_used={}, allowance_shortfall={}, limit_waits=LimitWaits()
+        )
 
     def set_allowances(self, allowances):
         self.allowed = allowances["red"]
