Serve pools that are short of a team's limit in turn

Cause: a pool counted as short if the sum of all that its waiting tasks lacked did not fit, and while another pool was short it kept no more than its use and a sixteenth of the limit. Two pools that were short at once held each other there, and the rest of the limit belonged to nobody.

Change: a pool keeps what its next task or gang needs. Work that has waited for 0.5 s claims what it needs as a whole; claims are served in order, for a bounded time, and the other waiting pools leave that much. Lasting work, steps that no worker has room for and holders that are gone hold nobody up. Ruled out: workers or permission missing (work is noted as limited only if nothing else keeps it).

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_release.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/copy_release.py
@@ -105,7 +105,7 @@
 def _missing_allowance(state: PoolState, team: str) -> Resources:
     """Return what a team lacks once its runs that are stopping are gone."""
     allowance = state.allowances.get(team)
-    if team not in state.limited or allowance is None:
+    if team not in state.limits or allowance is None:
         return NO_RESOURCES
     stopping = NO_RESOURCES
     for worker in state.workers.values():
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
@@ -7,6 +7,11 @@
 from ...state.resources import NO_RESOURCES, Resources
 from .permits import StepName
 
+PATIENCE_S = 0.5  # a step that has waited this long may make other work wait
+FIRST_HOLD_S = 2.0  # for how long it does, at first
+MAX_HOLD_S = 600.0
+NO_WORKER_PAUSE_S = 0.5  # between two searches for a worker with room for a step
+
 
 @dataclass(frozen=True, slots=True)
 class LimitedStep:
@@ -31,11 +36,19 @@
         waiting: Limited steps of each team in the last round, in the order of the
             jobs.
         noted: The same for the round in progress.
+        starved: The step of each team that has waited for the longest time and that
+            the workers have room for; teams without one are absent.
+        holds_s: How long each step may make other work wait next time, seconds.
+        paused_until_s: Steps that do not, as they did in vain or no worker has room for
+            them, and until when.
     """
 
     def __init__(self):
         self.waiting: dict[str, dict[StepName, LimitedStep]] = {}
         self.noted: dict[str, dict[StepName, LimitedStep]] = {}
+        self.starved: dict[str, LimitedStep] = {}
+        self.holds_s: dict[StepName, float] = {}
+        self.paused_until_s: dict[StepName, float] = {}
 
     def begin_round(self) -> None:
         """Begin a placement round."""
@@ -65,6 +78,55 @@
             for team, steps in self.waiting.items():
                 self.noted[team] = {**steps, **self.noted.get(team, {})}
         self.waiting = self.noted
+        steps = {step for found in self.waiting.values() for step in found}
+        self.holds_s = {key: s for key, s in self.holds_s.items() if key in steps}
+        self.paused_until_s = {
+            key: s for key, s in self.paused_until_s.items() if key in steps
+        }
+
+    def impatient(self, team: str, limit: Resources, now_s: float) -> list[LimitedStep]:
+        """Return the steps that may make other work wait.
+
+        The one that does so now comes first, then those that have waited longest.
+
+        Args:
+            team: Team of the steps.
+            limit: Limit of the team; 0 means no limit.
+            now_s: Monotonic time, seconds.
+        """
+        current = self.starved.get(team)
+        found = [
+            item
+            for item in self.waiting.get(team, {}).values()
+            if now_s - item.since_s >= PATIENCE_S
+            and item.need.within(limit)
+            and now_s >= self.paused_until_s.get(item.step, now_s)
+        ]
+        found.sort(
+            key=lambda item: (
+                current is None or item.step != current.step,
+                item.since_s,
+            )
+        )
+        return found
+
+    def note_no_worker(self, step: StepName, now_s: float) -> None:
+        """Record that no worker has room for a step, so that others come first."""
+        self.paused_until_s[step] = now_s + NO_WORKER_PAUSE_S
+
+    def hold_s(self, step: StepName) -> float:
+        """Return for how long a step may make other work wait, seconds."""
+        return self.holds_s.get(step, FIRST_HOLD_S)
+
+    def pause(self, step: StepName, now_s: float) -> None:
+        """Let other work start for as long as it has waited for a step in vain.
+
+        The step may make it wait for twice as long the next time: work that ends takes
+        a time that is not known.
+        """
+        held_s = self.hold_s(step)
+        self.paused_until_s[step] = now_s + held_s
+        self.holds_s[step] = min(2 * held_s, MAX_HOLD_S)
 
     def next_need(self, team: str) -> Resources:
         """Return what the first step in line needs to start; nothing if none waits."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -1,6 +1,6 @@
 """Places ready tasks on workers, in the order of their jobs."""
 
-from ...state.resources import Resources
+from ...state.resources import NO_RESOURCES, Resources
 from ...state.work import Step
 from .live import LiveJob
 from .ordering import sort_jobs
@@ -13,6 +13,7 @@
 from .worker_choice import choose_last_resort, choose_worker, is_within_allowance
 
 MAX_PLACEMENTS_PER_ROUND = 200  # lets the caller send orders between rounds
+MAX_STARVED_CHECKED = 3  # steps of each team for which a round looks for workers
 
 
 def place_tasks(state: PoolState, now_s: float, wall_s: float) -> PlacementRound | None:
@@ -28,6 +29,7 @@
     _place_jobs(placement, jobs)
     complete = placement.placed < MAX_PLACEMENTS_PER_ROUND
     state.limit_waits.end_round(placement.complete)
+    _find_starved(placement)
     if complete and state.rules.gates.preemption:
         preempt_for_urgent(placement, jobs, wall_s)
     if placement.isolator is not None:
@@ -133,11 +135,42 @@
     placement.state.limit_waits.note(team, step, need, placement.now_s)
 
 
+def _find_starved(placement: PlacementRound) -> None:
+    """Find the step of each limited team that has waited longest and could start."""
+    waits = placement.state.limit_waits
+    starved = {}
+    for team in waits.waiting:
+        limit = placement.state.limits.get(team, NO_RESOURCES)
+        found = waits.impatient(team, limit, placement.now_s)
+        for item in found[:MAX_STARVED_CHECKED]:
+            if _has_workers_for(placement, item.step):
+                starved[team] = item
+                break
+            waits.note_no_worker(item.step, placement.now_s)
+    waits.starved = starved
+
+
+def _has_workers_for(placement: PlacementRound, name: StepName) -> bool:
+    """Return whether the workers have room for a task of a step, or for its gang."""
+    job = placement.state.jobs.get(name.job_id)
+    if job is None or name.occurrence not in job.expanded:
+        return False
+    tasks = job.step_tasks(name.occurrence, name.step)
+    if tasks[0].step.gang:
+        return bool(_choose_gang_workers(placement, tasks, last_resort=True))
+    task = next((task for task in tasks if not task.settled and not task.runs), None)
+    if task is None:
+        return False
+    worker = choose_worker(placement, task, {})
+    return (worker or choose_last_resort(placement, task, {})) is not None
+
+
 def _start(placement: PlacementRound, task: Task, worker: Worker, number: int) -> None:
     placement.state.add_run(task, worker, number)
     placement.note_placed(worker)
     if placement.isolator is not None:
         placement.isolator.note_placed(task, worker.worker_id)
+    placement.state.end_reservation(task)
     placement.state.note(
         "placed",
         task=task.name,
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preempting.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/preempting.py
@@ -17,6 +17,7 @@
 from .task import Task
 from .victims import may_stop
 from .worker import Worker
+from .worker_choice import fits_allowance
 
 CHECK_INTERVAL_S = 0.1  # a fifth of the time in which a preemption is considered
 MAX_JOBS_PER_CHECK = 5  # more preemptions than for these are not allowed anyway
@@ -210,14 +211,8 @@
         return not step.label or step.label in worker.info.labels
 
     def _is_allowed(self, tasks: list[Task]) -> bool:
-        team = tasks[0].job.job.team
-        if team not in self.state.limited:
-            return True
-        allowance = self.state.allowances.get(team)
         need = sum((task.step.occupies for task in tasks), NO_RESOURCES)
-        return allowance is not None and (self.state.team_used[team] + need).within(
-            allowance
-        )
+        return fits_allowance(self.state, tasks[0], need)
 
 
 def preempt_for_urgent(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/relocation.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/relocation.py
@@ -117,7 +117,7 @@
 def _may_run_again(state: PoolState, team: str) -> bool:
     """Return whether a team's limit leaves room for a run again once it has ended."""
     allowance = state.allowances.get(team)
-    return team not in state.limited or (
+    return team not in state.limits or (
         allowance is not None and state.team_used[team].within(allowance)
     )
 
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/scheduler.py
@@ -10,6 +10,7 @@
 from .copies import CopyPolicy
 from .demand import Arrivals, PoolDemand, measure_demand
 from .evacuation import cleared_machines, step_evacuation
+from .limit_waits import LimitedStep
 from .live import LiveJob
 from .machine_workers import (
     end_previous_workers,
@@ -62,9 +63,9 @@
         """Apply a version of the configuration."""
         self.state.queue_rules = queue_rules(config)
         self.state.competition.configure(config, self.state.pool)
-        self.state.limited = frozenset(
-            team.name for team in config.teams if team.limit != NO_RESOURCES
-        )
+        self.state.limits = {
+            team.name: team.limit for team in config.teams if team.limit != NO_RESOURCES
+        }
 
     def add_job(self, job: Job, progress: Progress | None, now_s: float) -> None:
         """Add a job, with its stored progress if it has started."""
@@ -148,6 +149,10 @@
         """Set the resources that each limited team may use in this pool."""
         self.state.allowances = allowances
 
+    def set_limit_reservations(self, steps: dict[str, LimitedStep]) -> None:
+        """Set the step of each team whose turn it is at the team's limit."""
+        self.state.limit_reservations = steps
+
     def set_drains(
         self,
         draining: Mapping[str, int],
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/state.py
@@ -11,7 +11,7 @@
 from .crashes import LapsedRuns
 from .evacuated import EvacuatedDataCentres
 from .learning import learn_from_end
-from .limit_waits import LimitWaits
+from .limit_waits import LimitedStep, LimitWaits
 from .live import LiveJob
 from .messages import Ending, Order, StartOrder, StopOrder, TaskName
 from .outcomes import apply_run_end
@@ -39,12 +39,14 @@
         workers: Workers by identifier.
         team_used: Resources that the runs of each team occupy in this pool.
         competition: Shares of the teams in the pool.
-        limited: Teams that have a limit.
+        limits: Limit of each team that has one.
         allowances: Resources that each limited team may use in this pool; an
             absent team may use nothing.
         allowance_shortfall: Resources that tasks of each limited team lacked in the
             last round because of the allowance.
         limit_waits: Steps that wait for the limits of their teams.
+        limit_reservations: Step of a team whose turn it is; other work of the team
+            starts only beside it.
         draining: Machines to drain by moving their runs where possible, with the
             number of the request.
         finishing: Machines to drain by letting their runs finish, with the number
@@ -72,10 +74,11 @@
         default_factory=lambda: defaultdict(Resources)
     )
     competition: PoolCompetition = field(default_factory=PoolCompetition)
-    limited: frozenset[str] = frozenset()
+    limits: dict[str, Resources] = field(default_factory=dict)
     allowances: dict[str, Resources] = field(default_factory=dict)
     allowance_shortfall: dict[str, Resources] = field(default_factory=dict)
     limit_waits: LimitWaits = field(default_factory=LimitWaits)
+    limit_reservations: dict[str, LimitedStep] = field(default_factory=dict)
     draining: Mapping[str, int] = field(default_factory=dict)
     finishing: Mapping[str, int] = field(default_factory=dict)
     maintenance_due: frozenset[str] = frozenset()
@@ -111,6 +114,26 @@
         run.version = job.version
         return run
 
+    def end_reservation(self, task: Task) -> None:
+        """End the reservation of a limit if it is for a task's step."""
+        reserved = self.limit_reservations.get(task.job.job.team)
+        if reserved is not None and reserved.step == step_name(task.name):
+            del self.limit_reservations[task.job.job.team]
+
+    def lasting_use(self, team: str) -> Resources:
+        """Return what the runs of a team use that do not end by themselves."""
+        return sum(
+            (
+                run.held
+                for worker in self.workers.values()
+                for run in worker.runs.values()
+                if run.task is not None
+                and run.task.step.lasting
+                and run.task.job.job.team == team
+            ),
+            Resources(),
+        )
+
     def note_begun(self, run: Run) -> None:
         """Record that a worker has taken a run."""
         if run.is_first and run.task.job.note_begun():
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/worker_choice.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ...state.resources import Resources
+from ...state.resources import NO_RESOURCES, Resources
 from .permits import step_name
 from .placement_round import PlacementRound
 from .preference import count_siblings, lasting_score, penalties
@@ -25,8 +25,10 @@
     if fits_allowance(state, task, need):
         return True
     team = task.job.job.team
+    # What the whole limit does not cover is no demand for a larger part of it.
+    lacking = need if need.within(state.limits[team]) else NO_RESOURCES
     state.allowance_shortfall[team] = (
-        state.allowance_shortfall.get(team, Resources()) + need
+        state.allowance_shortfall.get(team, NO_RESOURCES) + lacking
     )
     return False
 
@@ -34,8 +36,11 @@
 def fits_allowance(state: PoolState, task: Task, need: Resources) -> bool:
     """Return whether a task's team may use more resources."""
     team = task.job.job.team
-    if team not in state.limited:
+    if team not in state.limits:
         return True
+    reserved = state.limit_reservations.get(team)
+    if reserved is not None and reserved.step != step_name(task.name):
+        need = need + reserved.need
     # A new holder or a new limit has no allowance until one is stored.
     allowance = state.allowances.get(team)
     return allowance is not None and (state.team_used[team] + need).within(allowance)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/fleet_records.py
@@ -6,9 +6,12 @@
 from msgspec.structs import replace
 
 from heatherhatch_core.coordination.competition.rejection import PoolBacklog
+from heatherhatch_core.coordination.limit_claims import LimitClaim
 from heatherhatch_core.state.fleet_configuration import Queue
 from heatherhatch_core.state.maintenance import Machine
+from heatherhatch_core.state.resources import Resources
 
+EMPTY_PART = (0, 0, 0)
 ORDER_RETENTION_S = 30.0  # orders and maintenance take seconds; clocks may differ
 
 
@@ -185,7 +188,22 @@
     Attributes:
         parts: Part of each pool: thousandths of a core, MB, accelerators.
         short: Pools whose demand exceeds what the parts of the others leave them.
+        claims: Claims of pools on the limit, the first in line first.
+        lasting: What the runs of each pool use that do not end by themselves, as
+            each pool stored it last while there was a claim.
     """
 
     parts: dict[str, tuple[int, int, int]] = {}
     short: tuple[str, ...] = ()
+    claims: tuple[LimitClaim, ...] = ()
+    lasting: dict[str, tuple[int, int, int]] = {}
+
+
+def parts_of(grant: Grant) -> dict[str, Resources]:
+    """Return the part of each pool."""
+    return {pool: Resources(*part) for pool, part in grant.parts.items()}
+
+
+def as_part(amount: Resources) -> tuple[int, int, int]:
+    """Return an amount as it is stored in a grant."""
+    return (amount.cpu_m, amount.memory_mb, amount.accelerators)
--- /dev/null
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
@@ -0,0 +1,168 @@
+"""Claims of one pool on the teams' limits, and which claims of others it respects."""
+
+from heatherhatch_core.coordination.limit_claims import (
+    LimitClaim,
+    can_be_met,
+    limited_part,
+    room_for,
+)
+from heatherhatch_core.coordination.scheduler.limit_waits import LimitedStep
+from heatherhatch_core.coordination.scheduler.state import PoolState
+from heatherhatch_core.state.resources import NO_RESOURCES, Resources
+
+from .clock import now_s
+from .fleet_records import EMPTY_PART, Grant, parts_of
+
+# Added to the time for which others respect a claim, for polls and slow writes.
+CLAIM_SLACK_S = 1.0
+
+
+class LimitTurns:
+    """The order in which pools are served by each team's limit, as one pool sees it.
+
+    A claim is no permission: it only tells the others what to leave, so that each pool
+    may judge by its own clock how long it respects one. A pool that has stopped, is cut
+    off or does not release its claim holds the others up for a bounded time.
+
+    Args:
+        pool: Name of the pool.
+        state: State of the pool's scheduler.
+
+    Attributes:
+        first_since_s: Since when this pool has seen a claim in the first place, by
+            team, pool and number of the claim.
+        turns: Step of this pool whose turn it is, by team.
+        turn_since_s: Since when it is, by team.
+    """
+
+    def __init__(self, pool: str, state: PoolState):
+        self.pool = pool
+        self.state = state
+        self.first_since_s: dict[tuple[str, str, int], float] = {}
+        self.turns: dict[str, LimitedStep] = {}
+        self.turn_since_s: dict[str, float] = {}
+
+    def room(self, team: str, grant: Grant, limit: Resources) -> Resources:
+        """Return the largest part that the pool may have beside the others.
+
+        Args:
+            team: Name of the team.
+            grant: The stored grant.
+            limit: Limit of the team; 0 means no limit.
+        """
+        claims = ()
+        if self.state.limit_waits.waiting.get(team):
+            claims = self.in_force(team, grant, limit)
+        return room_for(self.pool, limit, parts_of(grant), claims)
+
+    def in_force(
+        self, team: str, grant: Grant, limit: Resources
+    ) -> tuple[LimitClaim, ...]:
+        """Return the claims that this pool respects, the first in line first."""
+        found: list[LimitClaim] = []
+        lasting = _lasting_uses(grant) if grant.claims else []
+        for claim in grant.claims:
+            if not can_be_met(claim, lasting, limit):
+                continue
+            if not found:
+                key = (team, claim.pool, claim.number)
+                self.first_since_s.setdefault(key, now_s())
+                if claim.pool != self.pool and self._is_over(team, claim):
+                    continue
+            found.append(claim)
+        return tuple(found)
+
+    def starved_step(self, team: str, limit: Resources) -> LimitedStep | None:
+        """Return the step for which the team's other work may have to wait.
+
+        None if the pool uses half of the limit: there, runs that end make room.
+        """
+        used = self.state.team_used.get(team, NO_RESOURCES)
+        if not (used + used).within(limit):
+            return None
+        return self.state.limit_waits.starved.get(team)
+
+    def claim_for(
+        self, team: str, step: LimitedStep | None, grant: Grant, limit: Resources
+    ) -> LimitClaim | None:
+        """Return the pool's claim for a step; None if its part covers the step.
+
+        Args:
+            team: Name of the team.
+            step: Step that waits for the limit; None for none.
+            grant: The stored grant.
+            limit: Limit of the team; 0 means no limit.
+        """
+        if step is None:
+            return None
+        need = limited_part(step.need, limit)
+        used = limited_part(self.state.team_used.get(team, NO_RESOURCES), limit)
+        wanted = (used + need).elementwise_min(limit)
+        if wanted.fits(parts_of(grant).get(self.pool, NO_RESOURCES)):
+            return None
+        known = next((item for item in grant.claims if item.pool == self.pool), None)
+        if known is not None and known.need == need and wanted.fits(known.wanted):
+            return known
+        number = 0 if known is None else known.number + 1
+        hold_s = self.state.limit_waits.hold_s(step.step)
+        return LimitClaim(self.pool, number, need, wanted, hold_s)
+
+    def claims_to_store(
+        self, team: str, grant: Grant, own: LimitClaim | None
+    ) -> tuple[LimitClaim, ...]:
+        """Return the claims to store, this pool's in the place that it has in line.
+
+        Args:
+            team: Name of the team.
+            grant: The stored grant.
+            own: Claim of this pool; None for none.
+        """
+        keys = {(team, claim.pool, claim.number) for claim in grant.claims}
+        for key in [key for key in self.first_since_s if key[0] == team]:
+            if key not in keys:
+                del self.first_since_s[key]
+        claims: list[LimitClaim] = []
+        for claim in grant.claims:
+            if claim.pool != self.pool:
+                if not self._is_over(team, claim):
+                    claims.append(claim)
+            elif own is not None and own not in claims:
+                claims.append(own)
+        if own is not None and own not in claims:
+            claims.append(own)
+        return tuple(claims)
+
+    def take_turn(self, team: str, step: LimitedStep | None) -> LimitedStep | None:
+        """Let a step make the team's other work wait, for a bounded time.
+
+        Args:
+            team: Name of the team.
+            step: Step whose turn it is; None for none.
+
+        Returns:
+            The step for which other work has to wait; None for none.
+        """
+        known = self.turns.pop(team, None)
+        if step is None:
+            return None
+        if known is None or known.step != step.step:
+            self.turn_since_s[team] = now_s()
+        waits = self.state.limit_waits
+        if now_s() - self.turn_since_s[team] >= waits.hold_s(step.step):
+            waits.pause(step.step, now_s())
+            return None
+        self.turns[team] = step
+        return step
+
+    def _is_over(self, team: str, claim: LimitClaim) -> bool:
+        key = (team, claim.pool, claim.number)
+        waited_s = now_s() - self.first_since_s.get(key, now_s())
+        return waited_s > claim.hold_s + CLAIM_SLACK_S
+
+
+def _lasting_uses(grant: Grant) -> list[Resources]:
+    """Return what runs of each pool that do not end use, at most its part."""
+    return [
+        Resources(*use).elementwise_min(Resources(*grant.parts.get(pool, EMPTY_PART)))
+        for pool, use in grant.lasting.items()
+    ]
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -1,30 +1,27 @@
 """Divides each team's limit among the pools, by records in the store."""
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from heatherhatch_core.codec import encode_json
+from heatherhatch_core.coordination.limit_claims import limited_part
 from heatherhatch_core.coordination.scheduler import Scheduler
+from heatherhatch_core.coordination.scheduler.limit_waits import LimitedStep
 from heatherhatch_core.exceptions import StoreError
 from heatherhatch_core.state.fleet_configuration import FleetConfiguration
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
-from .clock import now_s
-from .fleet_records import Grant
+from .fleet_records import EMPTY_PART, Grant, as_part
 from .keys import grant_key
+from .limit_turns import LimitTurns
+from .limit_wait_log import LimitWaitLog
+from .part_targets import LimitUse, PartTargets
 from .record_watchers import PlanWatcher
 
-RESERVE_DIVISOR = 8  # a pool reserves 1/8 of the limit, to write less often
-CONTENDED_RESERVE_DIVISOR = 16  # while another pool is short, a pool reserves 1/16
-RELEASE_AFTER_S = 1.0  # an excess that was unused for this long is released
-CONTENDED_RELEASE_PERIOD_S = 1.0  # minimum time between releases to a short pool
-LOGGED_WAIT_S = 1.0  # work that has waited this long for a limit is logged
-LOG_PERIOD_S = 5.0  # minimum time between two such lines about one team
-EMPTY_PART = (0, 0, 0)
-
 
 @dataclass(frozen=True, slots=True)
 class UnconfirmedPart:
@@ -72,11 +69,11 @@
         self.pool = pool
         self.claim = claim
         self.scheduler = scheduler
-        self.excess_since_s: dict[str, float] = {}
-        self.released_s: dict[str, float] = {}
+        self.targets = PartTargets()
         self.unconfirmed: dict[str, UnconfirmedPart] = {}
         self.allowances: dict[str, Resources] = {}
-        self.logged_s: dict[str, float] = {}
+        self.wait_log = LimitWaitLog(pool, scheduler.state)
+        self.turns = LimitTurns(pool, scheduler.state)
 
     def step(self, config: FleetConfiguration) -> None:
         """Adjust the parts to the pool's use and demand, and set the allowances."""
@@ -89,63 +86,79 @@
             for team, allowance in self.allowances.items()
             if team in limits
         }
+        reservations = {}
         for team, limit in limits.items():
-            self._adjust(team, limit, active)
+            reserved = self._adjust(team, limit, active)
+            if reserved is not None:
+                reservations[team] = reserved
             self.set_allowance(team, limit)
-            self._log_wait(team, limit)
+            self.wait_log.step(team, limit, self._stored_parts(team)[0])
         self.scheduler.set_allowances(self.allowances)
+        self.scheduler.set_limit_reservations(reservations)
 
-    def _adjust(self, team: str, limit: Resources, active: frozenset[str]) -> None:
+    def _adjust(
+        self, team: str, limit: Resources, active: frozenset[str]
+    ) -> LimitedStep | None:
+        """Adjust the part of one team; return the step whose turn it is."""
         grant, own, others = self._stored_parts(team)
-        used = self.scheduler.state.team_used.get(team, NO_RESOURCES)
-        unmet = self.scheduler.state.allowance_shortfall.get(team, NO_RESOURCES)
-        is_short = unmet != NO_RESOURCES and not (others + used + unmet).within(limit)
+        use = self._use(team, limit, grant, own, others)
+        starved = self.turns.starved_step(team, limit)
+        claim = self.turns.claim_for(team, starved, grant, limit)
         short = set(grant.short) - {self.pool}
-        target = self._target_part(team, used, unmet, own, limit, others)
         # A pool that is off has no holder that would remove its name.
-        if short & active:
-            target = self._contended_part(team, target, used, own, limit)
-        if is_short:
+        target = self.targets.target(team, use, bool(short & active))
+        if claim is not None and claim.wanted.fits(use.room):
+            target = target.elementwise_max(claim.wanted)
+        if use.is_short:
             short.add(self.pool)
-        updated = _with_part(grant, self.pool, target, short)
+        updated = replace(
+            _with_part(grant, self.pool, target, short),
+            claims=self.turns.claims_to_store(team, grant, claim),
+        )
+        if updated.claims:
+            lasting = self.scheduler.state.lasting_use(team)
+            updated = _with_lasting(updated, self.pool, limited_part(lasting, limit))
         # Any later write rules out that an unconfirmed one is still applied.
         if updated != grant or self._unconfirmed_part(team) is not None:
             stored = self._write(team, updated, target, limit)
             if stored and not own.fits(target):
-                self.released_s[team] = now_s()
+                self.targets.note_released(team)
+        in_force = self.turns.in_force(team, grant, limit)
+        is_first = claim is None or (in_force and in_force[0].pool == self.pool)
+        return self.turns.take_turn(team, starved if is_first else None)
+
+    def _use(
+        self,
+        team: str,
+        limit: Resources,
+        grant: Grant,
+        own: Resources,
+        others: Resources,
+    ) -> LimitUse:
+        state = self.scheduler.state
+        return LimitUse(
+            limit=limit,
+            used=limited_part(state.team_used.get(team, NO_RESOURCES), limit),
+            unmet=limited_part(
+                state.allowance_shortfall.get(team, NO_RESOURCES), limit
+            ),
+            next_need=limited_part(state.limit_waits.next_need(team), limit),
+            own=own,
+            others=others,
+            room=self.turns.room(team, grant, limit),
+        )
 
     def set_allowance(self, team: str, limit: Resources) -> None:
         """Let the scheduler use what is in the pool's part whatever was stored."""
-        _grant, own, others = self._stored_parts(team)
+        grant, own, others = self._stored_parts(team)
         usable = own if (own + others).within(limit) else NO_RESOURCES
+        usable = usable.elementwise_min(self.turns.room(team, grant, limit))
         unconfirmed = self._unconfirmed_part(team)
         if unconfirmed is not None:
             usable = usable.elementwise_min(unconfirmed)
         self.allowances = {**self.allowances, team: _as_allowance(usable, limit)}
         self.scheduler.set_allowances(self.allowances)
 
-    def _log_wait(self, team: str, limit: Resources) -> None:
-        oldest = self.scheduler.state.limit_waits.oldest(team)
-        if oldest is None or now_s() - oldest.since_s < LOGGED_WAIT_S:
-            return
-        if now_s() - self.logged_s.get(team, -math.inf) < LOG_PERIOD_S:
-            return
-        self.logged_s[team] = now_s()
-        grant = self.plan_watcher.grants.get(team, Grant())
-        log(
-            Event.LIMIT_WAIT,
-            team=team,
-            pool=self.pool,
-            job=oldest.step.job_id,
-            step=oldest.step.step,
-            need=_row(oldest.need),
-            waited_s=round(now_s() - oldest.since_s, 2),
-            limit=_row(limit),
-            used=_row(self.scheduler.state.team_used.get(team, NO_RESOURCES)),
-            parts=grant.parts,
-            short=grant.short,
-        )
-
     def _stored_parts(self, team: str) -> tuple[Grant, Resources, Resources]:
         """Return a team's grant, this pool's part and the sum of the others' parts."""
         grant = self.plan_watcher.grants.get(team, Grant())
@@ -163,51 +176,6 @@
             return None
         return unconfirmed.part
 
-    def _target_part(
-        self,
-        team: str,
-        used: Resources,
-        unmet: Resources,
-        own: Resources,
-        limit: Resources,
-        others: Resources,
-    ) -> Resources:
-        reserve = _divided(limit, RESERVE_DIVISOR)
-        available = (limit - others).elementwise_max(NO_RESOURCES)
-        if not (own + others).within(limit):
-            return used.elementwise_min(own)
-        if unmet != NO_RESOURCES:
-            self.excess_since_s.pop(team, None)
-            return (
-                (used + unmet + reserve).elementwise_min(available).elementwise_max(own)
-            )
-        excessive = not (own - used).fits(reserve + reserve)
-        if not excessive:
-            self.excess_since_s.pop(team, None)
-            return own
-        since_s = self.excess_since_s.setdefault(team, now_s())
-        if now_s() - since_s < RELEASE_AFTER_S:
-            return own
-        return (used + reserve).elementwise_min(own)
-
-    def _contended_part(
-        self,
-        team: str,
-        target: Resources,
-        used: Resources,
-        own: Resources,
-        limit: Resources,
-    ) -> Resources:
-        """Limit a part to a small reserve beyond the use, and release seldom."""
-        reserve = _divided(limit, CONTENDED_RESERVE_DIVISOR)
-        limited = target.elementwise_min(used + reserve)
-        kept = own.elementwise_min(target)
-        if kept.fits(limited):
-            return limited
-        if now_s() - self.released_s.get(team, -math.inf) < CONTENDED_RELEASE_PERIOD_S:
-            return limited.elementwise_max(kept)
-        return limited
-
     def _write(
         self, team: str, updated: Grant, part: Resources, limit: Resources
     ) -> bool:
@@ -234,25 +202,21 @@
         return outcome.succeeded
 
 
-def _divided(limit: Resources, divisor: int) -> Resources:
-    return Resources(
-        limit.cpu_m // divisor,
-        limit.memory_mb // divisor,
-        limit.accelerators // divisor,
-    )
-
-
-def _row(amount: Resources) -> tuple[int, int, int]:
-    return (amount.cpu_m, amount.memory_mb, amount.accelerators)
-
-
 def _with_part(grant: Grant, pool: str, part: Resources, short: set[str]) -> Grant:
     """Return a grant with another part of one pool, unless the part is the same."""
     parts = dict(grant.parts)
-    row = _row(part)
+    row = as_part(part)
     if row != parts.get(pool, EMPTY_PART):
         parts[pool] = row
-    return Grant(parts, tuple(sorted(short)))
+    return replace(grant, parts=parts, short=tuple(sorted(short)))
+
+
+def _with_lasting(grant: Grant, pool: str, use: Resources) -> Grant:
+    """Return a grant with what the runs of one pool use that do not end."""
+    lasting = {name: row for name, row in grant.lasting.items() if name != pool}
+    if use != NO_RESOURCES:
+        lasting[pool] = as_part(use)
+    return replace(grant, lasting=lasting)
 
 
 def _as_allowance(part: Resources, limit: Resources) -> Resources:
