Give back the reserves of idle pools to work that waits

Cause: a pool that had used some of a limit kept a sixteenth of it while another pool was short, also without any work. limit_wait shows parts of 1, 1, 1 and 13 of 16 cores for as long as the task waits. Ruled out: a sum of parts above the limit; a pool that does not ask.

Change: all pools respect the claims in the team's record, also those without waiting work, and give back as much of their reserve as a claim needs.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
@@ -50,9 +50,7 @@
             grant: The stored grant.
             limit: Limit of the team; 0 means no limit.
         """
-        claims = ()
-        if self.state.limit_waits.waiting.get(team):
-            claims = self.in_force(team, grant, limit)
+        claims = self.in_force(team, grant, limit)
         return room_for(self.pool, limit, parts_of(grant), claims)
 
     def in_force(
--- a/tests/test_limit_turns.py
+++ b/tests/test_limit_turns.py
@@ -1,9 +1,15 @@
 """Each task and gang gets all that it needs of its team's limit, in bounded time."""
 
+import random
+
 import pytest
 
+from heatherhatch_core.codec import decode_json, encode_json
+from heatherhatch_core.coordination.limit_claims import LimitClaim
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_daemon.events import LOG, Event
+from heatherhatch_daemon.pools.fleet_records import Grant
+from heatherhatch_daemon.transport.store import Expect, Put, Transaction
 from limited_pools import LimitedPools
 
 LIMIT = Resources(16_000)
@@ -44,7 +50,7 @@
 
 # Guards against review/11: after a busy time, pools that were short at once held each
 # other at a sixteenth of the limit, and no task that needs more ever started.
-@pytest.mark.parametrize("need", [3, 7, 10])
+@pytest.mark.parametrize("need", [3, 7, 10, 16])
 def test_pools_that_are_short_at_once_do_not_hold_each_other_back(fleet, need):
     pools = fleet(("till", "wall"))
     for pool in pools.names:
@@ -55,3 +61,166 @@
         pools.submit(job.split("-")[0], job, cores(need))
     assert pools.run(45.0, lambda: all(map(pools.has_begun, jobs)))
     assert pools.exceeded == []
+
+
+# Guards against review/13: pools that had used some of a limit and wanted nothing more
+# kept a sixteenth of it each, and a task that needs more than the rest never started.
+@pytest.mark.parametrize("others", [1, 3, 8])
+@pytest.mark.parametrize("need", [14, 16])
+@pytest.mark.parametrize("limit_before", [16, 32])
+def test_idle_pools_give_back_their_reserves(fleet, others, need, limit_before):
+    idle = tuple(f"idle{number}" for number in range(others))
+    pools = fleet((*idle, "night"), Resources(limit_before * 1000))
+    for pool in idle:
+        pools.submit(pool, f"{pool}-small", cores(1), count=4)
+    pools.run(6.0)
+    pools.configure(LIMIT)
+    pools.run(6.0)
+    pools.submit("night", "large", cores(need))
+    assert pools.run(IDLE_S, lambda: pools.has_begun("large"))
+    assert pools.exceeded == []
+
+
+@pytest.mark.parametrize("place", ["night", "till"])
+@pytest.mark.parametrize("need", [10, 16])
+def test_a_large_task_starts_beside_a_stream_of_small_ones(fleet, place, need):
+    """Each small task took what another one had just released."""
+    pools = fleet(("till", "wall", "desk", "night"))
+    for number in range(400):
+        if number == 100:
+            pools.submit(place, "large", cores(need))
+        for pool in ("till", "wall", "desk"):
+            if number % 8 == 0:
+                pools.submit(pool, f"{pool}-{number}", cores(1), 0.8, count=2)
+        pools.step()
+    assert pools.has_begun("large")
+    assert pools.longest_idle_s["large"] <= IDLE_S
+    assert max(pools.longest_idle_s.values()) <= IDLE_S
+    assert pools.exceeded == []
+
+
+@pytest.mark.parametrize(
+    ("limit", "need"),
+    [
+        (Resources(16_000, 8_000), Resources(1_000, 2_500)),
+        (Resources(0, 8_000, 8), Resources(1_000, 100, 2)),
+        (Resources(16_000, 8_000, 8), Resources(3_500, 10, 1)),
+    ],
+)
+def test_a_gang_starts_beside_small_tasks_in_each_dimension(fleet, limit, need):
+    pools = fleet(("till", "wall", "night"), limit)
+    small = Resources(500, 500, 1 if limit.accelerators else 0)
+    for number in range(300):
+        if number == 100:
+            pools.submit("night", "gang", need, count=3, gang=True)
+        if number % 10 == 0:
+            for pool in ("till", "wall"):
+                pools.submit(pool, f"{pool}-{number}", small, 0.9, count=2)
+        pools.step()
+    assert pools.has_begun("gang")
+    assert pools.longest_idle_s["gang"] <= IDLE_S
+    assert pools.exceeded == []
+
+
+def test_a_claim_that_nobody_serves_holds_others_up_for_a_bounded_time(fleet):
+    pools = fleet(("till", "wall"))
+    claim = LimitClaim("gone", 1, LIMIT, LIMIT, hold_s=2.0)
+    put = Put(GRANT_KEY, encode_json(Grant(claims=(claim,))))
+    pools.store.transact(Transaction((Expect(GRANT_KEY, 0),), (put,)))
+    pools.submit("wall", "small", cores(2))
+    assert not pools.run(1.0, lambda: pools.has_begun("small"))
+    assert pools.run(IDLE_S, lambda: pools.has_begun("small"))
+    pools.run(1.0)
+    assert decode_json(pools.store.get(GRANT_KEY).value, Grant).claims == ()
+
+
+def test_work_waits_for_its_turn_again_if_the_holder_of_its_pool_is_lost(fleet):
+    pools = fleet(("till", "wall", "night"))
+    pools.submit("till", "long", cores(6), 6.0)
+    pools.run(1.0)
+    pools.submit("night", "large", cores(14))
+    pools.run(1.0)
+    pools.pools["night"].held = True
+    pools.run(2.0)
+    pools.replace_holder("night")
+    pools.submit("wall", "small", cores(4))
+    assert pools.run(5.0, lambda: pools.has_begun("small"))
+    assert pools.run(10.0, lambda: pools.has_begun("large"))
+    assert pools.exceeded == []
+
+
+def test_a_step_that_lasting_work_keeps_from_its_turn_does_not_stop_others(fleet):
+    pools = fleet(("till", "wall", "night"))
+    pools.submit("till", "lasting", cores(6), 1000.0, lasting=True)
+    pools.run(1.0)
+    pools.submit("night", "large", cores(14))
+    pools.run(1.0)
+    for number in range(10):
+        pools.submit("wall", f"small-{number}", cores(2), 0.5)
+        pools.run(1.0)
+    pools.run(2.0)
+    longest = [pools.longest_idle_s[f"small-{number}"] for number in range(10)]
+    assert max(longest) <= 1.0
+    assert pools.exceeded == []
+
+
+def random_plays(fleet, seed):
+    """Return pools after a minute of random demand, limits and holders."""
+    draw = random.Random(seed)
+    limit = Resources(
+        draw.choice((0, 8_000, 16_000)), 16_000, draw.choice((0, 0, 4, 8))
+    )
+    names = tuple(f"p{number}" for number in range(draw.randint(2, 7)))
+    pools = fleet(names, limit, seed=seed)
+    sizes = draw.choice(((1, 2), (1, 16), (2, 3, 8, 9, 16), (8, 12, 14), (9, 16)))
+    rate = draw.choice((0.01, 0.03, 0.1))
+    number = 0
+    lost_s = {}
+    for _step in range(600):
+        for name in names:
+            if draw.random() < rate:
+                number += 1
+                _submit_random(draw, pools, name, f"{name}-{number}", sizes)
+        if draw.random() < 0.01:
+            pools.configure(
+                limit.elementwise_max(pools.limit.times(draw.randint(1, 2)))
+            )
+        elif draw.random() < 0.01:
+            pools.configure(limit)
+        if draw.random() < 0.005:
+            name = draw.choice(names)
+            pools.pools[name].held = True
+            lost_s.setdefault(name, pools.now_s)
+        for name, since_s in list(lost_s.items()):
+            if pools.now_s - since_s > 1.6:
+                pools.replace_holder(name)
+                del lost_s[name]
+        pools.step()
+    for name in lost_s:
+        pools.replace_holder(name)
+    return pools
+
+
+def _submit_random(draw, pools, name, job_id, sizes):
+    share = draw.choice(sizes) / 16
+    count = draw.choice((1, 1, 1, 2, 4))
+    gang = count > 1 and draw.random() < 0.5
+    each = share / count if gang else share
+    limit = pools.limit
+    need = Resources(
+        int((limit.cpu_m or 2_000) * each * draw.choice((0.1, 1))),
+        int(limit.memory_mb * each),
+        int(limit.accelerators * each),
+    )
+    pools.submit(name, job_id, need, draw.uniform(0.2, 1.2), count, gang=gang)
+
+
+# Guards against any order of steps after which work waits although the limit has room.
+@pytest.mark.parametrize("seed", range(20))
+def test_no_work_is_left_waiting_in_random_plays(fleet, seed):
+    pools = random_plays(fleet, seed)
+    pools.run(3 * IDLE_S)
+    pools.longest_idle_s.clear()
+    pools.run(60.0, lambda: not pools.open_jobs())
+    assert pools.exceeded == []
+    assert max(pools.longest_idle_s.values(), default=0.0) <= IDLE_S
