Read the parts of limits after a takeover

Cause: a new holder of a pool used the part of each limit that its instance had read last, which may be from before its claim.

Change: PoolGrants reads the parts once after the claim, and allows nothing before.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -16,7 +16,7 @@
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
 from .fleet_records import EMPTY_PART, Grant, as_part
-from .keys import grant_key
+from .keys import GRANT_PREFIX, grant_key
 from .limit_turns import LimitTurns
 from .limit_wait_log import LimitWaitLog
 from .part_targets import LimitUse, PartTargets
@@ -74,9 +74,12 @@
         self.allowances: dict[str, Resources] = {}
         self.wait_log = LimitWaitLog(pool, scheduler.state)
         self.turns = LimitTurns(pool, scheduler.state)
+        self.loaded = False
 
     def step(self, config: FleetConfiguration) -> None:
         """Adjust the parts to the pool's use and demand, and set the allowances."""
+        if not self.loaded and not self._load():
+            return
         active = frozenset(config.active_pools())
         limits = {
             team.name: team.limit for team in config.teams if team.limit != NO_RESOURCES
@@ -96,6 +99,22 @@
         self.scheduler.set_allowances(self.allowances)
         self.scheduler.set_limit_reservations(reservations)
 
+    def _load(self) -> bool:
+        """Read the parts as the former holder left them; return False on a failure.
+
+        What this instance has read before its claim may be a part that the former
+        holder has released since.
+        """
+        try:
+            snapshot = self.store.range(GRANT_PREFIX)
+        except StoreError as error:
+            log(Event.FEED_LOST, prefix=GRANT_PREFIX, error=str(error))
+            return False
+        for entry in snapshot.entries:
+            self.plan_watcher.update_grant(entry)
+        self.loaded = True
+        return True
+
     def _adjust(
         self, team: str, limit: Resources, active: frozenset[str]
     ) -> LimitedStep | None:
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -269,3 +269,30 @@
         model.now_s += 2 * RELEASE_AFTER_S
         model.grants[POOLS.index("b")].step(config)
     assert model.watcher.grants["red"].parts["b"] == before
+
+
+def test_a_new_holder_does_not_use_a_part_that_the_former_one_has_released(model):
+    """Its instance had read the larger part before the claim, and started in it."""
+    model.demands["a"].cpu_m = 60_000
+    model.settle()
+    watcher = PlanWatcher(model.store)
+    watcher.update_grant(model.store.get("grants/red"))
+    model.demands["a"].cpu_m = 10_000
+    for _step in range(STEPS):
+        model.step(2 * RELEASE_AFTER_S)
+    stored = model.watcher.grants["red"].parts["a"][0]
+    assert stored < 60_000
+    demand = DemandModel()
+    demand.cpu_m = 60_000
+    condition = Expect("claims/pool/x", 0)
+    grants = PoolGrants(model.store, watcher, "a", lambda: condition, demand)
+    allowed = []
+    set_allowances = demand.set_allowances
+
+    def note(allowances):
+        allowed.append(allowances["red"].cpu_m)
+        set_allowances(allowances)
+
+    demand.set_allowances = note
+    grants.step(TEAM_CONFIG)
+    assert allowed[0] <= stored
