Take back the parts of pools that nobody runs

Cause: a pool that is no longer configured, or is on standby, gets no new holder once its last one has ended, and nobody else could remove its part of a team's limit. Work of other pools that needed that part waited until the pool was configured again; after the limit was lowered below such a part, nothing of the team started at all.

Change: a pool that lacks something removes the parts of pools that are not active and have had no claim for as long as the leases of a former holder last. The write expects that their claims do not exist; a new holder reads the parts after its claim.

Two tests failed without LeftParts.find and pass now; a third one shows that a pool with a claim keeps its part.

--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/events.py
@@ -120,6 +120,9 @@
         1654,
         "Work waits for its team's limit; it tells the use and the pools' parts.",
     )
+    LIMIT_TAKEN_BACK = EventInfo(
+        1655, "Parts of a limit are taken back from pools that nobody runs any more."
+    )
     MACHINE_ORDERED = EventInfo(1661, "The provider accepted an order for a machine.")
     MACHINE_REFUSED = EventInfo(1662, "An order for a machine was not executed.")
     WAVE_SEEN = EventInfo(1663, "A maintenance wave was announced.")
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -15,8 +15,10 @@
 
 from ..events import Event, log
 from ..transport.store import Entry, Expect, PolledStore, Put, Transaction
-from .fleet_records import EMPTY_PART, Grant, as_part
+from .fleet_records import EMPTY_PART, Grant
+from .grant_changes import with_lasting, with_part, without_parts
 from .keys import GRANT_PREFIX, grant_key
+from .left_parts import LeftParts, unclaimed
 from .limit_turns import LimitTurns
 from .limit_wait_log import LimitWaitLog
 from .part_targets import LimitUse, PartTargets
@@ -54,6 +56,7 @@
         pool: Name of the pool.
         claim: Returns the transaction condition that the pool's claim is held.
         scheduler: The pool's scheduler.
+        left_parts: Finds the parts of pools that nobody runs; None to leave them.
     """
 
     def __init__(
@@ -63,12 +66,14 @@
         pool: str,
         claim: Callable[[], Expect],
         scheduler: Scheduler,
+        left_parts: LeftParts | None = None,
     ):
         self.store = store
         self.plan_watcher = plan_watcher
         self.pool = pool
         self.claim = claim
         self.scheduler = scheduler
+        self.left_parts = left_parts
         self.targets = PartTargets()
         self.unconfirmed: dict[str, UnconfirmedPart] = {}
         self.allowances: dict[str, Resources] = {}
@@ -131,21 +136,35 @@
         if use.is_short:
             short.add(self.pool)
         updated = replace(
-            _with_part(grant, self.pool, target, short),
+            with_part(grant, self.pool, target, short),
             claims=self.turns.claims_to_store(team, grant, claim),
         )
         if updated.claims:
             lasting = self.scheduler.state.lasting_use(team)
-            updated = _with_lasting(updated, self.pool, limited_part(lasting, limit))
+            updated = with_lasting(updated, self.pool, limited_part(lasting, limit))
+        left = self._left_pools(grant, use, active)
+        if left:
+            updated = without_parts(updated, left)
         # Any later write rules out that an unconfirmed one is still applied.
         if updated != grant or self._unconfirmed_part(team) is not None:
-            stored = self._write(team, updated, target, limit)
+            stored = self._write(team, updated, target, limit, left)
             if stored and not own.fits(target):
                 self.targets.note_released(team)
+            if stored and left:
+                log(Event.LIMIT_TAKEN_BACK, team=team, pool=self.pool, left=left)
         in_force = self.turns.in_force(team, grant, limit)
         is_first = claim is None or (in_force and in_force[0].pool == self.pool)
         return self.turns.take_turn(team, starved if is_first else None)
 
+    def _left_pools(
+        self, grant: Grant, use: LimitUse, active: frozenset[str]
+    ) -> tuple[str, ...]:
+        """Return the pools whose parts to take back, if the pool lacks something."""
+        overfull = not (use.own + use.others).within(use.limit)
+        if self.left_parts is None or not (use.is_short or overfull):
+            return ()
+        return self.left_parts.find(grant, active)
+
     def _use(
         self,
         team: str,
@@ -196,7 +215,12 @@
         return unconfirmed.part
 
     def _write(
-        self, team: str, updated: Grant, part: Resources, limit: Resources
+        self,
+        team: str,
+        updated: Grant,
+        part: Resources,
+        limit: Resources,
+        left: tuple[str, ...] = (),
     ) -> bool:
         key = grant_key(team)
         revision = self.plan_watcher.grant_revisions.get(team, 0)
@@ -205,10 +229,9 @@
         smallest = part if earlier is None else part.elementwise_min(earlier)
         self.unconfirmed[team] = UnconfirmedPart(revision, smallest)
         self.set_allowance(team, limit)
+        conditions = (self.claim(), Expect(key, revision), *unclaimed(left))
         try:
-            outcome = self.store.transact(
-                Transaction((self.claim(), Expect(key, revision)), (put,))
-            )
+            outcome = self.store.transact(Transaction(conditions, (put,)))
         except StoreError as error:
             log(Event.WRITE_FAILED, what="part of a limit", team=team, error=str(error))
             return False
@@ -221,23 +244,6 @@
         return outcome.succeeded
 
 
-def _with_part(grant: Grant, pool: str, part: Resources, short: set[str]) -> Grant:
-    """Return a grant with another part of one pool, unless the part is the same."""
-    parts = dict(grant.parts)
-    row = as_part(part)
-    if row != parts.get(pool, EMPTY_PART):
-        parts[pool] = row
-    return replace(grant, parts=parts, short=tuple(sorted(short)))
-
-
-def _with_lasting(grant: Grant, pool: str, use: Resources) -> Grant:
-    """Return a grant with what the runs of one pool use that do not end."""
-    lasting = {name: row for name, row in grant.lasting.items() if name != pool}
-    if use != NO_RESOURCES:
-        lasting[pool] = as_part(use)
-    return replace(grant, lasting=lasting)
-
-
 def _as_allowance(part: Resources, limit: Resources) -> Resources:
     """Return a part as an allowance, in which 0 would mean no bound."""
     return Resources(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_holder.py
@@ -13,6 +13,7 @@
 from .directory import Directory
 from .feed import RETRY_S
 from .keys import pool_role
+from .left_parts import LeftParts
 from .operators import Operators
 from .permit_calls import PermitCalls
 from .permit_requester import PermitRequester
@@ -85,7 +86,10 @@
         self.records = PoolRecords(
             store, pool, self.scheduler, self.committer, self.wake, self._on_error
         )
-        self.grants = PoolGrants(store, plan_watcher, pool, self._claim, self.scheduler)
+        left_parts = LeftParts(claims.free_roles, rules.unfenced_s)
+        self.grants = PoolGrants(
+            store, plan_watcher, pool, self._claim, self.scheduler, left_parts
+        )
         self.reports = PoolReporter(
             store, self.scheduler, self._claim, token, plan_watcher
         )
--- a/tests/limited_pools.py
+++ b/tests/limited_pools.py
@@ -19,7 +19,15 @@
 )
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 from heatherhatch_core.state.work import Job, Schedule, Step, Terms
-from heatherhatch_daemon.pools import limit_turns, limit_wait_log, part_targets
+from heatherhatch_daemon.pools import (
+    left_parts,
+    limit_turns,
+    limit_wait_log,
+    part_targets,
+)
+from heatherhatch_daemon.pools.capacity import DEFAULT_CAPACITY
+from heatherhatch_daemon.pools.free_roles import FreeRoles
+from heatherhatch_daemon.pools.left_parts import LeftParts
 from heatherhatch_daemon.pools.pool_grants import PoolGrants
 from heatherhatch_daemon.pools.record_watchers import PlanWatcher
 from heatherhatch_daemon.transport.memory_store import MemoryStore
@@ -83,13 +91,14 @@
     ):
         self.now_s = 1000.0
         self.random = random.Random(seed)
+        self.roles = FreeRoles("n0", DEFAULT_CAPACITY)
         self.store = MemoryStore(lambda: 0.0)
-        for module in (limit_turns, limit_wait_log, part_targets):
+        for module in (limit_turns, limit_wait_log, part_targets, left_parts):
             monkeypatch.setattr(module, "now_s", lambda: self.now_s)
         self.watchers = [PlanWatcher(self.store), PlanWatcher(self.store)]
         self.read_s = [0.0, 0.0]
         self.names = tuple(names)
-        self.standby = frozenset()
+        self.removed = frozenset()
         self.limit = self.bound = limit
         self.run_s = {}
         self.needs = {}
@@ -105,7 +114,12 @@
     def _pool(self, name, watcher, workers, capacity):
         scheduler = Scheduler(name, Rules(), self.now_s)
         grants = PoolGrants(
-            self.store, watcher, name, lambda: Expect(CLAIM_KEY, 0), scheduler
+            self.store,
+            watcher,
+            name,
+            lambda: Expect(CLAIM_KEY, 0),
+            scheduler,
+            LeftParts(self.roles, Rules().unfenced_s),
         )
         pool = LimitedPool(scheduler, grants, {})
         for number in range(workers):
@@ -142,7 +156,7 @@
         self.config = FleetConfiguration(
             1,
             tuple(Queue(name, "h", f"/{name}/", name) for name in self.names),
-            tuple(Pool(name, standby=name in self.standby) for name in self.names),
+            tuple(Pool(name) for name in self.names if name not in self.removed),
             (Team(TEAM, limit=limit),),
         )
         for pool in self.pools.values():
--- a/tests/test_limit_turns.py
+++ b/tests/test_limit_turns.py
@@ -6,9 +6,11 @@
 
 from heatherhatch_core.codec import decode_json, encode_json
 from heatherhatch_core.coordination.limit_claims import LimitClaim
+from heatherhatch_core.coordination.scheduler import Rules
 from heatherhatch_core.state.resources import Resources
 from heatherhatch_daemon.events import LOG, Event
 from heatherhatch_daemon.pools.fleet_records import Grant
+from heatherhatch_daemon.pools.keys import claim_key, pool_role
 from heatherhatch_daemon.transport.store import Expect, Put, Transaction
 from limited_pools import LimitedPools
 
@@ -164,6 +166,42 @@
     assert pools.exceeded == []
 
 
+@pytest.fixture
+def left(fleet):
+    """Return pools of which one is no longer configured and has lost its holder."""
+    pools = fleet(("till", "night"))
+    pools.submit("till", "small", cores(1), count=4)
+    pools.run(4.0)
+    pools.pools["till"].held = True
+    pools.removed = frozenset({"till"})
+    pools.configure(LIMIT)
+    return pools
+
+
+def test_the_part_of_a_pool_that_nobody_runs_is_taken_back(left):
+    """Work that needs it waited for as long as the pool was not configured again."""
+    left.submit("night", "large", cores(16))
+    lapse_s = Rules().unfenced_s
+    assert not left.run(lapse_s, lambda: left.has_begun("large"))
+    assert left.run(IDLE_S, lambda: left.has_begun("large"))
+
+
+def test_a_lowered_limit_below_the_part_of_a_pool_that_nobody_runs(left):
+    """Nothing of the team started any more, whatever it needs."""
+    left.configure(Resources(1_000))
+    left.submit("night", "small-2", cores(1))
+    assert left.run(Rules().unfenced_s + IDLE_S, lambda: left.has_begun("small-2"))
+
+
+def test_the_part_of_a_pool_that_still_has_a_holder_is_not_taken_back(left):
+    key = claim_key(pool_role("till"))
+    left.store.transact(Transaction((), (Put(key, b"n1/1"),)))
+    left.submit("night", "large", cores(16))
+    assert not left.run(10.0, lambda: left.has_begun("large"))
+    # Also while this instance does not know of the claim: the store decides.
+    assert not left.roles.claims
+
+
 def random_plays(fleet, seed):
     """Return pools after a minute of random demand, limits and holders."""
     draw = random.Random(seed)
