Claim a limit only where work stands still, and take from large parts first

Cause: in saturated pools each step that had waited for 0.5 s made its pool claim, and each other pool gave up as much as the claim lacked, so that the claims got many times what they needed and the parts had to be fetched back.

Change: a pool claims only if no work of the team started there for a while, or if smaller work keeps overtaking what waits, also where the pool uses half of the limit. The largest parts make room first, the others after 0.5 s.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/limit_claims.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/limit_claims.py
@@ -6,6 +6,7 @@
 it in the order leave that much of the limit, and give back what they do not use.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -58,6 +59,7 @@
     limit: Resources,
     parts: Mapping[str, Resources],
     claims: Sequence[LimitClaim],
+    largest_first: bool = False,
 ) -> Resources:
     """Return the largest part that a pool may have beside the others.
 
@@ -66,12 +68,43 @@
         limit: Limit of the team; 0 means no limit.
         parts: Part of each pool.
         claims: Claims in force, the first in line first.
+        largest_first: True if the pools with larger parts are expected to give up what
+            the claims lack, as far as their parts go. If each pool did, the claims
+            would get many times what they need.
     """
     kept = {name: part for name, part in parts.items() if name != pool}
+    ahead = []
     for claim in claims:
         if claim.pool == pool:
             break
+        ahead.append(claim.pool)
         part = kept.get(claim.pool, NO_RESOURCES)
         kept[claim.pool] = part.elementwise_max(claim.wanted)
+    own = parts.get(pool, NO_RESOURCES)
+    if largest_first and ahead:
+        lacking = sum(kept.values(), own) - limit
+        for name in _larger_parts(pool, limit, parts):
+            if name not in ahead:
+                given = parts[name].elementwise_min(lacking)
+                given = given.elementwise_max(NO_RESOURCES)
+                kept[name] = kept[name] - given
+                lacking = lacking - given
     room = limit - sum(kept.values(), NO_RESOURCES)
     return limited_part(room, limit).elementwise_max(NO_RESOURCES)
+
+
+def _larger_parts(
+    pool: str, limit: Resources, parts: Mapping[str, Resources]
+) -> list[str]:
+    """Return the pools with larger parts than one pool, the largest first."""
+
+    def key(name: str) -> tuple[float, str]:
+        part = parts.get(name, NO_RESOURCES)
+        shares = (
+            part.cpu_m / (limit.cpu_m or math.inf),
+            part.memory_mb / (limit.memory_mb or math.inf),
+            part.accelerators / (limit.accelerators or math.inf),
+        )
+        return (-max(shares), name)
+
+    return sorted((name for name in parts if key(name) < key(pool)), key=key)
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
@@ -8,11 +8,25 @@
 from .permits import StepName
 
 PATIENCE_S = 0.5  # a step that has waited this long may make other work wait
+REST_S = 1.5  # so must one of a pool that runs work of the team and starts no more
 FIRST_HOLD_S = 2.0  # for how long it does, at first
 MAX_HOLD_S = 600.0
 NO_WORKER_PAUSE_S = 0.5  # between two searches for a worker with room for a step
 
 
+@dataclass(frozen=True, slots=True)
+class LimitedStart:
+    """The last start of a team's work in the pool.
+
+    Attributes:
+        need: Resources of the task or gang.
+        at_s: Monotonic time, seconds.
+    """
+
+    need: Resources
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitedStep:
     """A step of which no task starts because of its team's limit.
@@ -38,6 +52,7 @@
         noted: The same for the round in progress.
         starved: The step of each team that has waited for the longest time and that
             the workers have room for; teams without one are absent.
+        last_starts: The last start of each team's work.
         holds_s: How long each step may make other work wait next time, seconds.
         paused_until_s: Steps that do not, as they did in vain or no worker has room for
             them, and until when.
@@ -47,9 +62,31 @@
         self.waiting: dict[str, dict[StepName, LimitedStep]] = {}
         self.noted: dict[str, dict[StepName, LimitedStep]] = {}
         self.starved: dict[str, LimitedStep] = {}
+        self.last_starts: dict[str, LimitedStart] = {}
         self.holds_s: dict[StepName, float] = {}
         self.paused_until_s: dict[StepName, float] = {}
 
+    def note_start(self, team: str, need: Resources, now_s: float) -> None:
+        """Record that a task or a gang of a team was placed."""
+        self.last_starts[team] = LimitedStart(need, now_s)
+
+    def is_passed_over(self, team: str, need: Resources) -> bool:
+        """Return whether work that needs less started last."""
+        last = self.last_starts.get(team)
+        return last is not None and not need.fits(last.need)
+
+    def is_at_rest(self, team: str, used: Resources, now_s: float) -> bool:
+        """Return whether no work of a team has started for a while.
+
+        Args:
+            team: Name of the team.
+            used: What its runs in the pool use; their ends make room.
+            now_s: Monotonic time, seconds.
+        """
+        last = self.last_starts.get(team)
+        rest_s = PATIENCE_S if used == NO_RESOURCES else REST_S
+        return last is None or now_s - last.at_s >= rest_s
+
     def begin_round(self) -> None:
         """Begin a placement round."""
         self.noted = {}
@@ -84,22 +121,29 @@
             key: s for key, s in self.paused_until_s.items() if key in steps
         }
 
-    def impatient(self, team: str, limit: Resources, now_s: float) -> list[LimitedStep]:
+    def impatient(
+        self, team: str, limit: Resources, used: Resources, now_s: float
+    ) -> list[LimitedStep]:
         """Return the steps that may make other work wait.
 
         The one that does so now comes first, then those that have waited longest.
+        Where work of the same size goes on starting, the order of the jobs decides
+        which comes next, and none of it may.
 
         Args:
             team: Team of the steps.
             limit: Limit of the team; 0 means no limit.
+            used: What the team's runs in the pool use.
             now_s: Monotonic time, seconds.
         """
         current = self.starved.get(team)
+        at_rest = self.is_at_rest(team, used, now_s)
         found = [
             item
             for item in self.waiting.get(team, {}).values()
             if now_s - item.since_s >= PATIENCE_S
             and item.need.within(limit)
+            and (at_rest or self.is_passed_over(team, item.need))
             and now_s >= self.paused_until_s.get(item.step, now_s)
         ]
         found.sort(
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -117,6 +117,7 @@
         if worker is None:
             worker = choose_last_resort(placement, task, {})
         if worker is not None:
+            _note_start(placement, task, step.occupies)
             _start(placement, task, worker, task.last_run + 1)
         elif task.is_suspect:
             # Its isolation must not hold up the other tasks of the step.
@@ -135,13 +136,22 @@
     placement.state.limit_waits.note(team, step, need, placement.now_s)
 
 
+def _note_start(placement: PlacementRound, task: Task, need: Resources) -> None:
+    state = placement.state
+    team = task.job.job.team
+    if team in state.limits:
+        state.limit_waits.note_start(team, need, placement.now_s)
+        state.end_reservation(task)
+
+
 def _find_starved(placement: PlacementRound) -> None:
     """Find the step of each limited team that has waited longest and could start."""
     waits = placement.state.limit_waits
     starved = {}
     for team in waits.waiting:
         limit = placement.state.limits.get(team, NO_RESOURCES)
-        found = waits.impatient(team, limit, placement.now_s)
+        used = placement.state.team_used[team]
+        found = waits.impatient(team, limit, used, placement.now_s)
         for item in found[:MAX_STARVED_CHECKED]:
             if _has_workers_for(placement, item.step):
                 starved[team] = item
@@ -170,7 +180,6 @@
     placement.note_placed(worker)
     if placement.isolator is not None:
         placement.isolator.note_placed(task, worker.worker_id)
-    placement.state.end_reservation(task)
     placement.state.note(
         "placed",
         task=task.name,
@@ -197,6 +206,8 @@
         for task in tasks:
             if task.is_suspect:
                 placement.isolator.note_held(task)
+    else:
+        _note_start(placement, tasks[0], need)
     number = max(task.last_run for task in tasks) + 1
     for task, worker in zip(tasks, chosen, strict=False):
         _start(placement, task, worker, number)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
@@ -15,6 +15,8 @@
 
 # Added to the time for which others respect a claim, for polls and slow writes.
 CLAIM_SLACK_S = 1.0
+LARGEST_FIRST_S = 0.5  # after this, also pools with smaller parts make room
+LONG_WAIT_S = 10.0
 
 
 class LimitTurns:
@@ -29,6 +31,7 @@
         state: State of the pool's scheduler.
 
     Attributes:
+        last_number: Number of this pool's last claim.
         first_since_s: Since when this pool has seen a claim in the first place, by
             team, pool and number of the claim.
         turns: Step of this pool whose turn it is, by team.
@@ -38,6 +41,7 @@
     def __init__(self, pool: str, state: PoolState):
         self.pool = pool
         self.state = state
+        self.last_number = 0
         self.first_since_s: dict[tuple[str, str, int], float] = {}
         self.turns: dict[str, LimitedStep] = {}
         self.turn_since_s: dict[str, float] = {}
@@ -51,7 +55,10 @@
             limit: Limit of the team; 0 means no limit.
         """
         claims = self.in_force(team, grant, limit)
-        return room_for(self.pool, limit, parts_of(grant), claims)
+        largest_first = bool(claims) and (
+            now_s() - self._first_since_s(team, claims[0]) < LARGEST_FIRST_S
+        )
+        return room_for(self.pool, limit, parts_of(grant), claims, largest_first)
 
     def in_force(
         self, team: str, grant: Grant, limit: Resources
@@ -73,12 +80,17 @@
     def starved_step(self, team: str, limit: Resources) -> LimitedStep | None:
         """Return the step for which the team's other work may have to wait.
 
-        None if the pool uses half of the limit: there, runs that end make room.
+        Where the pool uses half of the limit, runs that end make room. Only work that
+        smaller work keeps overtaking makes it wait there, after some time.
         """
+        waits = self.state.limit_waits
+        step = waits.starved.get(team)
         used = self.state.team_used.get(team, NO_RESOURCES)
-        if not (used + used).within(limit):
+        if step is None or (used + used).within(limit):
+            return step
+        if not waits.is_passed_over(team, step.need):
             return None
-        return self.state.limit_waits.starved.get(team)
+        return step if now_s() - step.since_s >= LONG_WAIT_S else None
 
     def claim_for(
         self, team: str, step: LimitedStep | None, grant: Grant, limit: Resources
@@ -101,9 +113,9 @@
         known = next((item for item in grant.claims if item.pool == self.pool), None)
         if known is not None and known.need == need and wanted.fits(known.wanted):
             return known
-        number = 0 if known is None else known.number + 1
+        self.last_number += 1
         hold_s = self.state.limit_waits.hold_s(step.step)
-        return LimitClaim(self.pool, number, need, wanted, hold_s)
+        return LimitClaim(self.pool, self.last_number, need, wanted, hold_s)
 
     def claims_to_store(
         self, team: str, grant: Grant, own: LimitClaim | None
@@ -152,9 +164,11 @@
         self.turns[team] = step
         return step
 
+    def _first_since_s(self, team: str, claim: LimitClaim) -> float:
+        return self.first_since_s.get((team, claim.pool, claim.number), now_s())
+
     def _is_over(self, team: str, claim: LimitClaim) -> bool:
-        key = (team, claim.pool, claim.number)
-        waited_s = now_s() - self.first_since_s.get(key, now_s())
+        waited_s = now_s() - self._first_since_s(team, claim)
         return waited_s > claim.hold_s + CLAIM_SLACK_S
 
 
--- a/tests/test_limit_turns.py
+++ b/tests/test_limit_turns.py
@@ -166,6 +166,38 @@
     assert pools.exceeded == []
 
 
+def test_a_large_task_starts_although_smaller_ones_use_most_of_the_limit(fleet):
+    """In its own pool, smaller tasks took all that others had released."""
+    pools = fleet(("till",))
+    for number in range(600):
+        if number == 100:
+            pools.submit("till", "large", cores(10))
+        if number % 4 == 0:
+            pools.submit("till", f"small-{number}", cores(1), 1.9, count=1)
+            pools.submit("till", f"small-too-{number}", cores(1), 1.9, count=1)
+        pools.step()
+    assert pools.has_begun("large")
+
+
+def test_pools_whose_work_goes_on_starting_make_no_claims(fleet):
+    """Each claim costs writes, and the parts of busy pools need no order."""
+    pools = fleet(("till", "wall", "desk", "night"))
+    for number in range(200):
+        if number % 4 == 0:
+            for pool in pools.names:
+                pools.submit(pool, f"{pool}-{number}", cores(1), 0.9)
+        pools.step()
+    before = pools.store.revision
+    for number in range(200, 600):
+        if number % 4 == 0:
+            for pool in pools.names:
+                pools.submit(pool, f"{pool}-{number}", cores(1), 0.9)
+        pools.step()
+    assert pools.used().cpu_m >= LIMIT.cpu_m * 3 // 4
+    writes_per_s = (pools.store.revision - before) / 20.0
+    assert writes_per_s <= 1.0 * len(pools.names)
+
+
 @pytest.fixture
 def left(fleet):
     """Return pools of which one is no longer configured and has lost its holder."""
