--- a/tests/test_soak_standins.py
+++ b/tests/test_soak_standins.py
@@ -12,6 +12,7 @@
 from heatherhatch_platform.machines import HttpPolicy
 from heatherhatch_platform_standin import ledger as ledger_module
 from heatherhatch_platform_standin.ledger import Ledger
+from heatherhatch_platform_standin.limited_jobs import APPLY_S
 from heatherhatch_platform_standin.policy import StandinPolicy, is_valid_ticket
 from heatherhatch_platform_standin.proxy import Link, Proxy
 from heatherhatch_platform_standin.run_ends import RunEnds
@@ -137,3 +138,24 @@
     ledger.start(TASK, "w1")
     assert ledger.find_waiting(time.monotonic() + 1.0) == ["other"]
     assert ledger.find_waiting(time.monotonic() - 1.0) == []
+
+
+def test_the_ledger_notices_a_start_above_a_limit(monkeypatch):
+    now_s = [1000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now_s[0])
+    ledger = Ledger()
+    ledger.limit_use.set_limit(8)
+    ledger.limit_use.cores.update({"a": 8, "b": 1, "c": 1})
+    ledger.start("a.0.0.0", "w1")
+    ledger.start("b.0.0.0", "w2")  # one task more is allowed
+    ledger.start("d.0.0.0", "w2")  # of another team
+    assert ledger.violations == []
+    ledger.start("c.0.0.0", "w2")
+    assert len(ledger.violations) == 1
+    ledger.end("a.0.0.0", "w1")
+    ledger.end("c.0.0.0", "w2")
+    ledger.limit_use.set_limit(1)
+    now_s[0] += APPLY_S + 1.0
+    ledger.start("c.0.0.1", "w2")
+    ledger.start("a.0.0.0", "w1")
+    assert len(ledger.violations) == 2
