Serve lasting tasks of a step together, and keep no first place in line

Found by reading the fixes again: - Each lasting task of a step had a turn of its own: of four, beside twelve idle pools, the last ones started after more than 3 s. A claim now covers as many tasks of its step as half of the limit holds. - A pool's claim for another step took the place of its last one; it goes to the end of the line now. A step that has just made others wait in vain is dropped at once. - Claims of pools that are not configured any more, which have no holder to release them, held others up for as long as the longest turn; they are ignored. - More than a few steps without a worker for them could keep later ones from being looked at; they are looked at in turn.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from ...state.resources import NO_RESOURCES, Resources
@@ -36,11 +37,13 @@
         need: Resources of the least that can start: one task, or the whole gang.
         since_s: Since when the limit has kept its tasks from starting, monotonic
             seconds.
+        count: How often that much could start, if the limit had room.
     """
 
     step: StepName
     need: Resources
     since_s: float
+    count: int = 1
 
 
 class LimitWaits:
@@ -91,19 +94,22 @@
         """Begin a placement round."""
         self.noted = {}
 
-    def note(self, team: str, step: StepName, need: Resources, now_s: float) -> None:
+    def note(
+        self, team: str, step: StepName, need: Resources, count: int, now_s: float
+    ) -> None:
         """Record that the limit keeps the tasks of a step from starting.
 
         Args:
             team: Team of the job.
             step: The step.
             need: Resources of the least that can start.
+            count: How often that much could start.
             now_s: Monotonic time, seconds.
         """
         known = self.waiting.get(team, {}).get(step)
         since_s = now_s if known is None else known.since_s
         steps = self.noted.setdefault(team, {})
-        steps.setdefault(step, LimitedStep(step, need, since_s))
+        steps.setdefault(step, LimitedStep(step, need, since_s, count))
 
     def end_round(self, complete: bool) -> None:
         """End a placement round.
@@ -126,9 +132,10 @@
     ) -> list[LimitedStep]:
         """Return the steps that may make other work wait.
 
-        The one that does so now comes first, then those that have waited longest.
-        Where work of the same size goes on starting, the order of the jobs decides
-        which comes next, and none of it may.
+        The one that does so now comes first, then those that have waited longest;
+        those that did so in vain or found no worker come last, in turn. Where work of
+        the same size goes on starting, the order of the jobs decides which comes next,
+        and none of it may.
 
         Args:
             team: Team of the steps.
@@ -149,6 +156,7 @@
         found.sort(
             key=lambda item: (
                 current is None or item.step != current.step,
+                self.paused_until_s.get(item.step, -math.inf),
                 item.since_s,
             )
         )
@@ -171,6 +179,9 @@
         held_s = self.hold_s(step)
         self.paused_until_s[step] = now_s + held_s
         self.holds_s[step] = min(2 * held_s, MAX_HOLD_S)
+        self.starved = {
+            team: item for team, item in self.starved.items() if item.step != step
+        }
 
     def next_need(self, team: str) -> Resources:
         """Return what the first step in line needs to start; nothing if none waits."""
--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/placement.py
@@ -111,7 +111,7 @@
     for done, task in enumerate(waiting):
         if not is_within_allowance(placement.state, task, step.occupies):
             if step.lasting or not job.has_runs(task.name.occurrence, task.name.step):
-                _note_limited(placement, task, step.occupies)
+                _note_limited(placement, task, step.occupies, len(waiting) - done)
             return len(waiting) - done + held
         worker = choose_worker(placement, task, {})
         if worker is None:
@@ -130,10 +130,12 @@
     return held
 
 
-def _note_limited(placement: PlacementRound, task: Task, need: Resources) -> None:
+def _note_limited(
+    placement: PlacementRound, task: Task, need: Resources, count: int
+) -> None:
     team = task.job.job.team
     step = step_name(task.name)
-    placement.state.limit_waits.note(team, step, need, placement.now_s)
+    placement.state.limit_waits.note(team, step, need, count, placement.now_s)
 
 
 def _note_start(placement: PlacementRound, task: Task, need: Resources) -> None:
@@ -194,7 +196,7 @@
     step = tasks[0].step
     need = step.occupies.times(len(tasks))
     if not is_within_allowance(placement.state, tasks[0], need):
-        _note_limited(placement, tasks[0], need)
+        _note_limited(placement, tasks[0], need, 1)
         return
     for rack in _candidate_racks(placement) if step.same_rack else [""]:
         chosen = _choose_gang_workers(placement, tasks, rack)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
@@ -1,5 +1,7 @@
 """Claims of one pool on the teams' limits, and which claims of others it respects."""
 
+from collections.abc import Set
+
 from heatherhatch_core.coordination.limit_claims import (
     LimitClaim,
     can_be_met,
@@ -7,11 +9,12 @@
     room_for,
 )
 from heatherhatch_core.coordination.scheduler.limit_waits import LimitedStep
+from heatherhatch_core.coordination.scheduler.permits import StepName
 from heatherhatch_core.coordination.scheduler.state import PoolState
 from heatherhatch_core.state.resources import NO_RESOURCES, Resources
 
 from .clock import now_s
-from .fleet_records import EMPTY_PART, Grant, parts_of
+from .fleet_records import EMPTY_PART, Grant, as_part, parts_of
 
 # Added to the time for which others respect a claim, for polls and slow writes.
 CLAIM_SLACK_S = 1.0
@@ -34,6 +37,9 @@
         last_number: Number of this pool's last claim.
         first_since_s: Since when this pool has seen a claim in the first place, by
             team, pool and number of the claim.
+        active: Pools that are configured and not on standby; claims of others are
+            not respected, as they have no holder that would release them.
+        claimed: Step of this pool's claim, by team.
         turns: Step of this pool whose turn it is, by team.
         turn_since_s: Since when it is, by team.
     """
@@ -43,6 +49,8 @@
         self.state = state
         self.last_number = 0
         self.first_since_s: dict[tuple[str, str, int], float] = {}
+        self.active: Set[str] = frozenset((pool,))
+        self.claimed: dict[str, StepName] = {}
         self.turns: dict[str, LimitedStep] = {}
         self.turn_since_s: dict[str, float] = {}
 
@@ -67,6 +75,8 @@
         found: list[LimitClaim] = []
         lasting = _lasting_uses(grant) if grant.claims else []
         for claim in grant.claims:
+            if claim.pool not in self.active:
+                continue
             if not can_be_met(claim, lasting, limit):
                 continue
             if not found:
@@ -97,6 +107,8 @@
     ) -> LimitClaim | None:
         """Return the pool's claim for a step; None if its part covers the step.
 
+        Of a step with several tasks it covers as many as half of the limit holds.
+
         Args:
             team: Name of the team.
             step: Step that waits for the limit; None for none.
@@ -107,26 +119,45 @@
             return None
         need = limited_part(step.need, limit)
         used = limited_part(self.state.team_used.get(team, NO_RESOURCES), limit)
-        wanted = (used + need).elementwise_min(limit)
-        if wanted.fits(parts_of(grant).get(self.pool, NO_RESOURCES)):
+        least = (used + need).elementwise_min(limit)
+        if least.fits(parts_of(grant).get(self.pool, NO_RESOURCES)):
             return None
+        half = limit - Resources(*(amount // 2 for amount in as_part(limit)))
+        count = min(step.count, need.times_in(half - used))
+        wanted = least.elementwise_max(used + need.times(count))
         known = next((item for item in grant.claims if item.pool == self.pool), None)
-        if known is not None and known.need == need and wanted.fits(known.wanted):
+        if (
+            known
+            and self._is_claimed(team, step)
+            and known.need == need
+            and least.fits(known.wanted)
+        ):
             return known
         self.last_number += 1
         hold_s = self.state.limit_waits.hold_s(step.step)
         return LimitClaim(self.pool, self.last_number, need, wanted, hold_s)
 
     def claims_to_store(
-        self, team: str, grant: Grant, own: LimitClaim | None
+        self,
+        team: str,
+        step: LimitedStep | None,
+        grant: Grant,
+        own: LimitClaim | None,
     ) -> tuple[LimitClaim, ...]:
-        """Return the claims to store, this pool's in the place that it has in line.
+        """Return the claims to store.
+
+        This pool's claim keeps its place in line; one for another step goes to the end.
 
         Args:
             team: Name of the team.
+            step: Step that the pool's claim is for; None for none.
             grant: The stored grant.
             own: Claim of this pool; None for none.
         """
+        keeps_place = step is not None and self._is_claimed(team, step)
+        self.claimed.pop(team, None)
+        if step is not None and own is not None:
+            self.claimed[team] = step.step
         keys = {(team, claim.pool, claim.number) for claim in grant.claims}
         for key in [key for key in self.first_since_s if key[0] == team]:
             if key not in keys:
@@ -136,7 +167,7 @@
             if claim.pool != self.pool:
                 if not self._is_over(team, claim):
                     claims.append(claim)
-            elif own is not None and own not in claims:
+            elif own is not None and own not in claims and keeps_place:
                 claims.append(own)
         if own is not None and own not in claims:
             claims.append(own)
@@ -164,6 +195,10 @@
         self.turns[team] = step
         return step
 
+    def _is_claimed(self, team: str, step: LimitedStep) -> bool:
+        """Return whether the pool's claim is for a step, or for one not known here."""
+        return self.claimed.get(team, step.step) == step.step
+
     def _first_since_s(self, team: str, claim: LimitClaim) -> float:
         return self.first_since_s.get((team, claim.pool, claim.number), now_s())
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -86,6 +86,7 @@
         if not self.loaded and not self._load():
             return
         active = frozenset(config.active_pools())
+        self.turns.active = active
         limits = {
             team.name: team.limit for team in config.teams if team.limit != NO_RESOURCES
         }
@@ -131,13 +132,14 @@
         short = set(grant.short) - {self.pool}
         # A pool that is off has no holder that would remove its name.
         target = self.targets.target(team, use, bool(short & active))
-        if claim is not None and claim.wanted.fits(use.room):
-            target = target.elementwise_max(claim.wanted)
+        if claim is not None and (use.used + claim.need).fits(use.room):
+            wanted = claim.wanted.elementwise_min(use.room)
+            target = target.elementwise_max(wanted)
         if self.targets.counts_as_short(team, use):
             short.add(self.pool)
         updated = replace(
             with_part(grant, self.pool, target, short),
-            claims=self.turns.claims_to_store(team, grant, claim),
+            claims=self.turns.claims_to_store(team, starved, grant, claim),
         )
         if updated.claims:
             lasting = self.scheduler.state.lasting_use(team)
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/scheduler_copy.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/scheduler_copy.py
@@ -89,6 +89,7 @@
     plan = watcher.plan
     scheduler.set_drains(plan.vacating, plan.resting, frozenset(plan.due))
     grants = PoolGrants(store, watcher, scheduler.state.pool, _no_claim, scheduler)
+    grants.turns.active = frozenset(config.active_pools())
     for team in config.teams:
         if team.limit != NO_RESOURCES:
             grants.set_allowance(team.name, team.limit)
--- a/tests/test_limit_turns.py
+++ b/tests/test_limit_turns.py
@@ -124,11 +124,17 @@
     assert pools.exceeded == []
 
 
-def test_a_claim_that_nobody_serves_holds_others_up_for_a_bounded_time(fleet):
-    pools = fleet(("till", "wall"))
-    claim = LimitClaim("gone", 1, LIMIT, LIMIT, hold_s=2.0)
+def put_claim(pools, pool):
+    """Store a claim on the whole limit in the name of a pool."""
+    claim = LimitClaim(pool, 1, LIMIT, LIMIT, hold_s=2.0)
     put = Put(GRANT_KEY, encode_json(Grant(claims=(claim,))))
     pools.store.transact(Transaction((Expect(GRANT_KEY, 0),), (put,)))
+
+
+def test_a_claim_that_nobody_serves_holds_others_up_for_a_bounded_time(fleet):
+    pools = fleet(("till", "wall", "night"))
+    pools.pools["night"].held = True
+    put_claim(pools, "night")
     pools.submit("wall", "small", cores(2))
     assert not pools.run(1.0, lambda: pools.has_begun("small"))
     assert pools.run(IDLE_S, lambda: pools.has_begun("small"))
@@ -136,6 +142,38 @@
     assert decode_json(pools.store.get(GRANT_KEY).value, Grant).claims == ()
 
 
+def test_a_claim_of_a_pool_that_is_not_configured_holds_nobody_up(fleet):
+    pools = fleet(("till", "wall"))
+    put_claim(pools, "gone")
+    pools.submit("wall", "small", cores(2))
+    assert pools.run(1.0, lambda: pools.has_begun("small"))
+
+
+def test_a_pool_with_much_waiting_work_does_not_keep_the_first_place(fleet):
+    """Its next claim took the place of the last one, and others never had a turn."""
+    pools = fleet(("till", "wall"))
+    pools.submit("till", "long", cores(7), 30.0)
+    pools.run(1.0)
+    for number in range(20):
+        pools.submit("till", f"large-{number}", cores(10))
+    pools.run(1.0)
+    pools.submit("wall", "other", cores(9))
+    assert pools.run(8.0, lambda: pools.has_begun("other"))
+    assert pools.exceeded == []
+
+
+def test_all_lasting_tasks_of_a_step_start_at_once_beside_idle_pools(fleet):
+    """Each of them had a turn of its own."""
+    idle = tuple(f"idle{number}" for number in range(12))
+    pools = fleet((*idle, "night"))
+    for pool in idle:
+        pools.submit(pool, f"{pool}-small", cores(1))
+    pools.run(6.0)
+    pools.submit("night", "lasting", cores(2), 1000.0, count=4, lasting=True)
+    begun = pools.run(IDLE_S, lambda: pools.used().cpu_m == 8_000)
+    assert begun
+
+
 def test_work_waits_for_its_turn_again_if_the_holder_of_its_pool_is_lost(fleet):
     pools = fleet(("till", "wall", "night"))
     pools.submit("till", "long", cores(6), 6.0)
