Let pools claim more of a limit also while their work goes on starting

Cause: a pool whose tasks went on starting made no claim, so that tasks which need just under half of the limit ran one at a time beside reserves of idle pools, while the others waited for more than 3 s and the team used under half: 7 of 16 cores, three idle pools with 1 each.

Change: a step that has waited for 1.5 s may claim from time to time, unless the parts of the others show that the team uses half. The check of the model counts exactly half as half, as the rule says "under half".

The test failed before.

--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
@@ -9,7 +9,7 @@
 from .permits import StepName
 
 PATIENCE_S = 0.5  # a step that has waited this long may make other work wait
-REST_S = 1.5  # so must one of a pool that runs work of the team and starts no more
+REST_S = 1.5  # the same in a pool that runs work of the team
 FIRST_HOLD_S = 2.0  # for how long it does, at first
 MAX_HOLD_S = 600.0
 NO_WORKER_PAUSE_S = 0.5  # between two searches for a worker with room for a step
@@ -134,8 +134,7 @@
 
         The one that does so now comes first, then those that have waited longest;
         those that did so in vain or found no worker come last, in turn. Where work of
-        the same size goes on starting, the order of the jobs decides which comes next,
-        and none of it may.
+        the same size goes on starting, only those may that have waited for longer.
 
         Args:
             team: Team of the steps.
@@ -150,7 +149,11 @@
             for item in self.waiting.get(team, {}).values()
             if now_s - item.since_s >= PATIENCE_S
             and item.need.within(limit)
-            and (at_rest or self.is_passed_over(team, item.need))
+            and (
+                at_rest
+                or self.is_passed_over(team, item.need)
+                or now_s - item.since_s >= REST_S
+            )
             and now_s >= self.paused_until_s.get(item.step, now_s)
         ]
         found.sort(
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
@@ -1,5 +1,6 @@
 """Claims of one pool on the teams' limits, and which claims of others it respects."""
 
+import math
 from collections.abc import Set
 
 from heatherhatch_core.coordination.limit_claims import (
@@ -15,11 +16,13 @@
 
 from .clock import now_s
 from .fleet_records import EMPTY_PART, Grant, as_part, parts_of
+from .part_targets import CONTENDED_RESERVE_DIVISOR
 
 # Added to the time for which others respect a claim, for polls and slow writes.
 CLAIM_SLACK_S = 1.0
 LARGEST_FIRST_S = 0.5  # after this, also pools with smaller parts make room
 LONG_WAIT_S = 10.0
+CLAIM_PERIOD_S = 1.0  # between claims of a pool whose work goes on starting
 
 
 class LimitTurns:
@@ -40,6 +43,7 @@
         active: Pools that are configured and not on standby; claims of others are
             not respected, as they have no holder that would release them.
         claimed: Step of this pool's claim, by team.
+        claimed_s: When this pool last had a claim, by team.
         turns: Step of this pool whose turn it is, by team.
         turn_since_s: Since when it is, by team.
     """
@@ -51,6 +55,7 @@
         self.first_since_s: dict[tuple[str, str, int], float] = {}
         self.active: Set[str] = frozenset((pool,))
         self.claimed: dict[str, StepName] = {}
+        self.claimed_s: dict[str, float] = {}
         self.turns: dict[str, LimitedStep] = {}
         self.turn_since_s: dict[str, float] = {}
 
@@ -87,20 +92,54 @@
             found.append(claim)
         return tuple(found)
 
-    def starved_step(self, team: str, limit: Resources) -> LimitedStep | None:
+    def starved_step(
+        self, team: str, grant: Grant, limit: Resources
+    ) -> LimitedStep | None:
         """Return the step for which the team's other work may have to wait.
 
         Where the pool uses half of the limit, runs that end make room. Only work that
         smaller work keeps overtaking makes it wait there, after some time.
+
+        Args:
+            team: Name of the team.
+            grant: The stored grant.
+            limit: Limit of the team; 0 means no limit.
         """
         waits = self.state.limit_waits
         step = waits.starved.get(team)
+        if step is None:
+            return None
         used = self.state.team_used.get(team, NO_RESOURCES)
-        if step is None or (used + used).within(limit):
+        is_passed_over = waits.is_passed_over(team, step.need)
+        if not (used + used).within(limit):
+            is_due = now_s() - step.since_s >= LONG_WAIT_S
+            return step if is_passed_over and is_due else None
+        if is_passed_over or waits.is_at_rest(team, used, now_s()):
             return step
-        if not waits.is_passed_over(team, step.need):
-            return None
-        return step if now_s() - step.since_s >= LONG_WAIT_S else None
+        return step if self._may_claim_more(team, grant, limit) else None
+
+    def _may_claim_more(self, team: str, grant: Grant, limit: Resources) -> bool:
+        """Return whether a pool whose work goes on starting may claim for more of it.
+
+        It may from time to time, unless the team certainly uses half of the limit: the
+        others may hold reserves, but no more than those beyond what they use.
+        """
+        if any(claim.pool == self.pool for claim in grant.claims):
+            return True
+        if now_s() - self.claimed_s.get(team, -math.inf) < CLAIM_PERIOD_S:
+            return False
+        reserve = Resources(
+            *(amount // CONTENDED_RESERVE_DIVISOR for amount in as_part(limit))
+        )
+        least = sum(
+            (
+                (part - reserve).elementwise_max(NO_RESOURCES)
+                for pool, part in parts_of(grant).items()
+                if pool != self.pool
+            ),
+            self.state.team_used.get(team, NO_RESOURCES),
+        )
+        return (least + least).within(limit)
 
     def claim_for(
         self, team: str, step: LimitedStep | None, grant: Grant, limit: Resources
@@ -158,6 +197,7 @@
         self.claimed.pop(team, None)
         if step is not None and own is not None:
             self.claimed[team] = step.step
+            self.claimed_s[team] = now_s()
         keys = {(team, claim.pool, claim.number) for claim in grant.claims}
         for key in [key for key in self.first_since_s if key[0] == team]:
             if key not in keys:
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/pool_grants.py
@@ -127,7 +127,7 @@
         """Adjust the part of one team; return the step whose turn it is."""
         grant, own, others = self._stored_parts(team)
         use = self._use(team, limit, grant, own, others)
-        starved = self.turns.starved_step(team, limit)
+        starved = self.turns.starved_step(team, grant, limit)
         claim = self.turns.claim_for(team, starved, grant, limit)
         short = set(grant.short) - {self.pool}
         # A pool that is off has no holder that would remove its name.
--- a/tests/test_limit_turns.py
+++ b/tests/test_limit_turns.py
@@ -83,6 +83,20 @@
     assert pools.exceeded == []
 
 
+def test_tasks_that_go_on_starting_get_more_of_a_limit_than_they_use(fleet):
+    """One ran at a time, in under half of the limit, beside reserves of idle pools."""
+    idle = ("till", "wall", "desk")
+    pools = fleet((*idle, "night"))
+    for pool in idle:
+        pools.submit(pool, f"{pool}-small", cores(1), count=4)
+    pools.run(6.0)
+    for number in range(10):
+        pools.submit("night", f"large-{number}", cores(7))
+    assert pools.run(12.0, lambda: not pools.open_jobs())
+    assert max(pools.longest_idle_s.values()) <= IDLE_S
+    assert pools.exceeded == []
+
+
 @pytest.mark.parametrize("place", ["night", "till"])
 @pytest.mark.parametrize("need", [10, 16])
 def test_a_large_task_starts_beside_a_stream_of_small_ones(fleet, place, need):
