--- a/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
+++ b/packages/heatherhatch-core/src/heatherhatch_core/coordination/scheduler/limit_waits.py
@@ -10,8 +10,8 @@
 
 PATIENCE_S = 0.5  # a step that has waited this long may make other work wait
 REST_S = 1.5  # the same in a pool that runs work of the team
-FIRST_HOLD_S = 2.0  # for how long it does, at first
-MAX_HOLD_S = 600.0
+FIRST_HOLD_S = 2.0  # for how long other work waits at first
+MAX_HOLD_S = 600.0  # after doubling
 NO_WORKER_PAUSE_S = 0.5  # between two searches for a worker with room for a step
 
 
--- a/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
+++ b/packages/heatherhatch-daemon/src/heatherhatch_daemon/pools/limit_turns.py
@@ -21,7 +21,7 @@
 # Added to the time for which others respect a claim, for polls and slow writes.
 CLAIM_SLACK_S = 1.0
 LARGEST_FIRST_S = 0.5  # after this, also pools with smaller parts make room
-LONG_WAIT_S = 10.0
+LONG_WAIT_S = 10.0  # of overtaken work in a pool that uses half of the limit
 CLAIM_PERIOD_S = 1.0  # between claims of a pool whose work goes on starting
 
 
