--- a/tests/test_limit_plays.py
+++ b/tests/test_limit_plays.py
@@ -8,7 +8,7 @@
 from limited_pools import LimitedPools
 
 IDLE_S = 3.0  # the rule LOST of the users allows this much without a run
-PLAYS = 10  # each takes about four seconds; more are played by hand
+PLAYS = 20  # more are played by hand
 
 
 def random_plays(monkeypatch, seed):
